--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/__init__.py
@@ -0,0 +1,1 @@
+"""State machines of goldcrestridge, without input or output."""
--- /dev/null
+++ b/packages/lab/src/goldcrestridge_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Engine model, stand-ins and measurements."""
--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, files and timers round the goldcrestridge core."""
