--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/transport.py
@@ -0,0 +1,241 @@
+"""Messages between nodes over ZeroMQ: one receiving socket, one sending task per peer."""
+
+from __future__ import annotations
+
+import struct
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import zmq
+import zmq.asyncio
+import zmq.utils.z85
+from attrs import define, field, frozen
+from returns.result import Failure
+
+from goldcrestridge_core import codec
+from goldcrestridge_core.types import (
+    CacheEvents,
+    Count,
+    GrantReport,
+    LoadReport,
+    NodeId,
+    Receive,
+    ShardSummary,
+)
+
+# Each message has three frames: protocol version, hybrid logical clock stamp, encoded message.
+PROTOCOL_VERSION = b"\x01"
+STAMP = struct.Struct("!dI")
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+QUEUE_MESSAGES = 2_000  # Per peer and per kind group, so that a silent peer has bounded memory.
+SOCKET_QUEUE_MESSAGES = 64  # Small, so that the ordering by kind happens in our own queue.
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1_000
+
+# Reports are repeated soon anyway, so they are sent last and dropped first.
+DROPPED_FIRST = (LoadReport, CacheEvents, ShardSummary, GrantReport)
+
+ZAP_ADDRESS = "inproc://zeromq.zap.01"
+
+
+@frozen
+class CurveKeys:
+    """CURVE keys of this node and the public keys of all known peers by node."""
+
+    public: bytes
+    secret: bytes
+    peers: dict[NodeId, bytes]
+
+
+@define
+class _Link:
+    """Queue and address of one peer; ``urgent`` is sent before ``reports``."""
+
+    address: str
+    urgent: deque[list[bytes]] = field(factory=deque)
+    reports: deque[list[bytes]] = field(factory=deque)
+    wake: anyio.Event = field(factory=anyio.Event)
+    scope: anyio.CancelScope = field(factory=anyio.CancelScope)
+
+
+class Transport:
+    """Carry messages between this node and its peers.
+
+    ``deliver`` gets each received message, ``count`` each counter, ``stamp`` returns the clock
+    stamp to send and ``observe`` takes a received one. All are called in the event loop.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        address: str,
+        deliver: Callable[[Receive], None],
+        count: Callable[[Count], None],
+        stamp: Callable[[], tuple[float, int]],
+        observe: Callable[[float, int], None],
+        curve: CurveKeys | None = None,
+    ) -> None:
+        self._node = node
+        self._address = address
+        self._deliver = deliver
+        self._count = count
+        self._stamp = stamp
+        self._observe = observe
+        self._curve = curve
+        self._links: dict[NodeId, _Link] = {}
+        self._context = zmq.asyncio.Context()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Receive messages until cancelled; raises OSError if the address is taken."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                if self._curve is not None:
+                    await tasks.start(self._authenticate, self._curve)
+                socket = self._socket(zmq.ROUTER)
+                try:
+                    socket.bind(f"tcp://{self._address}")
+                except zmq.ZMQError as exc:
+                    raise OSError(f"Can't listen on {self._address}: {exc.strerror}") from exc
+                task_status.started()
+                for peer, link in self._links.items():
+                    tasks.start_soon(self._send_task, peer, link)
+                await self._receive_task(socket)
+        finally:
+            self._tasks = None
+            self._context.destroy(linger=0)
+
+    def connect(self, peer: NodeId, address: str) -> None:
+        """Connect to a peer, or reconnect if its address changed."""
+        link = self._links.get(peer)
+        if peer == self._node or (link is not None and link.address == address):
+            return
+        if link is not None:
+            link.scope.cancel()
+        self._links[peer] = link = _Link(address)
+        if self._tasks is not None:
+            self._tasks.start_soon(self._send_task, peer, link)
+
+    def forget(self, peer: NodeId) -> None:
+        """Close the connection to a peer and drop what waits for it."""
+        link = self._links.pop(peer, None)
+        if link is not None:
+            link.scope.cancel()
+
+    def send(self, peer: NodeId, message: Any) -> None:
+        """Queue a message; a full queue drops its oldest message and counts it."""
+        kind = type(message).__name__
+        if peer == self._node:
+            self._deliver(Receive(peer, message))
+            return
+        link = self._links.get(peer)
+        if link is None:
+            self._count_drop(kind, "unknown_peer")
+            return
+        queue = link.reports if isinstance(message, DROPPED_FIRST) else link.urgent
+        if len(queue) >= QUEUE_MESSAGES:
+            queue.popleft()
+            self._count_drop(kind, "queue_full")
+        body = codec.encode(message)
+        self._count(Count("peer_sent_bytes", len(body), (("kind", kind),)))
+        queue.append([PROTOCOL_VERSION, STAMP.pack(*self._stamp()), body])
+        link.wake.set()
+
+    def _count_drop(self, kind: str, reason: str) -> None:
+        self._count(Count("peer_messages_dropped", 1, (("kind", kind), ("reason", reason))))
+
+    def _socket(self, kind: int) -> zmq.asyncio.Socket:
+        socket = self._context.socket(kind)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.setsockopt(zmq.SNDHWM, SOCKET_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
+        if kind == zmq.ROUTER:
+            # A restarted peer takes over its name from its own stale connection.
+            socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        if self._curve is not None:
+            socket.curve_publickey = self._curve.public
+            socket.curve_secretkey = self._curve.secret
+            socket.curve_server = kind == zmq.ROUTER
+        return socket
+
+    async def _receive_task(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await socket.recv_multipart(copy=False)
+            self._receive(frames)
+
+    def _receive(self, frames: list[zmq.Frame]) -> None:
+        """Deliver a message, or count it as rejected; rubbish has no other effect."""
+        if len(frames) != 4 or len(frames[2].buffer) != STAMP.size:
+            self._count(Count("peer_messages_rejected", 1, (("reason", "framing"),)))
+            return
+        if frames[1].bytes != PROTOCOL_VERSION:
+            self._count(Count("peer_messages_rejected", 1, (("reason", "version"),)))
+            return
+        try:
+            sender = NodeId(frames[0].bytes.decode("ascii"))
+        except UnicodeDecodeError:
+            self._count(Count("peer_messages_rejected", 1, (("reason", "sender"),)))
+            return
+        if self._curve is not None and frames[3].get("User-Id") != sender:
+            self._count(Count("peer_messages_rejected", 1, (("reason", "identity"),)))
+            return
+        decoded = codec.decode(frames[3].bytes)
+        if isinstance(decoded, Failure):
+            self._count(Count("peer_messages_rejected", 1, (("reason", "codec"),)))
+            return
+        wall_ms, counter = STAMP.unpack(frames[2].bytes)
+        self._observe(wall_ms, counter)
+        message = decoded.unwrap()
+        self._deliver(Receive(sender, message))
+
+    async def _send_task(self, peer: NodeId, link: _Link) -> None:
+        """Send the queued messages of one peer until its link is closed."""
+        socket = self._socket(zmq.DEALER)
+        socket.setsockopt(zmq.IDENTITY, self._node.encode("ascii"))
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        if self._curve is not None:
+            if peer not in self._curve.peers:
+                self._count(Count("peer_messages_rejected", 1, (("reason", "unknown_key"),)))
+                socket.close()
+                return
+            socket.curve_serverkey = self._curve.peers[peer]
+        try:
+            with link.scope:
+                socket.connect(f"tcp://{link.address}")
+                while True:
+                    if not link.urgent and not link.reports:
+                        link.wake = anyio.Event()
+                        await link.wake.wait()
+                        continue
+                    queue = link.urgent or link.reports
+                    await socket.send_multipart(queue.popleft())
+        finally:
+            socket.close()
+
+    async def _authenticate(
+        self, curve: CurveKeys, *, task_status: anyio.abc.TaskStatus[None]
+    ) -> None:
+        """Answer ZAP requests: a known CURVE key is accepted under its node's name."""
+        names = {key: node for node, key in curve.peers.items()}
+        socket = self._context.socket(zmq.REP)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.bind(ZAP_ADDRESS)
+        task_status.started()
+        try:
+            while True:
+                request = await socket.recv_multipart()
+                key = zmq.utils.z85.encode(request[6]) if len(request) > 6 else b""
+                node = names.get(key)
+                if node is None:
+                    self._count(Count("peer_connections_refused"))
+                status, name = (b"200", node.encode("ascii")) if node else (b"400", b"")
+                await socket.send_multipart([request[0], request[1], status, b"", name, b""])
+        finally:
+            socket.close()
