Add the operator's command line

Cause: operators could not check or send a configuration. Conclusion: usable once a node serves the operator interface.

--- /dev/null
+++ b/packages/cli/src/goldcrestridge_cli/commands.py
@@ -0,0 +1,206 @@
+"""Commands of the operator's program as functions that return what to print."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+import uuid
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from attrs import field, frozen
+
+from goldcrestridge_cli.changes import changes
+from goldcrestridge_cli.client import Client
+from goldcrestridge_cli.exceptions import (
+    EXIT_CONFLICT,
+    EXIT_INVALID,
+    EXIT_OK,
+    EXIT_TIMEOUT,
+    EXIT_UNREACHABLE,
+    CommandError,
+)
+from goldcrestridge_cli.files import check_folder, read_folder
+
+POLL_S = 0.1
+
+
+@frozen
+class Report:
+    """What a command found: lines for a terminal, data for --json, and the exit code."""
+
+    lines: tuple[str, ...]
+    data: dict[str, Any] = field(factory=dict)
+    code: int = EXIT_OK
+
+
+def check(folder: Path) -> Report:
+    """Check a configuration folder without sending it."""
+    _, cfg = check_folder(folder)
+    upstreams = sum(len(pool.upstreams) for pool in cfg.pools.values())
+    data = {
+        "name": cfg.name,
+        "classes": len(cfg.classes),
+        "workspaces": len(cfg.workspaces),
+        "sites": len(cfg.sites),
+        "upstreams": upstreams,
+    }
+    counts = ", ".join(f"{value} {key}" for key, value in data.items() if key != "name")
+    return Report((f"{cfg.name} is valid: {counts}.",), data)
+
+
+def diff(client: Client, folder: Path) -> Report:
+    """Show what apply would change; exit code 1 if there is a difference."""
+    document = read_folder(folder)
+    current = client.get("/v1/config")
+    new = {"base": document.base, "sites": document.sites}
+    found = list(changes(current["document"] or {}, new))
+    lines = [str(change) for change in found] or ["No difference."]
+    data = {
+        "version": current["version"],
+        "changes": [{"key": item.key, "old": item.old, "new": item.new} for item in found],
+    }
+    return Report(tuple(lines), data, EXIT_INVALID if found else EXIT_OK)
+
+
+def apply(
+    client: Client,
+    folder: Path,
+    base_version: int | None,
+    change_id: str | None,
+    wait_s: float | None,
+) -> Report:
+    """Send a configuration folder; a lost answer is asked for again with the same change id."""
+    document = read_folder(folder)
+    change = change_id or str(uuid.uuid4())
+    base = client.get("/v1/config")["version"] if base_version is None else base_version
+    body = {
+        "change_id": change,
+        "base_version": base,
+        "document": {"base": document.base, "sites": document.sites},
+    }
+    try:
+        answer = client.post("/v1/config", body)
+    except CommandError as exc:
+        if exc.code != EXIT_UNREACHABLE:
+            raise
+        message = f"{exc} It is unknown whether the change was accepted. Send it again with "
+        message += f"--change-id {change} --base-version {base}; it is applied once at most."
+        raise CommandError(message, exc.code) from exc
+    status = answer["status"]
+    data = {"change_id": change, **answer}
+    if status == "conflict":
+        lines: tuple[str, ...] = (
+            f"Conflict: version {answer['version']} is in force, not {base}. {answer['detail']}",
+            "Run 'goldcrestridge diff' to see the difference, then apply again.",
+        )
+        return Report(lines, data, EXIT_CONFLICT)
+    if status != "accepted":
+        return Report((f"Refused: {answer['detail']}",), data, EXIT_INVALID)
+    lines = (f"Accepted as version {answer['version']} (change {change}).",)
+    if wait_s is None:
+        return Report(lines, data)
+    report = wait_in_force(client, answer["version"], wait_s)
+    return Report((*lines, *report.lines), {**data, **report.data}, report.code)
+
+
+def wait_in_force(
+    client: Client,
+    version: int,
+    wait_s: float,
+    sleep: Callable[[float], None] = time.sleep,
+    now_s: Callable[[], float] = time.monotonic,
+) -> Report:
+    """Wait until every live node has a version in force; name those that have not."""
+    started = now_s()
+    while True:
+        behind = nodes_behind(client.get("/v1/status"), version)
+        elapsed_ms = (now_s() - started) * 1000
+        if not behind:
+            line = f"Version {version} is in force on every live node after {elapsed_ms:.0f} ms."
+            return Report((line,), {"in_force_ms": round(elapsed_ms, 1), "behind": []})
+        if now_s() - started > wait_s:
+            line = f"Version {version} is not in force on {', '.join(behind)} after {wait_s:g} s."
+            return Report((line,), {"behind": behind}, EXIT_TIMEOUT)
+        sleep(POLL_S)
+
+
+def nodes_behind(status: dict[str, Any], version: int) -> list[str]:
+    """Return the live nodes whose configuration is older than ``version``."""
+    return [
+        member["node"]
+        for member in status["members"]
+        if member["state"] in ("alive", "suspect", "leaving") and member["config_version"] < version
+    ]
+
+
+def status(client: Client) -> Report:
+    """Show nodes, configuration, shards and load as one node sees them."""
+    data = client.get("/v1/status")
+    lines = [
+        f"node {data['node']} in {data['data_centre']}, {data['state']}, "
+        f"configuration {data['config_version']}, log leader {data['leader'] or 'unknown'}",
+        f"requests in flight {data['in_flight']}",
+        "",
+        f"{'NODE':<20} {'STATE':<9} {'DATA CENTRE':<16} {'CONFIG':>6}  ROLES",
+    ]
+    lines += [
+        f"{member['node']:<20} {member['state']:<9} {member['data_centre']:<16} "
+        f"{member['config_version']:>6}  {', '.join(member['roles'])}"
+        for member in data["members"]
+    ]
+    lines += ["", f"{'SHARD':<20} {'OWNER':<20} {'EPOCH':>8}"]
+    lines += [
+        f"{row['shard']:<20} {row['owner'] or 'none':<20} {row['epoch']:>8}"
+        for row in data["shards"]
+    ]
+    return Report(tuple(lines), data)
+
+
+def timeline(client: Client, filters: dict[str, str], limit: int) -> Report:
+    """Merge the events of all live nodes in causal order."""
+    members = client.get("/v1/status")["members"]
+    urls = {f"http://{m['admin_address']}" for m in members if m["admin_address"]}
+    query = "&".join(f"{key}={value}" for key, value in sorted(filters.items()) if value)
+    events: list[dict[str, Any]] = []
+    missing: list[str] = []
+    for url in sorted(urls):
+        try:
+            answer = Client(url, client.key).get(f"/v1/timeline?{query}")
+        except CommandError:
+            missing.append(url)
+        else:
+            events.extend(answer["events"])
+    events.sort(key=lambda event: (event["wall_ms"], event["counter"], event["node"]))
+    shown = events[-limit:]
+    lines = [_event_line(event) for event in shown]
+    lines += [f"{url} could not be reached; its events are missing." for url in missing]
+    code = EXIT_UNREACHABLE if missing else EXIT_OK
+    return Report(tuple(lines), {"events": shown, "missing": missing}, code)
+
+
+def _event_line(event: dict[str, Any]) -> str:
+    seconds = event["wall_ms"] / 1000
+    clock = time.strftime("%H:%M:%S", time.gmtime(seconds)) + f".{int(event['wall_ms']) % 1000:03d}"
+    names = ("request_id", "workspace", "upstream", "change_id")
+    parts = [f"{name.removesuffix('_id')}={event[name]}" for name in names if event[name]]
+    parts += [f"{key}={value}" for key, value in event["detail"].items()]
+    return f"{clock} {event['node']:<16} {event['kind']:<24} {' '.join(parts)}"
+
+
+def drain(client: Client, deadline_s: float | None) -> Report:
+    """Drain the node that is asked."""
+    body = {} if deadline_s is None else {"deadline_ms": deadline_s * 1000}
+    data = client.post("/v1/drain", body)
+    line = f"Node {data['node']} drains; {data['in_flight']} request(s) in flight. "
+    line += "Follow it with 'goldcrestridge status'."
+    return Report((line,), data)
+
+
+def hash_key(key: str) -> Report:
+    """Return the digest of a bearer key, as written into the configuration."""
+    if not key:
+        raise CommandError("The key is empty.", EXIT_INVALID)
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return Report((digest,), {"sha256": digest})
--- /dev/null
+++ b/packages/cli/src/goldcrestridge_cli/files.py
@@ -0,0 +1,39 @@
+"""Configuration folders of operators: one base file and an overlay for each site."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from returns.result import Failure
+
+from goldcrestridge_cli.exceptions import EXIT_INVALID, EXIT_USAGE, CommandError
+from goldcrestridge_core.config import Configuration
+from goldcrestridge_core.documents import BASE_FILE, SITES_FOLDER, Document, parse_files
+from goldcrestridge_core.validation import validate
+
+
+def read_folder(folder: Path) -> Document:
+    """Return the document in a folder; raises CommandError that lists every mistake."""
+    document, _ = check_folder(folder)
+    return document
+
+
+def check_folder(folder: Path) -> tuple[Document, Configuration]:
+    """Return the document and its checked form; raises CommandError that lists every mistake."""
+    base = folder / BASE_FILE
+    if not base.is_file():
+        message = f"{base} does not exist; name a folder with {BASE_FILE} and {SITES_FOLDER}/."
+        raise CommandError(message, EXIT_USAGE)
+    paths = [base, *sorted((folder / SITES_FOLDER).glob("*.toml"))]
+    try:
+        texts = {str(path): path.read_text(encoding="utf-8") for path in paths}
+    except (OSError, UnicodeDecodeError) as exc:
+        raise CommandError(f"A file can't be read: {exc}", EXIT_USAGE) from exc
+    parsed = parse_files(texts)
+    checked = parsed.bind(validate)
+    if isinstance(checked, Failure):
+        errors = checked.failure()
+        lines = [str(error) for error in errors]
+        lines.append(f"{len(errors)} mistake(s); nothing was sent.")
+        raise CommandError("\n".join(lines), EXIT_INVALID)
+    return parsed.unwrap(), checked.unwrap()
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -697,6 +697,7 @@
     caller_address: str = ""
     roles: tuple[str, ...] = ()
     config_version: int = 0
+    admin_address: str = ""
 
 
 @message
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,122 @@
+"""Operator commands against a scripted operator interface."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from threading import Thread
+from typing import Any
+
+import pytest
+
+from goldcrestridge_cli import cmdline
+from goldcrestridge_cli.changes import changes
+
+EXAMPLE = str(Path(__file__).parents[2] / "examples" / "ebube")
+
+Answers = dict[str, tuple[int, Any]]
+
+
+@pytest.fixture
+def serve() -> Iterator[Callable[[Answers], tuple[str, list[dict[str, Any]]]]]:
+    """Serve scripted answers by "METHOD path" and record the posted bodies."""
+    servers: list[ThreadingHTTPServer] = []
+
+    def start(answers: Answers) -> tuple[str, list[dict[str, Any]]]:
+        posted: list[dict[str, Any]] = []
+
+        class Handler(BaseHTTPRequestHandler):
+            def _answer(self) -> None:
+                size = int(self.headers.get("content-length", 0))
+                if size:
+                    posted.append(json.loads(self.rfile.read(size)))
+                status, body = answers[f"{self.command} {self.path.split('?')[0]}"]
+                data = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("content-length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_POST = _answer  # noqa: N815
+
+            def log_message(self, *_args: object) -> None:
+                """Keep the test output free of access lines."""
+
+        server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        servers.append(server)
+        Thread(target=server.serve_forever, daemon=True).start()
+        return f"http://127.0.0.1:{server.server_port}", posted
+
+    yield start
+    for server in servers:
+        server.shutdown()
+        server.server_close()
+
+
+def member(node: str, version: int, state: str = "alive") -> dict[str, Any]:
+    return {"node": node, "state": state, "config_version": version, "admin_address": ""}
+
+
+def test_a_conflict_has_its_own_exit_code_and_names_the_version(
+    serve: Any, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # Guards against a script that takes a lost race for success.
+    answers = {
+        "GET /v1/config": (200, {"version": 4, "document": None}),
+        "POST /v1/config": (200, {"status": "conflict", "version": 5, "digest": "", "detail": "x"}),
+    }
+    url, posted = serve(answers)
+    assert cmdline.main(["apply", EXAMPLE, f"--node={url}"]) == 3
+    assert posted[0]["base_version"] == 4
+    assert "version 5 is in force" in capsys.readouterr().out
+
+
+def test_a_lost_answer_tells_how_to_send_the_same_change_again(
+    serve: Any, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # Guards against a second change made because the first answer was lost.
+    url, _ = serve({"POST /v1/config": (503, {"error": "No quorum."})})
+    arguments = ["apply", EXAMPLE, f"--node={url}", "--change-id=c-1", "--base-version=2"]
+    assert cmdline.main(arguments) == 4
+    assert "--change-id c-1 --base-version 2" in capsys.readouterr().err
+
+
+def test_apply_with_wait_names_the_nodes_that_are_behind(
+    serve: Any, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # Guards against a report that says in force while a live node has an older version.
+    members = [member("a", 6), member("b", 5), member("c", 1, "dead")]
+    answers = {
+        "POST /v1/config": (200, {"status": "accepted", "version": 6, "digest": "", "detail": ""}),
+        "GET /v1/status": (200, {"members": members}),
+    }
+    url, _ = serve(answers)
+    arguments = ["apply", EXAMPLE, f"--node={url}", "--base-version=5", "--wait=0"]
+    assert cmdline.main(arguments) == 6
+    assert "not in force on b after" in capsys.readouterr().out
+
+
+def test_a_refused_key_has_its_own_exit_code(serve: Any) -> None:
+    # Guards against a refusal that looks like an unreachable node.
+    url, _ = serve({"GET /v1/status": (401, {"error": "The operator key is unknown."})})
+    assert cmdline.main(["status", f"--node={url}"]) == 5
+
+
+def test_a_node_that_is_down_and_wrong_usage_have_their_own_exit_codes() -> None:
+    # Guards against scripts that can't tell the two apart.
+    assert cmdline.main(["status", "--node=http://127.0.0.1:1"]) == 4
+    assert cmdline.main(["frobnicate"]) == 2
+    assert cmdline.main(["timeline", "--limit=x"]) == 2
+
+
+def test_changes_list_added_removed_and_changed_leaves() -> None:
+    # Guards against a difference that hides a removed section.
+    old = {"a": {"x": 1, "y": 2}, "gone": {"k": 1}}
+    new = {"a": {"x": 1, "y": 3}, "added": {"k": [1]}}
+    assert [str(change) for change in changes(old, new)] == [
+        "~ a.y = 2 -> 3",
+        "+ added.k = [1]",
+        "- gone.k = 1",
+    ]
