Add engine model in virtual time

Measurements and stand-ins need an engine without I/O. The model covers continuous batching with slots, prefill and decode rates that fall as the batch fills, a bounded prefix cache with late or lost events, lagging load reports, priorities, cancel, resume, straggling, crash and leaving. Cache events are numbered by block.

--- /dev/null
+++ b/packages/lab/src/goldcrestridge_lab/engine.py
@@ -0,0 +1,358 @@
+"""Model of a model engine in virtual time: continuous batching, prefix cache, lagging reports."""
+
+from __future__ import annotations
+
+import enum
+import heapq
+import random
+from collections import OrderedDict
+
+from attrs import Factory, define, field, frozen
+
+from goldcrestridge_core import types
+from goldcrestridge_core.clock import MS_PER_SECOND
+
+_DONE_TOKENS = 1e-6  # Work below this is a rounding error of the rates.
+
+
+@frozen
+class EngineSpec:
+    """Properties of an engine; rates are those of a batch of one.
+
+    With ``n`` requests running, every rate is divided by ``1 + batch_slowdown * (n - 1)``;
+    requests in prefill share the prefill rate. ``resumes`` keeps a disconnected request for
+    ``resume_window_ms``. The number of the next cache event is ``first_sequence`` plus the number
+    of blocks added and evicted.
+    """
+
+    name: types.UpstreamId
+    slots: int = 16
+    prefill_tokens_per_s: float = 20_000.0
+    decode_tokens_per_s: float = 80.0
+    batch_slowdown: float = 0.04
+    block_tokens: int = 64
+    cache_blocks: int = 4_000
+    report_interval_ms: float = 250.0
+    report_lag_ms: float = 200.0
+    event_delay_ms: float = 100.0
+    event_loss_share: float = 0.0
+    resumes: bool = False
+    resume_window_ms: float = 30_000.0
+
+
+@frozen
+class Job:
+    """A request as the engine sees it; lower ``priority`` runs first.
+
+    ``output_tokens`` is the true length of the whole answer. ``delivered_tokens`` counts the
+    beginning of it that the caller has already.
+    """
+
+    job_id: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[int, ...] = ()
+    priority: int = 0
+    delivered_tokens: int = 0
+
+
+class Submitted(enum.Enum):
+    """Answer of an engine to a submission."""
+
+    ACCEPTED = "accepted"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+@frozen
+class FirstToken:
+    """The engine finished the prefill of a job at ``at_ms``."""
+
+    job_id: str
+    at_ms: float
+
+
+@frozen
+class Finished:
+    """The engine produced the last token of a job at ``at_ms``."""
+
+    job_id: str
+    at_ms: float
+    output_tokens: int
+
+
+@frozen
+class Lost:
+    """The engine crashed under a job after producing ``output_tokens`` in this run."""
+
+    job_id: str
+    at_ms: float
+    output_tokens: int
+
+
+@frozen
+class Published:
+    """A load report or a batch of cache events reached its reader at ``at_ms``."""
+
+    at_ms: float
+    message: types.LoadReport | types.CacheEvents
+
+
+EngineEvent = FirstToken | Finished | Lost | Published
+
+
+@define
+class _Sequence:
+    """A job in the batch; both counters are tokens still to be worked off."""
+
+    job: Job
+    prefill: float
+    decode: float
+    prefilled: bool = False
+    started_ms: float = 0.0
+
+    def produced(self) -> int:
+        """Return the tokens produced in this run."""
+        if not self.prefilled:
+            return 0
+        wanted = self.job.output_tokens - self.job.delivered_tokens
+        return min(wanted, max(1, int(wanted - self.decode)))
+
+
+@define
+class PrefixCache:
+    """Blocks in least-recently-used order, bounded by ``capacity``."""
+
+    capacity: int
+    blocks: OrderedDict[int, None] = Factory(OrderedDict)
+
+    def hits(self, prefix: tuple[int, ...]) -> int:
+        """Return how many leading blocks of ``prefix`` are cached, and mark them as used."""
+        count = 0
+        for block in prefix:
+            if block not in self.blocks:
+                break
+            self.blocks.move_to_end(block)
+            count += 1
+        return count
+
+    def add(self, prefix: tuple[int, ...]) -> tuple[tuple[int, ...], tuple[int, ...]]:
+        """Cache the blocks of ``prefix`` and return those added and those evicted."""
+        added = tuple(block for block in prefix if block not in self.blocks)
+        for block in prefix:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        surplus = max(0, len(self.blocks) - self.capacity)
+        evicted = tuple(self.blocks.popitem(last=False)[0] for _ in range(surplus))
+        return added, evicted
+
+
+@define
+class Engine:
+    """One engine; call ``advance`` with the current time before any other method."""
+
+    spec: EngineSpec
+    rng: random.Random
+    now_ms: float = 0.0
+    straggle: float = 1.0
+    leaving: bool = False
+    down: bool = False
+    cache: PrefixCache = field(init=False)
+    produced_tokens: int = 0
+    prefilled_tokens: int = 0
+    _running: dict[str, _Sequence] = Factory(dict)
+    _waiting: list[tuple[int, int, Job]] = Factory(list)
+    _suspended: dict[str, tuple[_Sequence, float]] = Factory(dict)
+    _outbox: list[tuple[float, int, types.LoadReport | types.CacheEvents]] = Factory(list)
+    _counter: int = 0
+    _sequence: int = 1
+    _report_at_ms: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        """Spread the reports of different engines over the interval."""
+        self.cache = PrefixCache(self.spec.cache_blocks)
+        self._report_at_ms = self.now_ms + self.rng.random() * self.spec.report_interval_ms
+
+    @property
+    def running(self) -> int:
+        """Return the number of jobs in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of jobs that wait inside the engine."""
+        return len(self._waiting)
+
+    def submit(self, job: Job, now_ms: float) -> Submitted:
+        """Queue a job inside the engine, or refuse it; a suspended job continues."""
+        if self.down:
+            return Submitted.DOWN
+        if self.leaving:
+            return Submitted.LEAVING
+        self._counter += 1
+        heapq.heappush(self._waiting, (job.priority, self._counter, job))
+        self._fill(now_ms)
+        return Submitted.ACCEPTED
+
+    def cancel(self, job_id: str, now_ms: float) -> int:
+        """Drop a job and return the tokens that it had produced in this run."""
+        self._waiting = [entry for entry in self._waiting if entry[2].job_id != job_id]
+        heapq.heapify(self._waiting)
+        self._suspended.pop(job_id, None)
+        sequence = self._running.pop(job_id, None)
+        self._fill(now_ms)
+        return sequence.produced() if sequence else 0
+
+    def disconnect(self, job_id: str, now_ms: float) -> None:
+        """Lose the stream of a job; an engine that resumes keeps its state for a while."""
+        sequence = self._running.get(job_id)
+        self.cancel(job_id, now_ms)
+        if sequence and self.spec.resumes:
+            self._suspended[job_id] = (sequence, now_ms + self.spec.resume_window_ms)
+
+    def tokens(self, job_id: str) -> int:
+        """Return the tokens that a running job has produced in this run."""
+        sequence = self._running.get(job_id)
+        return sequence.produced() if sequence else 0
+
+    def crash(self, now_ms: float) -> list[EngineEvent]:
+        """Stop and forget everything; every job is lost."""
+        running = [(s.job.job_id, s.produced()) for s in self._running.values()]
+        queued = [(job.job_id, 0) for _, _, job in sorted(self._waiting)]
+        self._running.clear()
+        self._waiting.clear()
+        self._suspended.clear()
+        self._outbox.clear()
+        self.cache = PrefixCache(self.spec.cache_blocks)
+        self.down = True
+        return [Lost(job_id, now_ms, tokens) for job_id, tokens in running + queued]
+
+    def restart(self, now_ms: float) -> None:
+        """Serve again with an empty cache; event numbers start over."""
+        self.down = False
+        self.leaving = False
+        self._sequence = 1
+        self._report_at_ms = now_ms
+
+    def leave(self) -> None:
+        """Refuse new jobs, finish the running ones and say so in the load reports."""
+        self.leaving = True
+
+    def set_straggle(self, factor: float) -> None:
+        """Divide all rates by ``factor``."""
+        self.straggle = factor
+
+    def next_ms(self) -> float:
+        """Return the time of the next event, infinity if there is none."""
+        report = float("inf") if self.down else self._report_at_ms
+        delivery = self._outbox[0][0] if self._outbox else float("inf")
+        return min(self._next_step_ms(), report, delivery)
+
+    def advance(self, now_ms: float) -> list[EngineEvent]:
+        """Run the model up to ``now_ms`` and return what happened, in order of time."""
+        events: list[EngineEvent] = []
+        while (at_ms := self.next_ms()) <= now_ms:
+            self._work_off(at_ms)
+            events += self._complete_steps()
+            self._publish()
+            events += self._deliver()
+        self._work_off(now_ms)
+        return events
+
+    def _slowdown(self) -> float:
+        batch = 1.0 + self.spec.batch_slowdown * max(0, len(self._running) - 1)
+        return batch * self.straggle
+
+    def _rates(self) -> tuple[float, float]:
+        """Return the prefill and decode rates of each sequence in tokens per millisecond."""
+        prefilling = sum(not s.prefilled for s in self._running.values())
+        slowdown = self._slowdown() * MS_PER_SECOND
+        prefill = self.spec.prefill_tokens_per_s / slowdown / max(1, prefilling)
+        return prefill, self.spec.decode_tokens_per_s / slowdown
+
+    def _next_step_ms(self) -> float:
+        """Return when the next sequence ends its prefill or its decode."""
+        if not self._running:
+            return float("inf")
+        prefill, decode = self._rates()
+        left = min(
+            s.decode / decode if s.prefilled else s.prefill / prefill
+            for s in self._running.values()
+        )
+        return self.now_ms + max(0.0, left)
+
+    def _work_off(self, at_ms: float) -> None:
+        prefill, decode = self._rates()
+        elapsed_ms = at_ms - self.now_ms
+        for sequence in self._running.values():
+            if sequence.prefilled:
+                sequence.decode -= decode * elapsed_ms
+            else:
+                sequence.prefill -= prefill * elapsed_ms
+        self.now_ms = at_ms
+
+    def _complete_steps(self) -> list[EngineEvent]:
+        """End the prefills and decodes that are worked off."""
+        events: list[EngineEvent] = []
+        for sequence in list(self._running.values()):
+            if not sequence.prefilled and sequence.prefill <= _DONE_TOKENS:
+                sequence.prefilled = True
+                self._store_prefix(sequence.job.prefix)
+                events.append(FirstToken(sequence.job.job_id, self.now_ms))
+            if sequence.prefilled and sequence.decode <= _DONE_TOKENS:
+                events.append(self._finish(sequence))
+        self._fill(self.now_ms)
+        return events
+
+    def _finish(self, sequence: _Sequence) -> Finished:
+        del self._running[sequence.job.job_id]
+        tokens = sequence.job.output_tokens - sequence.job.delivered_tokens
+        self.produced_tokens += tokens
+        return Finished(sequence.job.job_id, self.now_ms, tokens)
+
+    def _fill(self, now_ms: float) -> None:
+        """Move waiting jobs into free slots of the batch."""
+        while self._waiting and len(self._running) < self.spec.slots:
+            _, _, job = heapq.heappop(self._waiting)
+            self._running[job.job_id] = self._start(job, now_ms)
+
+    def _start(self, job: Job, now_ms: float) -> _Sequence:
+        suspended, until_ms = self._suspended.pop(job.job_id, (None, 0.0))
+        if suspended is not None and now_ms <= until_ms:
+            return suspended
+        cached = self.cache.hits(job.prefix) * self.spec.block_tokens
+        prefill = max(1, job.prompt_tokens + job.delivered_tokens - cached)
+        self.prefilled_tokens += prefill
+        # The prefill itself yields the first token.
+        decode = max(0, job.output_tokens - job.delivered_tokens - 1)
+        return _Sequence(job, float(prefill), float(decode), started_ms=now_ms)
+
+    def _store_prefix(self, prefix: tuple[int, ...]) -> None:
+        added, evicted = self.cache.add(prefix)
+        if not added and not evicted:
+            return
+        message = types.CacheEvents(self.spec.name, self._sequence, added, evicted)
+        self._sequence += len(added) + len(evicted)
+        if self.rng.random() >= self.spec.event_loss_share:
+            self._post(message, self.spec.event_delay_ms)
+
+    def _publish(self) -> None:
+        if self.down or self._report_at_ms > self.now_ms:
+            return
+        self._report_at_ms += self.spec.report_interval_ms
+        lag_ms = self.spec.report_lag_ms * (0.5 + self.rng.random())
+        report = types.LoadReport(
+            self.spec.name, lag_ms, self.running, self.waiting, self.spec.slots, self.leaving
+        )
+        self._post(report, lag_ms)
+
+    def _post(self, message: types.LoadReport | types.CacheEvents, delay_ms: float) -> None:
+        self._counter += 1
+        heapq.heappush(self._outbox, (self.now_ms + delay_ms, self._counter, message))
+
+    def _deliver(self) -> list[EngineEvent]:
+        events: list[EngineEvent] = []
+        while self._outbox and self._outbox[0][0] <= self.now_ms:
+            at_ms, _, message = heapq.heappop(self._outbox)
+            events.append(Published(at_ms, message))
+        return events
