--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/admin.py
@@ -0,0 +1,192 @@
+"""ASGI application towards operators: status, timeline, configuration and drain."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl
+
+import msgspec
+from attrs import frozen
+
+from goldcrestridge_core.documents import Document, decode_document, encode_document
+from goldcrestridge_core.types import ApplyConfig, ApplyResult, TimelineEvent
+from goldcrestridge_core.validation import validate
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class ApplyRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of POST /v1/config."""
+
+    change_id: str
+    base_version: int
+    document: dict[str, dict[str, Any]]
+
+
+class DrainRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of POST /v1/drain; the deadline is in milliseconds."""
+
+    deadline_ms: float | None = None
+
+
+@frozen
+class CurrentConfig:
+    """The configuration document in force on this node; empty before the first one."""
+
+    version: int
+    digest: str
+    document: bytes
+
+
+@frozen
+class AdminHooks:
+    """Functions of the node that operators reach.
+
+    ``apply`` returns None if no quorum answered; the change may have been accepted.
+    """
+
+    operators: Callable[[], dict[str, str]]
+    status: Callable[[], dict[str, Any]]
+    events: Callable[[dict[str, str]], list[TimelineEvent]]
+    current: Callable[[], CurrentConfig]
+    apply: Callable[[ApplyConfig], Awaitable[ApplyResult | None]]
+    drain: Callable[[float | None], dict[str, Any]]
+    metrics: Callable[[], bytes]
+
+
+@frozen
+class _Answer:
+    status: int
+    body: Any
+    content_type: str = "application/json"
+
+
+class Admin:
+    """Serve operators; every path but /metrics and /healthz needs an operator's key."""
+
+    def __init__(self, hooks: AdminHooks) -> None:
+        self._hooks = hooks
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        answer = await self._route(scope, receive)
+        raw = isinstance(answer.body, bytes)
+        body = answer.body if raw else msgspec.json.encode(answer.body)
+        headers = [
+            (b"content-type", answer.content_type.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        start = {"type": "http.response.start", "status": answer.status, "headers": headers}
+        await send(start)
+        await send({"type": "http.response.body", "body": body})
+
+    async def _route(self, scope: Scope, receive: Receive) -> _Answer:
+        call = f"{scope['method']} {scope['path']}"
+        if call == "GET /healthz":
+            return _Answer(200, {"status": "ok"})
+        if call == "GET /metrics":
+            return _Answer(200, self._hooks.metrics(), "text/plain; version=0.0.4")
+        operator = self._operator(scope)
+        if operator is None:
+            return _Answer(401, {"error": "The operator's key is missing or unknown."})
+        if call == "GET /v1/status":
+            return _Answer(200, self._hooks.status())
+        if call == "GET /v1/timeline":
+            return self._timeline(scope)
+        if call == "GET /v1/config":
+            return self._config()
+        if call == "POST /v1/config":
+            return await self._apply(operator, receive)
+        if call == "POST /v1/drain":
+            return await self._drain(receive)
+        return _Answer(404, {"error": f"There is no {call}."})
+
+    def _operator(self, scope: Scope) -> str | None:
+        """Return the operator's name; the digests are compared in constant time."""
+        header = next((v for k, v in scope["headers"] if k == b"authorization"), b"")
+        digest = hashlib.sha256(header.removeprefix(b"Bearer ")).hexdigest()
+        found = None
+        for name, known in self._hooks.operators().items():
+            if hmac.compare_digest(digest, known):
+                found = name
+        return found
+
+    def _timeline(self, scope: Scope) -> _Answer:
+        filters = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+        events = [
+            {
+                "wall_ms": item.wall_ms,
+                "counter": item.counter,
+                "node": item.node,
+                "kind": item.event.kind,
+                "request_id": item.event.request_id,
+                "workspace": item.event.workspace,
+                "upstream": item.event.upstream,
+                "change_id": item.event.change_id,
+                "detail": dict(item.event.detail),
+            }
+            for item in self._hooks.events(filters)
+        ]
+        return _Answer(200, {"events": events})
+
+    def _config(self) -> _Answer:
+        current = self._hooks.current()
+        document = None
+        if current.document:
+            value = decode_document(current.document).unwrap()
+            document = {"base": value.base, "sites": value.sites}
+        body = {"version": current.version, "digest": current.digest, "document": document}
+        return _Answer(200, body)
+
+    async def _apply(self, operator: str, receive: Receive) -> _Answer:
+        try:
+            body = msgspec.json.decode(await _read_body(receive), type=ApplyRequest)
+            sites = msgspec.convert(body.document["sites"], dict[str, dict[str, Any]])
+            document = Document(body.document["base"], sites, {})
+        except (msgspec.DecodeError, msgspec.ValidationError, KeyError, ValueError) as exc:
+            return _Answer(400, {"error": f"The request body is malformed: {exc}."})
+        checked = validate(document)
+        if errors := checked.swap().value_or(()):
+            detail = " ".join(str(error) for error in errors)
+            current = self._hooks.current()
+            refused = {"status": "invalid", "version": current.version, "digest": current.digest}
+            return _Answer(200, {**refused, "detail": detail})
+        command = ApplyConfig(
+            body.change_id, body.base_version, operator, encode_document(document)
+        )
+        result = await self._hooks.apply(command)
+        if result is None:
+            error = "No quorum of control replicas answered; the change may have been accepted."
+            return _Answer(503, {"error": error})
+        answer = {"status": result.status.value, "version": result.version}
+        return _Answer(200, {**answer, "digest": result.digest, "detail": result.detail})
+
+    async def _drain(self, receive: Receive) -> _Answer:
+        try:
+            body = msgspec.json.decode(await _read_body(receive) or b"{}", type=DrainRequest)
+        except (msgspec.DecodeError, ValueError) as exc:
+            return _Answer(400, {"error": f"The request body is malformed: {exc}."})
+        return _Answer(202, self._hooks.drain(body.deadline_ms))
+
+
+async def _read_body(receive: Receive) -> bytes:
+    """Return the whole request body; raises ValueError if it is too large or broken off."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            raise ValueError("the operator closed the connection")
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if size > MAX_BODY_BYTES:
+            raise ValueError(f"it is larger than {MAX_BODY_BYTES} bytes")
+        if not message.get("more_body", False):
+            return b"".join(parts)
