--- /dev/null
+++ b/packages/lab/src/goldcrestridge_lab/engine_http.py
@@ -0,0 +1,384 @@
+"""HTTP stand-in of a model engine.
+
+Usage:
+  engine_http [options]
+
+Options:
+  --host=HOST            Address to listen on [default: 127.0.0.1].
+  --port=PORT            Port to listen on, 0 for any [default: 0].
+  --slots=N              Requests that run at once [default: 8].
+  --first-token-ms=MS    Time to the first token [default: 0].
+  --prefill-token-ms=MS  Time for each prompt token [default: 0].
+  --token-ms=MS          Time from token to token [default: 0].
+  --load-lag-ms=MS       Age of the load report [default: 0].
+  --check-fencing        Refuse orders with an old fencing number.
+  --resumes              Resume a stream from a token offset.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import Any
+from urllib.parse import parse_qs
+
+import anyio
+import anyio.lowlevel
+import msgspec
+from attrs import define, field
+from docopt import docopt
+
+from goldcrestridge_lab.asgi import (
+    Receive,
+    Scope,
+    Send,
+    connection,
+    header,
+    read_body,
+    run_command,
+    send_head,
+    send_json,
+    send_part,
+)
+from goldcrestridge_lab.simple_engine import Engine, SimpleEngine, TextSource, pause
+from goldcrestridge_node.prompts import estimate_tokens, prefix_hashes
+from goldcrestridge_node.server import listen
+
+CHAT_PATH = "/v1/chat/completions"
+MAX_KNOWN_REQUESTS = 10_000
+MAX_CACHE_BLOCKS = 4_096
+MAX_CACHE_EVENTS = 1_024
+MAX_TOKENS = 100_000
+CREATED = 1_700_000_000
+EVENT_STREAM = ((b"content-type", b"text/event-stream"),)
+LEAVING = ((b"x-upstream-leaving", b"1"),)
+
+
+class Message(msgspec.Struct):
+    """A chat message; the stand-in takes plain text only."""
+
+    role: str
+    content: str = ""
+
+
+class EngineBody(msgspec.Struct):
+    """The fields of a completion request that the stand-in knows."""
+
+    model: str
+    messages: list[Message] = []
+    prompt: str = ""
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    priority: int = 0
+    resume_from: int = 0
+    continue_final_message: bool = False
+
+    def limit(self) -> int:
+        """Return the bound on the output."""
+        bounds = [bound for bound in (self.max_tokens, self.max_completion_tokens) if bound]
+        return min(bounds, default=MAX_TOKENS)
+
+
+class Control(msgspec.Struct):
+    """A change of the stand-in's behaviour; absent fields stay as they are."""
+
+    crash: bool = False
+    leave: bool | None = None
+    slow_factor: float | None = None
+    fail_after_tokens: int | None = None  # Break the next stream off after so many tokens.
+    fail_times: int = 1
+    error_event: bool = False  # Fail with an error event instead.
+
+
+class Order(msgspec.Struct):
+    """An order to the engine."""
+
+    fencing: int
+    kind: str
+    argument: str = ""
+
+
+class Stats(msgspec.Struct):
+    """Counters of what the stand-in did."""
+
+    started: int = 0
+    completed: int = 0
+    cancelled: int = 0
+    failed: int = 0
+    refused: int = 0
+    tokens: int = 0
+
+
+@define(eq=False)
+class PrefixCache:
+    """Bounded cache of prompt blocks with numbered events; late readers find a gap."""
+
+    capacity: int = MAX_CACHE_BLOCKS
+    next_sequence: int = 1
+    _blocks: OrderedDict[int, None] = field(factory=OrderedDict)
+    _events: deque[dict[str, Any]] = field(factory=lambda: deque(maxlen=MAX_CACHE_EVENTS))
+
+    def add(self, hashes: tuple[int, ...]) -> None:
+        """Take the blocks of a prompt into the cache."""
+        for block in hashes:
+            if block not in self._blocks:
+                self._record("added", block)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self.capacity:
+            self._record("evicted", self._blocks.popitem(last=False)[0])
+
+    def events_after(self, sequence: int) -> list[dict[str, Any]]:
+        """Return the kept events above a sequence number."""
+        return [event for event in self._events if event["sequence"] > sequence]
+
+    def _record(self, kind: str, block: int) -> None:
+        self._events.append({"sequence": self.next_sequence, "kind": kind, "block": block})
+        self.next_sequence += 1
+
+
+class BreakOffError(Exception):
+    """Ask for the connection to be broken off."""
+
+
+def canonical_text(body: EngineBody) -> tuple[str, str]:
+    """Return the prompt and the part of the answer that it already holds."""
+    if body.prompt:
+        return body.prompt, ""
+    messages = list(body.messages)
+    begun = messages.pop().content if body.continue_final_message else ""
+    return "\n".join(f"{item.role}\n{item.content}" for item in messages), begun
+
+
+@define(eq=False)
+class EngineApp:
+    """ASGI application of the stand-in."""
+
+    engine: Engine
+    check_fencing: bool = False
+    resumes: bool = False
+    crash: anyio.Event = field(factory=anyio.Event)
+    stats: Stats = field(factory=Stats)
+    leaving: bool = False
+    requests: list[dict[str, Any]] = field(factory=list)  # The last bodies, for tests.
+    _cache: PrefixCache = field(factory=PrefixCache)
+    _fail_after: int = 0
+    _fail_times: int = 0
+    _error_event: bool = False
+    _fencing: int = 0
+    _orders: list[Order] = field(factory=list)
+    _known: OrderedDict[str, None] = field(factory=OrderedDict)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        body = await read_body(receive)
+        route = (scope["method"], scope["path"])
+        if route in (("POST", CHAT_PATH), ("POST", "/v1/completions")):
+            await self._complete(scope, body, send)
+        elif route == ("POST", "/control"):
+            await self._control(msgspec.json.decode(body, type=Control), send)
+        elif route == ("POST", "/orders"):
+            await self._order(msgspec.json.decode(body, type=Order), send)
+        else:
+            await self._report(scope, send)
+
+    async def _report(self, scope: Scope, send: Send) -> None:
+        if scope["path"] == "/load":
+            await send_json(send, self._load())
+        elif scope["path"] == "/cache_events":
+            asked = parse_qs(scope["query_string"].decode()).get("after", ["0"])
+            events = self._cache.events_after(int(asked[0]))
+            await send_json(send, {"next": self._cache.next_sequence, "events": events})
+        elif scope["path"] == "/orders":
+            await send_json(send, self._orders)
+        elif scope["path"] == "/stats":
+            await send_json(send, self.stats)
+        else:
+            await send_json(send, {"error": {"message": "There is nothing here."}}, 404)
+
+    def _load(self) -> dict[str, Any]:
+        state = self.engine.load()
+        return {
+            "time_ms": state.time_ms,
+            "running": state.running,
+            "waiting": state.waiting,
+            "slots": self.engine.slots,
+            "leaving": self.leaving,
+        }
+
+    async def _control(self, control: Control, send: Send) -> None:
+        if control.crash:
+            self.crash.set()
+            return
+        if control.leave is not None:
+            self.leaving = control.leave
+        if control.slow_factor is not None:
+            self.engine.slow_factor = control.slow_factor
+        if control.fail_after_tokens is not None:
+            self._fail_after = control.fail_after_tokens
+            self._fail_times = control.fail_times
+            self._error_event = control.error_event
+        await send_json(send, {})
+
+    async def _order(self, order: Order, send: Send) -> None:
+        if self.check_fencing and order.fencing < self._fencing:
+            await send_json(send, {"fencing": self._fencing}, 409)
+            return
+        self._fencing = max(self._fencing, order.fencing)
+        self._orders.append(order)
+        await send_json(send, {"applied": len(self._orders)})
+
+    async def _complete(self, scope: Scope, data: bytes, send: Send) -> None:
+        if self.leaving:
+            self.stats.refused += 1
+            await send_json(send, {"error": {"message": "The engine is leaving."}}, 503, LEAVING)
+            return
+        body = msgspec.json.decode(data, type=EngineBody)
+        request_id = header(scope, b"x-request-id")
+        if body.resume_from and not (self.resumes and request_id in self._known):
+            await send_json(send, {"error": {"message": "The request is unknown."}}, 409)
+            return
+        self._remember(request_id, data)
+        conn = connection(scope)
+        with anyio.CancelScope() as cancelled:
+            conn.on_lost = cancelled.cancel
+            try:
+                await self._run(scope["path"] == CHAT_PATH, body, send)
+            except BreakOffError:
+                self.stats.failed += 1
+                conn.abort()
+        if cancelled.cancelled_caught:
+            self.stats.cancelled += 1
+        conn.on_lost = None
+
+    def _remember(self, request_id: str, data: bytes) -> None:
+        self.requests = [*self.requests[-99:], msgspec.json.decode(data)]
+        self._known[request_id] = None
+        if len(self._known) > MAX_KNOWN_REQUESTS:
+            self._known.popitem(last=False)
+
+    async def _run(self, chat: bool, body: EngineBody, send: Send) -> None:
+        await self.engine.acquire(body.priority)
+        try:
+            self.stats.started += 1
+            prompt, begun = canonical_text(body)
+            self._cache.add(prefix_hashes(body.model, prompt))
+            prompt_tokens = estimate_tokens(prompt + begun)
+            await pause(self.engine.first_token_ms(prompt_tokens))
+            answer = EngineAnswer(chat, body, prompt_tokens, send)
+            await self._generate(answer, TextSource(prompt + begun), body)
+            self.stats.completed += 1
+        finally:
+            self.engine.release()
+
+    async def _generate(self, answer: EngineAnswer, source: TextSource, body: EngineBody) -> None:
+        await answer.begin()
+        limit = body.limit()
+        fail_after = self._take_failure()
+        position = 0
+        while position < limit:
+            if position - body.resume_from == fail_after:
+                await self._fail(answer)
+            token = source.next_token()
+            if token is None:
+                break
+            position += 1
+            if position > body.resume_from:
+                await answer.add(token)
+                self.stats.tokens += 1
+                await pause(self.engine.token_ms())
+        await answer.finish("length" if position >= limit else "stop")
+
+    def _take_failure(self) -> int:
+        if self._fail_times == 0:
+            return -1
+        self._fail_times -= 1
+        return self._fail_after
+
+    async def _fail(self, answer: EngineAnswer) -> None:
+        if self._error_event:
+            await send_part(answer.send, b'data: {"error":{"message":"out of memory"}}\n\n')
+        # Bytes written before an abort may be dropped; let the transport send them first.
+        await anyio.lowlevel.checkpoint()
+        raise BreakOffError
+
+
+@define(eq=False)
+class EngineAnswer:
+    """The answer to one request, streamed or whole."""
+
+    chat: bool
+    body: EngineBody
+    prompt_tokens: int
+    send: Send
+    tokens: list[str] = field(factory=list)
+    _frame: tuple[bytes, bytes] = field(init=False, default=(b"", b""))
+
+    def __attrs_post_init__(self) -> None:
+        """Encode the unchanging part of the chunks once."""
+        part = {"delta": {"content": "@"}} if self.chat else {"text": "@"}
+        before, after = msgspec.json.encode(self._chunk(part, None)).split(b"@")
+        self._frame = (b"data: " + before, after + b"\n\n")
+
+    async def begin(self) -> None:
+        """Send the head of a stream."""
+        if not self.body.stream:
+            return
+        await send_head(self.send, 200, EVENT_STREAM)
+        if self.chat:
+            await self._event({"delta": {"role": "assistant", "content": ""}}, None)
+
+    async def add(self, token: str) -> None:
+        """Add a token."""
+        self.tokens.append(token)
+        if self.body.stream:
+            await send_part(self.send, self._frame[0] + token.encode() + self._frame[1])
+
+    async def finish(self, reason: str) -> None:
+        """End the answer."""
+        if self.body.stream:
+            await self._event({"delta": {}} if self.chat else {"text": ""}, reason)
+            await send_part(self.send, b"data: [DONE]\n\n", more=False)
+            return
+        text = "".join(self.tokens)
+        part: dict[str, Any] = {"text": text}
+        if self.chat:
+            part = {"message": {"role": "assistant", "content": text}}
+        usage = {"prompt_tokens": self.prompt_tokens, "completion_tokens": len(self.tokens)}
+        await send_json(self.send, self._chunk(part, reason) | {"usage": usage})
+
+    async def _event(self, part: dict[str, Any], reason: str | None) -> None:
+        chunk = msgspec.json.encode(self._chunk(part, reason))
+        await send_part(self.send, b"data: " + chunk + b"\n\n")
+
+    def _chunk(self, part: dict[str, Any], reason: str | None) -> dict[str, Any]:
+        kind = "chat.completion" if self.chat else "text_completion"
+        return {
+            "id": f"cmpl-{id(self):x}",
+            "object": kind + (".chunk" if self.chat and self.body.stream else ""),
+            "created": CREATED + id(self) % 1_000,
+            "model": self.body.model,
+            "choices": [{"index": 0, **part, "finish_reason": reason}],
+        }
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the stand-in until it is stopped."""
+    args = docopt(__doc__, argv)
+    engine = SimpleEngine(
+        slots=int(args["--slots"]),
+        base_first_token_ms=float(args["--first-token-ms"]),
+        prefill_token_ms=float(args["--prefill-token-ms"]),
+        base_token_ms=float(args["--token-ms"]),
+        load_lag_ms=float(args["--load-lag-ms"]),
+    )
+
+    async def run() -> None:
+        app = EngineApp(engine, args["--check-fencing"], args["--resumes"])
+        await run_command(app, listen(args["--host"], int(args["--port"])), app.crash)
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/lab/src/goldcrestridge_lab/service_http.py
@@ -0,0 +1,141 @@
+"""HTTP stand-in of a plain service that counts how often each call ran.
+
+Usage:
+  service_http [options]
+
+Options:
+  --host=HOST    Address to listen on [default: 127.0.0.1].
+  --port=PORT    Port to listen on, 0 for any [default: 0].
+  --delay-ms=MS  Time that a call takes [default: 0].
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter
+
+import anyio
+import msgspec
+from attrs import define, field
+from docopt import docopt
+
+from goldcrestridge_lab.asgi import (
+    Receive,
+    Scope,
+    Send,
+    connection,
+    header,
+    read_body,
+    run_command,
+    send_head,
+    send_json,
+    send_part,
+)
+from goldcrestridge_lab.simple_engine import pause
+from goldcrestridge_node.server import listen
+
+
+class Fault(enum.Enum):
+    """A fault of the next calls."""
+
+    CLOSE_BEFORE = "close_before"  # Close the connection without running the call.
+    CLOSE_AFTER = "close_after"  # Run the call and close the connection without an answer.
+    CUT = "cut"  # Run the call and close the connection amid the answer.
+
+
+class Control(msgspec.Struct):
+    """A change of the stand-in's behaviour; absent fields stay as they are."""
+
+    crash: bool = False
+    delay_ms: float | None = None
+    fault: Fault | None = None
+    times: int = 1
+    answer_bytes: int | None = None  # Length of the padding in each answer.
+
+
+@define(eq=False)
+class ServiceApp:
+    """ASGI application of the stand-in."""
+
+    delay_ms: float = 0.0
+    crash: anyio.Event = field(factory=anyio.Event)
+    runs: Counter[str] = field(factory=Counter)
+    answer_bytes: int = 0
+    _fault: Fault | None = None
+    _times: int = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        body = await read_body(receive)
+        route = (scope["method"], scope["path"])
+        if route == ("GET", "/runs"):
+            await send_json(send, self.runs)
+        elif route == ("POST", "/control"):
+            await self._control(msgspec.json.decode(body, type=Control), send)
+        else:
+            await self._call(scope, body, send)
+
+    async def _control(self, control: Control, send: Send) -> None:
+        if control.crash:
+            self.crash.set()
+            return
+        if control.delay_ms is not None:
+            self.delay_ms = control.delay_ms
+        if control.answer_bytes is not None:
+            self.answer_bytes = control.answer_bytes
+        if control.fault is not None:
+            self._fault, self._times = control.fault, control.times
+        await send_json(send, {})
+
+    async def _call(self, scope: Scope, body: bytes, send: Send) -> None:
+        """Run a call: count it and answer with all that arrived."""
+        fault = self._take_fault()
+        if fault is Fault.CLOSE_BEFORE:
+            connection(scope).abort()
+            return
+        await pause(self.delay_ms)
+        key = header(scope, b"idempotency-key")
+        self.runs[key] += 1
+        if fault is Fault.CLOSE_AFTER:
+            connection(scope).abort()
+            return
+        answer = {
+            "run": self.runs[key],
+            "method": scope["method"],
+            "path": scope["raw_path"].decode("latin-1"),
+            "query": scope["query_string"].decode("latin-1"),
+            "headers": [[part.decode("latin-1") for part in pair] for pair in scope["headers"]],
+            "body": body.decode("latin-1"),
+            "padding": "x" * self.answer_bytes,
+        }
+        if fault is Fault.CUT:
+            await self._send_half(msgspec.json.encode(answer), send)
+            connection(scope).transport.close()
+            return
+        await send_json(send, answer, extra=((b"x-service", b"stand-in"),))
+
+    async def _send_half(self, data: bytes, send: Send) -> None:
+        length = (b"content-length", b"%d" % len(data))
+        await send_head(send, 200, ((b"content-type", b"application/json"), length))
+        await send_part(send, data[: len(data) // 2])
+
+    def _take_fault(self) -> Fault | None:
+        if self._times == 0:
+            return None
+        self._times -= 1
+        return self._fault
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the stand-in until it is stopped."""
+    args = docopt(__doc__, argv)
+
+    async def run() -> None:
+        app = ServiceApp(float(args["--delay-ms"]))
+        await run_command(app, listen(args["--host"], int(args["--port"])), app.crash)
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/calls.py
@@ -0,0 +1,164 @@
+"""Authentication of callers and construction of calls from HTTP requests."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import unquote
+
+from attrs import field, frozen
+
+from goldcrestridge_core.classes import is_repeatable
+from goldcrestridge_core.config import Configuration, Workspace
+from goldcrestridge_core.types import Call, CallKind, Headers
+from goldcrestridge_node import prompts
+from goldcrestridge_node.headers import request_headers, values
+from goldcrestridge_node.refusals import Refusal
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+SERVICES_PREFIX = "/services/"
+SITE_HEADER = b"x-goldcrestridge-site"
+KEY_HEADER = b"idempotency-key"
+MAX_KEY_BYTES = 255
+
+# The digest of a key is no secret to its holder and cannot be chosen, so that finding the bucket
+# by its first characters tells nothing; within the bucket the comparison is constant in time.
+BUCKET_CHARS = 8
+
+UNAUTHORIZED = Refusal(401, "invalid_api_key", "The bearer key is missing or unknown.")
+
+Classify = Callable[[str, str, str, str, str], str]
+
+
+def _buckets(workspaces: Iterable[Workspace]) -> dict[str, list[tuple[str, Workspace]]]:
+    buckets: dict[str, list[tuple[str, Workspace]]] = {}
+    for workspace in workspaces:
+        for digest in workspace.keys_sha256:
+            entry = (digest.lower(), workspace)
+            buckets.setdefault(entry[0][:BUCKET_CHARS], []).append(entry)
+    return buckets
+
+
+@frozen
+class Directory:
+    """The part of a configuration that turns HTTP requests into calls.
+
+    ``classify`` takes workspace, site, model, service and path, and returns a class name.
+    """
+
+    cfg: Configuration
+    classify: Classify
+    node_site: str
+    _keys: dict[str, list[tuple[str, Workspace]]] = field(init=False)
+
+    @_keys.default
+    def _index(self) -> dict[str, list[tuple[str, Workspace]]]:
+        return _buckets(self.cfg.workspaces.values())
+
+    def authenticate(self, headers: Headers) -> Workspace | None:
+        """Return the workspace of the bearer key, or None."""
+        sent = values(headers, b"authorization")
+        if len(sent) != 1:
+            return None
+        scheme, _, key = sent[0].partition(b" ")
+        if scheme.lower() != b"bearer":
+            return None
+        digest = hashlib.sha256(key.strip()).hexdigest()
+        found = None
+        for known, workspace in self._keys.get(digest[:BUCKET_CHARS], ()):
+            if hmac.compare_digest(known, digest):
+                found = workspace
+        return found
+
+    def site(self, workspace: Workspace, headers: Headers) -> str:
+        """Return the site that the caller names, if its workspace lists it, or the node's."""
+        named = [value.decode("latin-1") for value in values(headers, SITE_HEADER)]
+        return next((name for name in named if name in workspace.sites), self.node_site)
+
+    def models(self, workspace: Workspace) -> list[str]:
+        """Return the names of the models that the workspace may use."""
+        return [name for name in workspace.models if name in self.cfg.models]
+
+    def completion(
+        self, workspace: Workspace, path: str, headers: Headers, body: bytes
+    ) -> Call | Refusal:
+        """Return the call of a completion request."""
+        decode = prompts.decode_chat if path == CHAT_PATH else prompts.decode_text
+        try:
+            prompt = decode(body)
+        except prompts.DECODE_ERRORS as exc:
+            return Refusal(400, "invalid_body", f"The body cannot be used: {exc}.")
+        if prompt.model not in self.models(workspace):
+            return Refusal(
+                404, "model_not_found", "The model does not exist or is not open to the workspace."
+            )
+        site = self.site(workspace, headers)
+        return Call(
+            kind=CallKind.COMPLETION,
+            workspace=workspace.name,
+            site=site,
+            class_name=self.classify(workspace.name, site, prompt.model, "", path),
+            pool=self.cfg.models[prompt.model].pool,
+            method="POST",
+            path=path,
+            query=b"",
+            headers=(),
+            body=prompt.body,
+            model=prompt.model,
+            stream=prompt.stream,
+            prompt_tokens=prompt.prompt_tokens,
+            max_tokens=prompt.max_tokens,
+            prefix=prompt.prefix,
+            continuable=prompt.continuable,
+        )
+
+    def service_call(
+        self, workspace: Workspace, scope: dict[str, Any], body: bytes
+    ) -> Call | Refusal:
+        """Return the call of a plain service; the path is passed on as the caller wrote it."""
+        headers: Headers = tuple(scope["headers"])
+        raw_path = scope["raw_path"].decode("ascii")
+        quoted, slash, rest = raw_path.removeprefix(SERVICES_PREFIX).partition("/")
+        name = unquote(quoted)
+        path = slash + rest or "/"
+        service = self.cfg.services.get(name)
+        if service is None or name not in workspace.services:
+            return Refusal(
+                404,
+                "service_not_found",
+                "The service does not exist or is not open to the workspace.",
+            )
+        if not _is_canonical(unquote(path)):
+            return Refusal(400, "invalid_path", "The path has dot segments or control characters.")
+        key = b",".join(values(headers, KEY_HEADER))
+        if len(key) > MAX_KEY_BYTES or not key.isascii():
+            return Refusal(400, "invalid_idempotency_key", "The idempotency key is malformed.")
+        site = self.site(workspace, headers)
+        return Call(
+            kind=CallKind.PLAIN,
+            workspace=workspace.name,
+            site=site,
+            class_name=self.classify(workspace.name, site, "", name, unquote(path)),
+            pool=service.pool,
+            method=scope["method"],
+            path=path,
+            query=scope["query_string"],
+            headers=request_headers(headers),
+            body=body,
+            service=name,
+            repeatable=is_repeatable(service, scope["method"], unquote(path)),
+            key=key.decode("ascii"),
+        )
+
+
+def _is_canonical(path: str) -> bool:
+    """Return whether a service reads the path as the rules of repeatable calls do.
+
+    A dot segment could make a call that may not be repeated match a rule for one that may.
+    """
+    segments = (segment.partition(";")[0] for segment in path.split("/"))
+    dots = any(segment in (".", "..") for segment in segments)
+    return not dots and path.isprintable() and "\\" not in path
--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -0,0 +1,102 @@
+"""Bounded pool of kept-alive connections to one upstream."""
+
+from __future__ import annotations
+
+import anyio
+import httpcore
+from attrs import define, field
+
+from goldcrestridge_core.clock import MS_PER_SECOND, Clock
+
+
+class ConnectFailedError(Exception):
+    """Report that no connection was made, so that no byte of a request was sent."""
+
+
+@define(eq=False)
+class Pool:
+    """At most ``max_open`` connections to ``host:port``; each carries one request at a time."""
+
+    host: str
+    port: int
+    max_open: int
+    max_idle_ms: float
+    clock: Clock
+    backend: httpcore.AsyncNetworkBackend
+    _idle: list[tuple[float, httpcore.AsyncHTTP11Connection]] = field(init=False, factory=list)
+    _permits: anyio.Semaphore = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the permits."""
+        self._permits = anyio.Semaphore(self.max_open, fast_acquire=True)
+
+    @property
+    def origin(self) -> httpcore.Origin:
+        """Return the origin of the upstream."""
+        return httpcore.Origin(b"http", self.host.encode(), self.port)
+
+    @property
+    def idle(self) -> int:
+        """Return the number of idle connections."""
+        return len(self._idle)
+
+    async def acquire(self, reuse: bool, timeout_ms: float) -> httpcore.AsyncHTTP11Connection:
+        """Return a connection; raise ConnectFailedError if there is none within the timeout.
+
+        Without ``reuse`` the connection is new: an upstream may close an idle one at the moment
+        of the write, and whether it ran the request is then unknown.
+        """
+        try:
+            with anyio.fail_after(timeout_ms / MS_PER_SECOND):
+                await self._permits.acquire()
+        except TimeoutError:
+            raise ConnectFailedError("All connections to the upstream are in use.") from None
+        try:
+            return await self._reused(reuse) or await self._connect(timeout_ms)
+        except BaseException:
+            self._permits.release()
+            raise
+
+    async def release(self, conn: httpcore.AsyncHTTP11Connection) -> None:
+        """Take a connection back; close it unless its last exchange ended properly."""
+        try:
+            if conn.is_idle():
+                self._idle.append((self.clock.now_ms(), conn))
+            else:
+                with anyio.CancelScope(shield=True):
+                    await conn.aclose()
+        finally:
+            self._permits.release()
+
+    async def close_expired(self) -> None:
+        """Close the connections that have been idle for too long."""
+        oldest_ms = self.clock.now_ms() - self.max_idle_ms
+        while self._idle and self._idle[0][0] < oldest_ms:
+            await self._idle.pop(0)[1].aclose()
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop()[1].aclose()
+
+    async def _reused(self, reuse: bool) -> httpcore.AsyncHTTP11Connection | None:
+        """Return the connection used last, if it is fresh and open; close those that are not."""
+        await self.close_expired()
+        in_use = self.max_open - self._permits.value
+        while not reuse and self._idle and in_use + len(self._idle) > self.max_open:
+            await self._idle.pop(0)[1].aclose()
+        while reuse and self._idle:
+            _, conn = self._idle.pop()
+            if not conn.has_expired():
+                return conn
+            await conn.aclose()
+        return None
+
+    async def _connect(self, timeout_ms: float) -> httpcore.AsyncHTTP11Connection:
+        try:
+            stream = await self.backend.connect_tcp(
+                self.host, self.port, timeout=timeout_ms / MS_PER_SECOND
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            raise ConnectFailedError(f"Connecting failed: {type(exc).__name__}.") from exc
+        return httpcore.AsyncHTTP11Connection(self.origin, stream)
--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -0,0 +1,377 @@
+"""Client towards upstreams: runs attempts and reports them as events."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterable, AsyncIterator, Awaitable, Callable
+
+import anyio
+import httpcore
+import msgspec
+from anyio.abc import TaskGroup, TaskStatus
+from attrs import define, field, frozen
+
+from goldcrestridge_core.clock import MS_PER_SECOND, Clock
+from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.types import (
+    AttemptChunk,
+    AttemptEnd,
+    AttemptFailed,
+    AttemptHead,
+    Call,
+    CallKind,
+    CancelAttempt,
+    Headers,
+    RequestId,
+    StartAttempt,
+    UpstreamId,
+)
+from goldcrestridge_node.connections import ConnectFailedError, Pool
+from goldcrestridge_node.continuation import (
+    Identities,
+    StreamIdentity,
+    attempt_body,
+    continued_event,
+    identity_of,
+    is_exhausted,
+    length_event,
+)
+from goldcrestridge_node.headers import response_headers, values
+from goldcrestridge_node.sse import EventReader, StreamError, StreamEvent, event_bytes
+
+UPSTREAM_ID_HEADER = b"x-request-id"
+LEAVING_HEADER = b"x-upstream-leaving"
+BODILESS_STATUS = (204, 304)
+
+AttemptEvent = AttemptHead | AttemptChunk | AttemptEnd | AttemptFailed
+AttemptKey = tuple[RequestId, int]
+
+
+@frozen
+class UpstreamOptions:
+    """Limits of the client; ``head_timeout_ms`` covers the time to the response head."""
+
+    connect_timeout_ms: float = 1_000.0
+    write_timeout_ms: float = 10_000.0
+    head_timeout_ms: float = 120_000.0
+    idle_timeout_ms: float = 30_000.0
+    drain_timeout_ms: float = 1_000.0
+    max_open: int = 256
+    max_idle_ms: float = 15_000.0
+    max_event_bytes: int = 1_048_576
+    # An answer up to this length is read whole, which lets its token count be reported with it.
+    whole_answer_bytes: int = 262_144
+
+
+class _BrokenError(Exception):
+    """Report an answer that did not end properly; the text is fit for the caller."""
+
+
+class _LeavingError(Exception):
+    """Report that the upstream refused the call because it is leaving."""
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int = 0
+
+
+class _Answer(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+@define(eq=False)
+class UpstreamClient:
+    """Run one task per attempt; ``emit`` may wait, which stops the reading from the upstream.
+
+    ``upstream_of`` returns the current configuration of an upstream, or None.
+    """
+
+    upstream_of: Callable[[UpstreamId], Upstream | None]
+    emit: Callable[[AttemptEvent], Awaitable[None]]
+    options: UpstreamOptions = UpstreamOptions()
+    clock: Clock = field(factory=Clock)
+    _pools: dict[str, Pool] = field(init=False, factory=dict)
+    _scopes: dict[AttemptKey, anyio.CancelScope] = field(init=False, factory=dict)
+    _identities: Identities = field(init=False, factory=Identities)
+    _group: TaskGroup | None = field(init=False, default=None)
+    _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=httpcore.AnyIOBackend)
+
+    async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Run the attempts until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            task_status.started()
+            try:
+                await self._close_idle()
+            finally:
+                self._group = None
+                with anyio.CancelScope(shield=True):
+                    for pool in self._pools.values():
+                        await pool.aclose()
+
+    async def _close_idle(self) -> None:
+        """Close connections that stay idle, also those of upstreams that are no longer used."""
+        while True:
+            await anyio.sleep(self.options.max_idle_ms / MS_PER_SECOND)
+            for pool in list(self._pools.values()):
+                await pool.close_expired()
+
+    @property
+    def running(self) -> int:
+        """Return the number of attempts that have not ended."""
+        return len(self._scopes)
+
+    def start(self, start: StartAttempt) -> None:
+        """Begin an attempt; its events follow through ``emit``."""
+        assert self._group is not None
+        scope = anyio.CancelScope()
+        self._scopes[start.request_id, start.attempt] = scope
+        self._group.start_soon(self._attempt, start, scope)
+
+    def cancel(self, cancel: CancelAttempt) -> None:
+        """Stop an attempt and close its connection; no event of it follows."""
+        scope = self._scopes.get((cancel.request_id, cancel.attempt))
+        if scope is not None:
+            scope.cancel()
+
+    async def _attempt(self, start: StartAttempt, scope: anyio.CancelScope) -> None:
+        key = (start.request_id, start.attempt)
+        try:
+            with scope:
+                await self._exchange(start)
+        finally:
+            del self._scopes[key]
+
+    async def _exchange(self, start: StartAttempt) -> None:
+        """Run an attempt on a connection and report how it failed, if it did."""
+        try:
+            pool = self._pool(start.upstream)
+            if start.delivered_tokens and is_exhausted(start):
+                await self._end_exhausted(start)
+                return
+            conn = await pool.acquire(start.call.repeatable, self.options.connect_timeout_ms)
+        except ConnectFailedError as exc:
+            await self._fail(start, sent=False, reason=str(exc))
+            return
+        try:
+            await self._request(start, conn, pool.origin)
+        except _LeavingError:
+            await self._fail(start, sent=True, reason="The upstream is leaving.", leaving=True)
+        except (_BrokenError, StreamError) as exc:
+            await self._fail(start, sent=True, reason=str(exc))
+        except httpcore.TimeoutException as exc:
+            reason = f"The upstream timed out: {type(exc).__name__}."
+            await self._fail(start, sent=True, reason=reason)
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            reason = f"The connection to the upstream broke: {type(exc).__name__}."
+            await self._fail(start, sent=True, reason=reason)
+        finally:
+            await pool.release(conn)
+
+    async def _fail(
+        self, start: StartAttempt, *, sent: bool, reason: str, leaving: bool = False
+    ) -> None:
+        failed = AttemptFailed(start.request_id, start.attempt, sent, reason, leaving)
+        await self.emit(failed)
+
+    def _pool(self, name: UpstreamId) -> Pool:
+        upstream = self.upstream_of(name)
+        if upstream is None:
+            raise ConnectFailedError("The upstream is not configured.")
+        pool = self._pools.get(upstream.address)
+        if pool is None:
+            host, _, port = upstream.address.rpartition(":")
+            pool = Pool(
+                host.strip("[]"),
+                int(port),
+                self.options.max_open,
+                self.options.max_idle_ms,
+                self.clock,
+                self._backend,
+            )
+            self._pools[upstream.address] = pool
+        return pool
+
+    async def _request(
+        self, start: StartAttempt, conn: httpcore.AsyncHTTP11Connection, origin: httpcore.Origin
+    ) -> None:
+        """Send the request and report the answer."""
+        upstream = self.upstream_of(start.upstream)
+        resumes = upstream is not None and upstream.resumes
+        timeout = {
+            "write": self.options.write_timeout_ms / MS_PER_SECOND,
+            "read": self.options.head_timeout_ms / MS_PER_SECOND,
+        }
+        response = await conn.handle_async_request(_request(start, origin, resumes, timeout))
+        timeout["read"] = self.options.idle_timeout_ms / MS_PER_SECOND
+        try:
+            await self._response(start, response, resumes)
+        finally:
+            await response.aclose()
+
+    async def _response(
+        self, start: StartAttempt, response: httpcore.Response, resumes: bool
+    ) -> None:
+        headers = response_headers(response.headers)
+        if response.status == 503 and values(headers, LEAVING_HEADER) == [b"1"]:
+            raise _LeavingError
+        await self.emit(AttemptHead(start.request_id, start.attempt, response.status, headers))
+        assert isinstance(response.stream, AsyncIterable)
+        pieces = aiter(response.stream)
+        if start.call.stream and _is_event_stream(response.status, headers):
+            await self._stream(start, pieces, resumes)
+        else:
+            if not _is_framed(start.call, response):
+                raise _BrokenError("The upstream did not declare the length of its answer.")
+            await self._plain(start, headers, pieces)
+
+    async def _plain(
+        self, start: StartAttempt, headers: Headers, pieces: AsyncIterator[bytes]
+    ) -> None:
+        """Report an answer that is not a stream of events; short ones whole."""
+        length = values(headers, b"content-length")
+        whole = bool(length) and int(length[0]) <= self.options.whole_answer_bytes
+        if start.call.kind is CallKind.COMPLETION and whole:
+            data = b"".join([piece async for piece in pieces])
+            await self._chunk(start, data, "", _answer_tokens(data))
+        else:
+            async for piece in pieces:
+                await self._chunk(start, piece, "", 0)
+        await self._end(start)
+
+    async def _stream(
+        self, start: StartAttempt, pieces: AsyncIterator[bytes], resumes: bool
+    ) -> None:
+        """Report a stream of events up to its end marker."""
+        reader = EventReader(self.options.max_event_bytes)
+        continued = self._identity(start) if start.delivered_tokens else None
+        first: bytes | None = None
+        try:
+            async for piece in pieces:
+                for event in reader.feed(piece):
+                    first = first or event.data
+                    await self._event(start, event, continued, resumes)
+                if reader.ended:
+                    break
+            if not reader.ended:
+                raise _BrokenError("The upstream ended the stream without its end marker.")
+        except BaseException:
+            self._keep_identity(start, continued, first)
+            raise
+        self._identities.drop(start.request_id)
+        await self._end(start)
+        await self._drain(pieces)
+
+    async def _event(
+        self,
+        start: StartAttempt,
+        event: StreamEvent,
+        continued: StreamIdentity | None,
+        resumes: bool,
+    ) -> None:
+        content: bytes | None = event.data
+        if continued is not None:
+            content = continued_event(event.data, continued, start, resumes)
+        if content is not None:
+            await self._chunk(start, event_bytes(content), event.text, event.tokens)
+
+    def _identity(self, start: StartAttempt) -> StreamIdentity:
+        """Return the identity of a continued stream, or one of its own if it was dropped."""
+        known = self._identities.get(start.request_id)
+        created = int(self.clock.wall_ms() / MS_PER_SECOND)
+        return known or StreamIdentity(f"chatcmpl-{start.request_id}", created)
+
+    def _keep_identity(
+        self, start: StartAttempt, continued: StreamIdentity | None, first: bytes | None
+    ) -> None:
+        """Remember the identity that the caller saw, for an attempt that continues the stream."""
+        if not start.call.continuable:
+            return
+        identity = continued or (identity_of(first) if first else None)
+        if identity is not None:
+            self._identities.keep(start.request_id, identity)
+
+    async def _end_exhausted(self, start: StartAttempt) -> None:
+        """End a stream that broke after its last token, without work at an upstream."""
+        headers: Headers = ((b"content-type", b"text/event-stream"),)
+        await self.emit(AttemptHead(start.request_id, start.attempt, 200, headers))
+        await self._chunk(start, event_bytes(length_event(start, self._identity(start))), "", 0)
+        self._identities.drop(start.request_id)
+        await self._end(start)
+
+    async def _chunk(self, start: StartAttempt, data: bytes, text: str, tokens: int) -> None:
+        await self.emit(AttemptChunk(start.request_id, start.attempt, data, text, tokens))
+
+    async def _end(self, start: StartAttempt) -> None:
+        await self.emit(AttemptEnd(start.request_id, start.attempt))
+
+    async def _drain(self, pieces: AsyncIterator[bytes]) -> None:
+        """Read to the end of a body whose end marker was seen, so that its connection is reused.
+
+        A failure here only costs the connection, because the answer is complete.
+        """
+        unread = self.options.max_event_bytes
+        try:
+            with anyio.move_on_after(self.options.drain_timeout_ms / MS_PER_SECOND):
+                async for piece in pieces:
+                    unread -= len(piece)
+                    if unread < 0:
+                        break
+        except (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError):
+            return
+
+
+def _request(
+    start: StartAttempt,
+    origin: httpcore.Origin,
+    resumes: bool,
+    timeout: dict[str, float],
+) -> httpcore.Request:
+    call = start.call
+    target = call.path.encode("ascii") + (b"?" + call.query if call.query else b"")
+    url = httpcore.URL(scheme=origin.scheme, host=origin.host, port=origin.port, target=target)
+    body = attempt_body(start, resumes) if call.kind is CallKind.COMPLETION else call.body
+    return httpcore.Request(
+        call.method,
+        url,
+        headers=_upstream_headers(start, origin, body),
+        content=body,
+        extensions={"timeout": timeout},
+    )
+
+
+def _upstream_headers(
+    start: StartAttempt, origin: httpcore.Origin, body: bytes
+) -> list[tuple[bytes, bytes]]:
+    call = start.call
+    host = b"[%b]" % origin.host if b":" in origin.host else origin.host
+    headers = [
+        (b"host", b"%b:%d" % (host, origin.port)),
+        (UPSTREAM_ID_HEADER, start.request_id.encode()),
+    ]
+    if call.kind is CallKind.COMPLETION:
+        accept = b"text/event-stream" if call.stream else b"application/json"
+        headers += [(b"accept", accept), (b"content-type", b"application/json")]
+    headers += [pair for pair in call.headers if pair[0] != UPSTREAM_ID_HEADER]
+    if body or call.method in ("POST", "PUT", "PATCH"):
+        headers.append((b"content-length", b"%d" % len(body)))
+    return headers
+
+
+def _is_event_stream(status: int, headers: Headers) -> bool:
+    kind = values(headers, b"content-type")
+    return status == 200 and bool(kind) and kind[0].startswith(b"text/event-stream")
+
+
+def _is_framed(call: Call, response: httpcore.Response) -> bool:
+    """Return whether a cut answer can be told from a complete one."""
+    names = {name.lower() for name, _ in response.headers}
+    bodiless = call.method == "HEAD" or response.status in BODILESS_STATUS
+    return bodiless or b"content-length" in names or b"transfer-encoding" in names
+
+
+def _answer_tokens(data: bytes) -> int:
+    try:
+        answer = msgspec.json.decode(data, type=_Answer)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return 0
+    return answer.usage.completion_tokens if answer.usage else 0
