Add slot owner with limits, length estimates and request order

The owner of a shard decides admission, order and placement in one place, so tier order and limits are exact over all entry nodes.

--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/choice_simple.py
@@ -0,0 +1,122 @@
+"""Least-loaded upstream selection, the baseline of ``choice``."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+
+from attrs import Factory, define
+
+from goldcrestridge_core import types
+from goldcrestridge_core.config import Upstream
+
+
+@define
+class _Load:
+    """Slots in use at one upstream; ``version`` marks heap entries as current."""
+
+    upstream: Upstream
+    order: int
+    held: int = 0
+    leaving: bool = False
+    version: int = 0
+
+    def free(self) -> int:
+        return 0 if self.leaving else max(0, self.upstream.slots - self.held)
+
+
+@define
+class LeastLoaded:
+    """Choose the upstream with the smallest used share of its slots.
+
+    The heap holds outdated entries, which are dropped when they surface; a choice therefore
+    costs the logarithm of the number of upstreams.
+    """
+
+    _loads: dict[types.UpstreamId, _Load] = Factory(dict)
+    _heap: list[tuple[float, int, int, types.UpstreamId]] = Factory(list)
+    _free: int = 0
+
+    def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+        """Replace the upstreams and keep the load of those that remain."""
+        old = self._loads
+        self._loads = {}
+        for order, upstream in enumerate(upstreams):
+            load = old.get(upstream.name, _Load(upstream, order))
+            load.upstream = upstream
+            load.order = order
+            self._loads[upstream.name] = load
+        self._free = sum(load.free() for load in self._loads.values())
+        self._rebuild()
+
+    def free_slots(self, now_ms: float) -> int:
+        """Return the slots free at upstreams that accept work."""
+        return self._free
+
+    def choose(
+        self, request: types.SlotRequest, expected_tokens: int, now_ms: float
+    ) -> types.UpstreamId | None:
+        """Return an upstream with a free slot that the request does not exclude, or None."""
+        passed: list[tuple[float, int, int, types.UpstreamId]] = []
+        chosen: types.UpstreamId | None = None
+        while self._heap and chosen is None:
+            entry = heapq.heappop(self._heap)
+            load = self._loads.get(entry[3])
+            if load is None or load.version != entry[2] or load.free() == 0:
+                continue
+            passed.append(entry)
+            if entry[3] not in request.excluded:
+                chosen = entry[3]
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return chosen
+
+    def granted(
+        self,
+        grant: types.HeldGrant,
+        prefix: tuple[int, ...],
+        expected_tokens: int,
+        now_ms: float,
+    ) -> None:
+        """Count a grant."""
+        self._change(grant.upstream, 1)
+
+    def ended(self, release: types.SlotRelease, now_ms: float) -> None:
+        """Count the end of a grant."""
+        self._change(release.upstream, -1)
+
+    def load_report(self, report: types.LoadReport, now_ms: float) -> None:
+        """Take note of an upstream that leaves; the load itself is counted by grants."""
+        if report.leaving:
+            self.leaving(report.upstream, now_ms)
+
+    def cache_events(self, events: types.CacheEvents, now_ms: float) -> None:
+        """Ignore the prefix cache."""
+
+    def leaving(self, upstream: types.UpstreamId, now_ms: float) -> None:
+        """Give an upstream no more work."""
+        load = self._loads.get(upstream)
+        if load is not None:
+            self._free -= load.free()
+            load.leaving = True
+
+    def _change(self, upstream: types.UpstreamId, delta: int) -> None:
+        load = self._loads.get(upstream)
+        if load is None:
+            return
+        self._free -= load.free()
+        load.held = max(0, load.held + delta)
+        self._free += load.free()
+        load.version += 1
+        if load.free():
+            heapq.heappush(self._heap, self._entry(load))
+        if len(self._heap) > 4 * len(self._loads) + 16:
+            self._rebuild()
+
+    def _entry(self, load: _Load) -> tuple[float, int, int, types.UpstreamId]:
+        used = load.held / load.upstream.slots
+        return (used, load.order, load.version, load.upstream.name)
+
+    def _rebuild(self) -> None:
+        self._heap = [self._entry(load) for load in self._loads.values() if load.free()]
+        heapq.heapify(self._heap)
--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/flows.py
@@ -0,0 +1,246 @@
+"""Waiting requests of one class, shared fairly among its workspaces."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+
+from attrs import Factory, define, field
+
+from goldcrestridge_core import types
+from goldcrestridge_core.config import RequestClass
+from goldcrestridge_core.limits import LimitKey, Limits
+
+FlowKey = tuple[str, str]  # Workspace and site.
+
+
+@define(eq=False)
+class Waiting:
+    """A request that waits; ``cost`` is its expected tokens of prompt and output.
+
+    ``floor`` is set when the floor of its class gave it the grant.
+    """
+
+    request: types.SlotRequest
+    cls: RequestClass
+    arrived_ms: float
+    deadline_ms: float
+    cost: float
+    active: bool = True
+    floor: bool = False
+
+    @property
+    def flow(self) -> FlowKey:
+        """Return the flow that the request belongs to."""
+        return (self.request.workspace, self.request.site)
+
+
+@define
+class _Flow:
+    """Requests of one workspace from one site, oldest first."""
+
+    requests: deque[Waiting] = Factory(deque)
+    parked: LimitKey | None = None
+    entry: int = 0  # Number of the valid entry in the heap of ready flows, 0 for none.
+
+
+@define
+class _Usage:
+    """Virtual time up to which a workspace has used its share, and its backlog."""
+
+    share: float
+    tag: float = 0.0
+    backlog: float = 0.0
+    waiting: int = 0
+    flows: dict[FlowKey, None] = Factory(dict)
+
+    def demand(self) -> float:
+        return self.tag + self.backlog / self.share
+
+
+@define
+class ClassQueue:
+    """Start-time fair queue over the workspaces of a class.
+
+    Every grant advances the virtual time of its workspace by cost over share, and the
+    workspace that is furthest behind is next. A workspace that was idle starts at the virtual
+    time of the class, so that it can neither save up nor owe for its pause.
+    """
+
+    cls: RequestClass
+    limits: Limits
+    shares: dict[str, float]
+    count: int = 0
+    _virtual: float = 0.0
+    _counter: int = 0
+    _flows: dict[FlowKey, _Flow] = Factory(dict)
+    _usages: dict[str, _Usage] = Factory(dict)
+    _ready: list[tuple[float, int, FlowKey]] = Factory(list)
+    _heavy: list[tuple[float, int, FlowKey]] = Factory(list)
+    _parked: dict[LimitKey, dict[FlowKey, None]] = Factory(dict)
+    _wakes: list[tuple[float, LimitKey]] = field(factory=list)
+
+    def push(self, waiting: Waiting) -> None:
+        """Add a request at the end of its flow."""
+        flow = self._flows.setdefault(waiting.flow, _Flow())
+        usage = self._usage(waiting.request.workspace)
+        if not usage.waiting:
+            usage.tag = max(usage.tag, self._virtual)
+        flow.requests.append(waiting)
+        self._added(waiting, flow, usage)
+
+    def put_back(self, waiting: Waiting) -> None:
+        """Return a request that was taken but not granted to the head of its flow."""
+        flow = self._flows.setdefault(waiting.flow, _Flow())
+        flow.requests.appendleft(waiting)
+        self._added(waiting, flow, self._usage(waiting.request.workspace))
+
+    def take(self, now_ms: float) -> Waiting | None:
+        """Remove and return the next request that no limit holds back."""
+        self.wake(now_ms)
+        while self._ready:
+            tag, entry, key = heapq.heappop(self._ready)
+            flow = self._flows.get(key)
+            if flow is None or flow.entry != entry:
+                continue
+            flow.entry = 0
+            _trim(flow)
+            if not flow.requests:
+                self._drop(key)
+                continue
+            usage = self._usages[key[0]]
+            if usage.tag > tag:
+                self._offer(key, flow)
+                continue
+            blocking = self.limits.blocking(key[0], key[1], now_ms)
+            if blocking is not None:
+                self._park(key, flow, blocking, now_ms)
+                continue
+            self._virtual = max(self._virtual, usage.tag)
+            waiting = flow.requests.popleft()
+            self._removed(waiting)
+            if flow.requests:
+                self._offer(key, flow)
+            return waiting
+        return None
+
+    def charge(self, workspace: str, cost: float) -> None:
+        """Advance the virtual time of a workspace; a negative cost is a correction."""
+        usage = self._usage(workspace)
+        usage.tag = max(0.0, usage.tag + cost / usage.share)
+        if cost < 0.0 and usage.waiting:
+            for key in usage.flows:
+                self._flows[key].entry = 0
+                self._offer(key, self._flows[key])
+
+    def remove(self, waiting: Waiting) -> None:
+        """Withdraw a waiting request; it leaves its flow when it surfaces."""
+        waiting.active = False
+        self._removed(waiting)
+
+    def heaviest(self) -> Waiting | None:
+        """Return the newest request of the workspace that uses most of its share."""
+        while self._heavy:
+            demand, _, key = self._heavy[0]
+            flow = self._flows.get(key)
+            if flow is not None:
+                _trim(flow)
+            if flow is None or not flow.requests:
+                heapq.heappop(self._heavy)
+                continue
+            current = -self._usages[key[0]].demand()
+            if current > demand:
+                heapq.heapreplace(self._heavy, (current, self._next(), key))
+                continue
+            return flow.requests[-1]
+        return None
+
+    def unpark(self, key: LimitKey) -> None:
+        """Offer again the flows that a limit held back."""
+        for flow_key in self._parked.pop(key, {}):
+            flow = self._flows[flow_key]
+            flow.parked = None
+            self._offer(flow_key, flow)
+
+    def wake(self, now_ms: float) -> None:
+        """Offer again the flows whose token budget became positive."""
+        while self._wakes and self._wakes[0][0] <= now_ms:
+            self.unpark(heapq.heappop(self._wakes)[1])
+
+    def waiting(self, workspace: str) -> int:
+        """Return the number of waiting requests of a workspace."""
+        usage = self._usages.get(workspace)
+        return usage.waiting if usage else 0
+
+    def next_wake_ms(self) -> float | None:
+        """Return when a token budget becomes positive for a flow that waits for it."""
+        return self._wakes[0][0] if self._wakes else None
+
+    def _usage(self, workspace: str) -> _Usage:
+        usage = self._usages.get(workspace)
+        if usage is None:
+            share = max(1e-6, self.shares.get(workspace, 1.0))
+            usage = self._usages[workspace] = _Usage(share, tag=self._virtual)
+        return usage
+
+    def _added(self, waiting: Waiting, flow: _Flow, usage: _Usage) -> None:
+        usage.backlog += waiting.cost
+        usage.waiting += 1
+        usage.flows[waiting.flow] = None
+        self.count += 1
+        if flow.parked is None:
+            self._offer(waiting.flow, flow)
+        heapq.heappush(self._heavy, (-usage.demand(), self._next(), waiting.flow))
+        if len(self._heavy) > 4 * (len(self._flows) + self.count) + 64:
+            self._compact()
+
+    def _removed(self, waiting: Waiting) -> None:
+        usage = self._usages[waiting.request.workspace]
+        usage.backlog -= waiting.cost
+        usage.waiting -= 1
+        self.count -= 1
+
+    def _offer(self, key: FlowKey, flow: _Flow) -> None:
+        if flow.entry or flow.parked is not None:
+            return
+        flow.entry = self._next()
+        heapq.heappush(self._ready, (self._usages[key[0]].tag, flow.entry, key))
+
+    def _park(self, key: FlowKey, flow: _Flow, blocking: LimitKey, now_ms: float) -> None:
+        flow.parked = blocking
+        self._parked.setdefault(blocking, {})[key] = None
+        wait_ms = self.limits.wait_ms(blocking, now_ms)
+        if wait_ms is not None and wait_ms != float("inf"):
+            heapq.heappush(self._wakes, (now_ms + wait_ms, blocking))
+
+    def _drop(self, key: FlowKey) -> None:
+        """Forget an empty flow, and its workspace once the class has caught up with it."""
+        del self._flows[key]
+        usage = self._usages[key[0]]
+        del usage.flows[key]
+        if not usage.flows and usage.tag <= self._virtual:
+            del self._usages[key[0]]
+
+    def _compact(self) -> None:
+        """Drop withdrawn requests and empty flows, and rebuild the heap of heavy flows."""
+        for key, flow in list(self._flows.items()):
+            flow.requests = deque(w for w in flow.requests if w.active)
+            if not flow.requests and flow.parked is None:
+                self._drop(key)
+        for workspace, usage in list(self._usages.items()):
+            if not usage.flows and usage.tag <= self._virtual:
+                del self._usages[workspace]
+        self._heavy = [(-self._usages[key[0]].demand(), self._next(), key) for key in self._flows]
+        heapq.heapify(self._heavy)
+
+    def _next(self) -> int:
+        self._counter += 1
+        return self._counter
+
+
+def _trim(flow: _Flow) -> None:
+    """Drop withdrawn requests from both ends of a flow."""
+    while flow.requests and not flow.requests[0].active:
+        flow.requests.popleft()
+    while flow.requests and not flow.requests[-1].active:
+        flow.requests.pop()
--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/grants.py
@@ -0,0 +1,166 @@
+"""Held grants of a shard, and the answers given to requests."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+from attrs import Factory, define
+
+from goldcrestridge_core import types
+
+REPORT_INTERVAL_MS = 500.0
+# A report may have been sent before the grant reached the entry node.
+IN_FLIGHT_MS = 2 * REPORT_INTERVAL_MS
+GRANT_TIMEOUT_MS = 2_000.0
+MISSING_REPORTS = 2
+# At 280 requests a second per shard this remembers half a minute.
+MAX_ANSWERS = 8_192
+
+GrantKey = tuple[types.NodeId, int, int]  # Entry node, epoch, grant id.
+AttemptKey = tuple[types.RequestId, int]
+
+
+@define(eq=False)
+class Grant:
+    """One held grant; ``charged`` counts the tokens charged to limits and fairness so far."""
+
+    held: types.HeldGrant
+    entry: types.NodeId
+    granted_ms: float
+    charged: float
+    answer: types.SlotGrant | None = None
+    missing: int = 0
+    lost_ms: float | None = None
+
+    @property
+    def key(self) -> GrantKey:
+        """Return the key of the grant; ids of other epochs are unique per entry node only."""
+        return (self.entry, self.held.epoch, self.held.grant_id)
+
+    @property
+    def attempt(self) -> AttemptKey:
+        """Return the request and attempt that hold the grant."""
+        return (self.held.request_id, self.held.attempt)
+
+
+@define
+class Grants:
+    """Held grants by key, attempt and entry node, and a bounded memory of past answers."""
+
+    _by_key: dict[GrantKey, Grant] = Factory(dict)
+    _by_attempt: dict[AttemptKey, Grant] = Factory(dict)
+    _by_entry: dict[types.NodeId, dict[GrantKey, Grant]] = Factory(dict)
+    _lost: dict[GrantKey, Grant] = Factory(dict)
+    _ended: OrderedDict[GrantKey, None] = Factory(OrderedDict)
+    _answers: OrderedDict[AttemptKey, types.SlotRefusal | None] = Factory(OrderedDict)
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def __iter__(self) -> Iterator[Grant]:
+        return iter(self._by_key.values())
+
+    def add(self, grant: Grant) -> None:
+        """Hold a grant."""
+        self._by_key[grant.key] = grant
+        self._by_attempt[grant.attempt] = grant
+        self._by_entry.setdefault(grant.entry, {})[grant.key] = grant
+
+    def find(self, key: GrantKey) -> Grant | None:
+        """Return a held grant."""
+        return self._by_key.get(key)
+
+    def of_attempt(self, attempt: AttemptKey) -> Grant | None:
+        """Return the grant that an attempt holds."""
+        return self._by_attempt.get(attempt)
+
+    def end(self, grant: Grant) -> None:
+        """Let go of a grant and remember that it ended."""
+        del self._by_key[grant.key]
+        if self._by_attempt.get(grant.attempt) is grant:
+            del self._by_attempt[grant.attempt]
+        entries = self._by_entry[grant.entry]
+        del entries[grant.key]
+        if not entries:
+            del self._by_entry[grant.entry]
+        self._lost.pop(grant.key, None)
+        self.mark_ended(grant.key)
+        self.answer(grant.attempt, None)
+
+    def mark_ended(self, key: GrantKey) -> None:
+        """Remember that a grant ended, so that a late report does not revive it."""
+        self._ended[key] = None
+        while len(self._ended) > MAX_ANSWERS:
+            self._ended.popitem(last=False)
+
+    def has_ended(self, key: GrantKey) -> bool:
+        """Return whether a grant is known to have ended."""
+        return key in self._ended
+
+    def answer(self, attempt: AttemptKey, refusal: types.SlotRefusal | None) -> None:
+        """Remember the final answer of an attempt; None is an end without refusal."""
+        self._answers[attempt] = refusal
+        self._answers.move_to_end(attempt)
+        while len(self._answers) > MAX_ANSWERS:
+            self._answers.popitem(last=False)
+
+    def answered(self, attempt: AttemptKey) -> bool:
+        """Return whether an attempt had its final answer."""
+        return attempt in self._answers
+
+    def refusal(self, attempt: AttemptKey) -> types.SlotRefusal | None:
+        """Return the refusal that an attempt was given, if any."""
+        return self._answers.get(attempt)
+
+    def reported(self, report: types.GrantReport, now_ms: float) -> list[types.SlotGrant]:
+        """Compare a report with the held grants and return the grants that got lost.
+
+        A grant that is missing from successive reports is marked as lost, unless its attempt
+        still waits, in which case the grant message did not arrive and is sent again.
+        """
+        present = {(report.entry, g.epoch, g.grant_id) for g in report.held}
+        waiting = set(report.waiting)
+        again: list[types.SlotGrant] = []
+        for key, grant in self._by_entry.get(report.entry, {}).items():
+            if key in present:
+                self._seen(grant)
+            elif grant.attempt in waiting and grant.answer is not None:
+                self._seen(grant)
+                again.append(grant.answer)
+            elif now_ms - grant.granted_ms >= IN_FLIGHT_MS:
+                self._missed(grant, now_ms)
+        return again
+
+    def entry_down(self, entry: types.NodeId, now_ms: float) -> None:
+        """Mark all grants of an entry node as lost."""
+        for grant in self._by_entry.get(entry, {}).values():
+            self._lose(grant, now_ms)
+
+    def reclaimable(self, now_ms: float) -> list[Grant]:
+        """Return the grants that were lost for the grant timeout."""
+        return [
+            grant
+            for grant in self._lost.values()
+            if grant.lost_ms is not None and now_ms - grant.lost_ms >= GRANT_TIMEOUT_MS
+        ]
+
+    def next_reclaim_ms(self) -> float | None:
+        """Return when the first lost grant can be reclaimed."""
+        times = [g.lost_ms + GRANT_TIMEOUT_MS for g in self._lost.values() if g.lost_ms is not None]
+        return min(times, default=None)
+
+    def _seen(self, grant: Grant) -> None:
+        grant.missing = 0
+        grant.lost_ms = None
+        self._lost.pop(grant.key, None)
+
+    def _missed(self, grant: Grant, now_ms: float) -> None:
+        grant.missing += 1
+        if grant.missing >= MISSING_REPORTS:
+            self._lose(grant, now_ms)
+
+    def _lose(self, grant: Grant, now_ms: float) -> None:
+        if grant.lost_ms is None:
+            grant.lost_ms = now_ms
+            self._lost[grant.key] = grant
--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -0,0 +1,441 @@
+"""Slot owner of a pool shard: admits, orders and places requests."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+from attrs import define, evolve, field
+
+from goldcrestridge_core import types
+from goldcrestridge_core.config import Configuration, Upstream
+from goldcrestridge_core.flows import Waiting
+from goldcrestridge_core.grants import REPORT_INTERVAL_MS, AttemptKey, Grant, Grants
+from goldcrestridge_core.lengths import Lengths
+from goldcrestridge_core.limits import Limits
+from goldcrestridge_core.queue import MIN_RETRY_AFTER_MS, Queue, waiting_of
+
+# One report interval for the entry nodes to report, and a margin for the way.
+REBUILD_MS = REPORT_INTERVAL_MS + 100.0
+SWEEP_INTERVAL_MS = 250.0
+ENTRY_SILENCE_MS = 10_000.0  # An entry node that is silent for longer gets no summaries.
+# Requests that fit no upstream at the moment and are passed over in one round.
+MAX_UNPLACED = 4
+EXPECTED_TOKEN_MS = 20.0  # Used for the hold time of a slot before one was measured.
+RETRY_JITTER_SHARE = 0.1  # Spreads the requests that come back after one burst.
+
+
+class Chooser(Protocol):
+    """Choose upstreams; see section 11 of the design page."""
+
+    def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+        """Replace the upstreams."""
+
+    def free_slots(self, now_ms: float) -> int:
+        """Return the slots that can be granted now."""
+        ...
+
+    def choose(
+        self, request: types.SlotRequest, expected_tokens: int, now_ms: float
+    ) -> types.UpstreamId | None:
+        """Return the upstream for a request, or None if none may take it."""
+        ...
+
+    def granted(
+        self,
+        grant: types.HeldGrant,
+        prefix: tuple[int, ...],
+        expected_tokens: int,
+        now_ms: float,
+    ) -> None:
+        """Count a grant."""
+
+    def ended(self, release: types.SlotRelease, now_ms: float) -> None:
+        """Count the end of a grant."""
+
+    def load_report(self, report: types.LoadReport, now_ms: float) -> None:
+        """Take in a load report."""
+
+    def cache_events(self, events: types.CacheEvents, now_ms: float) -> None:
+        """Take in cache events."""
+
+    def leaving(self, upstream: types.UpstreamId, now_ms: float) -> None:
+        """Give an upstream no more work."""
+
+
+@define
+class Owner:
+    """Hold the queue and the slots of one shard under one lease.
+
+    ``epoch`` is the fencing number of the lease, ``lease_until_ms`` the monotonic time at which
+    it expires unless LeaseExtended moves it. No grant is given before ``started_ms`` plus
+    REBUILD_MS, during which the entry nodes report the grants of earlier owners.
+    """
+
+    cfg: Configuration
+    shard: types.ShardId
+    node: types.NodeId
+    upstreams: tuple[Upstream, ...]
+    epoch: int
+    chooser: Chooser
+    rng: random.Random
+    started_ms: float = 0.0
+    lease_until_ms: float = math.inf
+    lengths: Lengths = field(factory=Lengths)
+    grants: Grants = field(factory=Grants)
+    limits: Limits = field(init=False)
+    queue: Queue = field(init=False)
+    _waiting: dict[AttemptKey, Waiting] = field(factory=dict)
+    _entries: dict[types.NodeId, float] = field(factory=dict)
+    _left: dict[types.UpstreamId, None] = field(factory=dict)
+    _next_grant: int = 0
+    _summary_ms: float = field(init=False)
+    _sweep_ms: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        """Set up the parts that depend on the configuration."""
+        self.limits = Limits(self.cfg)
+        self.queue = Queue(self.cfg, self.limits, sum(u.slots for u in self.upstreams))
+        self.chooser.set_upstreams(self.upstreams)
+        self._summary_ms = self.started_ms + REPORT_INTERVAL_MS
+
+    def handle(self, event: Any, now_ms: float) -> list[Any]:
+        """Apply one event and return messages, counters and timeline events."""
+        effects: list[Any] = []
+        if isinstance(event, types.Receive):
+            effects += self._receive(event.sender, event.message, now_ms)
+        elif isinstance(event, types.MemberDown):
+            self._member_down(event.node, now_ms)
+        elif isinstance(event, types.LeaseExtended) and event.epoch == self.epoch:
+            self.lease_until_ms = max(self.lease_until_ms, event.until_ms)
+        effects += self._run(now_ms)
+        return effects
+
+    def next_deadline_ms(self) -> float | None:
+        """Return when a request expires, a grant is reclaimed or a summary is due."""
+        times = [self.queue.next_deadline_ms(), self.grants.next_reclaim_ms()]
+        if self._entries:
+            times.append(self._summary_ms)
+        if self._waiting:
+            times.append(self._sweep_ms)
+        return min((time for time in times if time is not None), default=None)
+
+    # Messages.
+
+    def _receive(self, sender: types.NodeId, message: Any, now_ms: float) -> list[Any]:
+        match message:
+            case types.SlotRequest():
+                return self._request(message, now_ms)
+            case types.SlotCancel():
+                self._cancel(message, now_ms)
+            case types.SlotRelease():
+                return self._release(message, now_ms)
+            case types.GrantReport():
+                return self._report(message, now_ms)
+            case types.LoadReport():
+                self.chooser.load_report(message, now_ms)
+                if message.leaving:
+                    return self._leaving(message.upstream, "load_report", now_ms)
+            case types.CacheEvents():
+                self.chooser.cache_events(message, now_ms)
+            case types.UpstreamLeaving():
+                return self._leaving(message.upstream, message.source, now_ms)
+        return []
+
+    def _request(self, request: types.SlotRequest, now_ms: float) -> list[Any]:
+        """Queue a request, or repeat the answer that it was given."""
+        self._entries[request.entry] = now_ms
+        attempt = (request.request_id, request.attempt)
+        grant = self.grants.of_attempt(attempt)
+        if grant is not None:
+            return [types.Send(grant.entry, grant.answer)] if grant.answer is not None else []
+        if self.grants.answered(attempt):
+            refusal = self.grants.refusal(attempt)
+            return [types.Send(request.entry, refusal)] if refusal is not None else []
+        if attempt in self._waiting or request.class_name not in self.cfg.classes:
+            return []
+        cls = self.cfg.classes[request.class_name]
+        waiting = waiting_of(request, cls, self._cost(request), now_ms)
+        return self._admit(waiting, now_ms)
+
+    def _admit(self, waiting: Waiting, now_ms: float) -> list[Any]:
+        """Add a new request to the queue unless it cannot have a slot in time."""
+        if len(self._left) == len(self.upstreams):
+            return [self._refusal(waiting, types.Reason.NO_UPSTREAM, now_ms)]
+        if waiting.deadline_ms <= now_ms:
+            return [self._refusal(waiting, types.Reason.DEADLINE, now_ms)]
+        limit_ms = self.queue.limit_wait_ms(waiting, now_ms)
+        if now_ms + limit_ms > waiting.deadline_ms:
+            return [self._refusal(waiting, types.Reason.LIMIT, now_ms, limit_ms)]
+        if not self._waiting:
+            self._sweep_ms = now_ms + SWEEP_INTERVAL_MS
+        self._waiting[(waiting.request.request_id, waiting.request.attempt)] = waiting
+        self.queue.push(waiting, now_ms)
+        return []
+
+    def _cancel(self, cancel: types.SlotCancel, now_ms: float) -> None:
+        """Withdraw a request, also one that has not arrived yet."""
+        attempt = (cancel.request_id, cancel.attempt)
+        waiting = self._waiting.pop(attempt, None)
+        grant = self.grants.of_attempt(attempt)
+        if waiting is not None:
+            self.queue.remove(waiting)
+        if grant is not None:
+            self._end(grant, _unused(grant, self.shard), now_ms)
+        elif not self.grants.answered(attempt):
+            self.grants.answer(attempt, None)
+
+    def _release(self, release: types.SlotRelease, now_ms: float) -> list[Any]:
+        """Free a slot and learn from what was measured under it."""
+        key = (release.entry, release.epoch, release.grant_id)
+        grant = self.grants.find(key)
+        if grant is None:
+            self.grants.mark_ended(key)
+            return []
+        self._end(grant, release, now_ms)
+        if release.end is types.GrantEnd.LEAVING:
+            return self._leaving(release.upstream, "refusal", now_ms)
+        return []
+
+    def _report(self, report: types.GrantReport, now_ms: float) -> list[Any]:
+        """Count the reported grants and send lost ones again."""
+        self._entries[report.entry] = now_ms
+        for held in report.held:
+            key = (report.entry, held.epoch, held.grant_id)
+            grant = self.grants.find(key)
+            if grant is not None:
+                self._progress(grant, held.output_tokens, now_ms)
+            elif held.epoch != self.epoch and not self.grants.has_ended(key):
+                self._adopt(report.entry, held, now_ms)
+        again = self.grants.reported(report, now_ms)
+        return [types.Send(report.entry, answer) for answer in again]
+
+    def _adopt(self, entry: types.NodeId, held: types.HeldGrant, now_ms: float) -> None:
+        """Count a grant that another owner, or the entry node itself, has given."""
+        attempt = (held.request_id, held.attempt)
+        waiting = self._waiting.pop(attempt, None)
+        if waiting is not None:
+            self.queue.remove(waiting)
+        expected = self.lengths.mean(
+            held.class_name, held.model, held.workspace, produced=held.output_tokens
+        )
+        grant = Grant(held, entry, now_ms, held.prompt_tokens + expected)
+        self.grants.add(grant)
+        self.limits.started(held.workspace, held.site, grant.charged, now_ms)
+        self.chooser.granted(held, (), round(expected), now_ms)
+
+    def _progress(self, grant: Grant, output_tokens: int, now_ms: float) -> None:
+        """Charge a running request for what it is now expected to use in all."""
+        held = grant.held
+        if output_tokens <= held.output_tokens:
+            return
+        grant.held = evolve(held, output_tokens=output_tokens)
+        expected = held.prompt_tokens + self.lengths.mean(
+            held.class_name, held.model, held.workspace, produced=output_tokens
+        )
+        if expected > grant.charged:
+            further = expected - grant.charged
+            grant.charged = expected
+            self.limits.charge(held.workspace, held.site, further, now_ms)
+            self.queue.correct(held.class_name, held.workspace, further)
+
+    def _leaving(self, upstream: types.UpstreamId, source: str, now_ms: float) -> list[Any]:
+        """Stop giving work to an upstream and tell the entry nodes at once."""
+        if upstream in self._left or upstream not in {u.name for u in self.upstreams}:
+            return []
+        self._left[upstream] = None
+        self.chooser.leaving(upstream, now_ms)
+        notice = types.UpstreamLeaving(upstream, source)
+        sends = [types.Send(entry, notice) for entry in self._entries]
+        return [*sends, types.Emit("upstream_leaving", upstream=upstream)]
+
+    def _member_down(self, node: types.NodeId, now_ms: float) -> None:
+        """Drop the waiting requests of a node; its grants are reclaimed after a while."""
+        self._entries.pop(node, None)
+        self.grants.entry_down(node, now_ms)
+        for attempt, waiting in list(self._waiting.items()):
+            if waiting.request.entry == node:
+                del self._waiting[attempt]
+                self.queue.remove(waiting)
+
+    # Decisions.
+
+    def _run(self, now_ms: float) -> list[Any]:
+        """Reclaim, refuse what has no chance, grant free slots and send summaries."""
+        for grant in self.grants.reclaimable(now_ms):
+            self._end(grant, _unused(grant, self.shard), now_ms)
+        self.queue.wake(now_ms)
+        effects = [self._drop(w, types.Reason.DEADLINE, now_ms) for w in self._expired(now_ms)]
+        effects += self._grant_free(now_ms)
+        self._note_saturation(now_ms)
+        effects += self._shed(now_ms)
+        if now_ms >= self._summary_ms:
+            effects += self._summaries(now_ms)
+        if now_ms >= self._sweep_ms:
+            self._sweep_ms = now_ms + SWEEP_INTERVAL_MS
+        return effects
+
+    def _expired(self, now_ms: float) -> list[Waiting]:
+        return list(self.queue.expired(now_ms))
+
+    def _grants_allowed(self, now_ms: float) -> bool:
+        return self.started_ms + REBUILD_MS <= now_ms < self.lease_until_ms
+
+    def _grant_free(self, now_ms: float) -> list[Any]:
+        """Grant the free slots in queue order."""
+        if not self._waiting or not self._grants_allowed(now_ms):
+            return []
+        effects: list[Any] = []
+        unplaced: list[Waiting] = []
+        while len(unplaced) < MAX_UNPLACED:
+            free = self.chooser.free_slots(now_ms)
+            waiting = self.queue.take(free, now_ms) if free > 0 else None
+            if waiting is None:
+                break
+            expected = round(max(1.0, waiting.cost - waiting.request.prompt_tokens))
+            upstream = self.chooser.choose(waiting.request, expected, now_ms)
+            if upstream is None:
+                unplaced.append(waiting)
+                continue
+            effects += self._grant(waiting, upstream, expected, now_ms)
+        for waiting in reversed(unplaced):
+            self.queue.put_back(waiting)
+        return effects
+
+    def _grant(
+        self, waiting: Waiting, upstream: types.UpstreamId, expected: int, now_ms: float
+    ) -> list[Any]:
+        request = waiting.request
+        self._next_grant += 1
+        held = types.HeldGrant(
+            request.request_id,
+            request.attempt,
+            self.epoch,
+            self._next_grant,
+            upstream,
+            request.workspace,
+            request.site,
+            request.class_name,
+            request.model,
+            request.prompt_tokens,
+            0,
+        )
+        answer = types.SlotGrant(
+            request.request_id,
+            request.attempt,
+            self.shard,
+            self.epoch,
+            self._next_grant,
+            upstream,
+            waiting.cls.tier,
+            expected,
+        )
+        waiting.active = False
+        del self._waiting[(request.request_id, request.attempt)]
+        self.grants.add(Grant(held, request.entry, now_ms, waiting.cost, answer))
+        self.queue.granted(waiting, now_ms)
+        self.limits.started(request.workspace, request.site, waiting.cost, now_ms)
+        self.chooser.granted(held, request.prefix, expected, now_ms)
+        labels = (("class", request.class_name), ("floor", str(int(waiting.floor))))
+        waited_ms = now_ms - waiting.arrived_ms
+        return [
+            types.Send(request.entry, answer),
+            types.Count("slot_grants", 1.0, labels),
+            types.Count("slot_wait_ms", waited_ms, labels[:1]),
+        ]
+
+    def _note_saturation(self, now_ms: float) -> None:
+        saturated = bool(self._waiting) and self.chooser.free_slots(now_ms) <= 0
+        hold_ms = EXPECTED_TOKEN_MS * self.lengths.mean("", "", "")
+        self.queue.saturated(saturated, hold_ms, now_ms)
+
+    def _shed(self, now_ms: float) -> list[Any]:
+        """Refuse the requests that cannot have a slot in time."""
+        if not self._waiting or not self._grants_allowed(now_ms):
+            return []
+        return [
+            self._drop(waiting, types.Reason.OVERLOADED, now_ms)
+            for waiting in self.queue.surplus(now_ms)
+        ]
+
+    def _drop(self, waiting: Waiting, reason: types.Reason, now_ms: float) -> types.Send:
+        """Remove a waiting request and refuse it."""
+        del self._waiting[(waiting.request.request_id, waiting.request.attempt)]
+        self.queue.remove(waiting)
+        return self._refusal(waiting, reason, now_ms)
+
+    def _refusal(
+        self, waiting: Waiting, reason: types.Reason, now_ms: float, wait_ms: float | None = None
+    ) -> types.Send:
+        """Return a refusal and remember it, so that a repeated request gets the same one."""
+        request = waiting.request
+        if wait_ms is None:
+            wait_ms = self.queue.retry_after_ms(request.class_name, now_ms)
+        jitter = 1.0 + RETRY_JITTER_SHARE * self.rng.random()
+        refusal = types.SlotRefusal(
+            request.request_id,
+            request.attempt,
+            self.shard,
+            self.epoch,
+            reason,
+            max(MIN_RETRY_AFTER_MS, wait_ms) * jitter,
+        )
+        self.grants.answer((request.request_id, request.attempt), refusal)
+        return types.Send(request.entry, refusal)
+
+    def _end(self, grant: Grant, release: types.SlotRelease, now_ms: float) -> None:
+        """Free the slot of a grant and correct the accounts by what was used."""
+        held = grant.held
+        unused = release.end in _NOT_RUN
+        used = 0.0 if unused else float(held.prompt_tokens + release.output_tokens)
+        if release.end is types.GrantEnd.COMPLETED:
+            self.lengths.observe(held.class_name, held.model, held.workspace, release.output_tokens)
+        self.grants.end(grant)
+        touched = self.limits.ended(held.workspace, held.site, grant.charged, used, now_ms)
+        self.queue.correct(held.class_name, held.workspace, used - grant.charged)
+        if unused:
+            self.queue.refund(held.class_name, now_ms)
+        else:
+            self.queue.released(now_ms - grant.granted_ms, now_ms)
+        self.queue.unpark(touched)
+        self.chooser.ended(release, now_ms)
+
+    def _summaries(self, now_ms: float) -> list[Any]:
+        """Tell the entry nodes the load of the shard."""
+        self._summary_ms = now_ms + REPORT_INTERVAL_MS
+        oldest_ms = now_ms - ENTRY_SILENCE_MS
+        self._entries = {e: seen for e, seen in self._entries.items() if seen >= oldest_ms}
+        summary = types.ShardSummary(
+            self.shard,
+            self.node,
+            self.epoch,
+            max(0, self.chooser.free_slots(now_ms)),
+            self.queue.waiting_by_tier(),
+        )
+        return [types.Send(entry, summary) for entry in self._entries]
+
+    def _cost(self, request: types.SlotRequest) -> float:
+        """Return the expected tokens of prompt and output."""
+        return request.prompt_tokens + self.lengths.mean(
+            request.class_name, request.model, request.workspace, request.max_tokens
+        )
+
+
+_NOT_RUN = (types.GrantEnd.UNUSED, types.GrantEnd.CONNECT_FAILED, types.GrantEnd.LEAVING)
+
+
+def _unused(grant: Grant, shard: types.ShardId) -> types.SlotRelease:
+    """Return the release of a grant that was withdrawn or lost."""
+    held = grant.held
+    return types.SlotRelease(
+        held.request_id,
+        held.attempt,
+        grant.entry,
+        shard,
+        held.epoch,
+        held.grant_id,
+        held.upstream,
+        types.GrantEnd.UNUSED,
+    )
--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/queue.py
@@ -0,0 +1,341 @@
+"""Order of waiting requests: tiers, weights, floors, headroom, early refusal and shedding."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from goldcrestridge_core import types
+from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.config import Configuration, RequestClass
+from goldcrestridge_core.flows import ClassQueue, Waiting
+from goldcrestridge_core.limits import LimitKey, Limits
+from goldcrestridge_core.rates import Rate
+
+RATE_WINDOW_MS = 5_000.0  # Follows a burst within seconds and averages over single requests.
+SHARE_WINDOW_MS = 20_000.0  # Time over which classes get their proportions.
+# Every class gets at least this share of the grants while it waits, so that a class with a
+# floor of zero runs eventually.
+MIN_FLOOR_SHARE = 0.002
+MAX_FLOOR_CREDIT = 2.0  # Bounds the run of floor grants after a pause.
+# A floor grant waits this long for higher requests that are about to miss their deadlines.
+FLOOR_PATIENCE_MS = 3_000.0
+# Headroom is kept only if a slot is freed more seldom than this share of a higher target.
+HEADROOM_WAIT_SHARE = 0.1
+HEADROOM_MAX_SHARE = 0.1
+MAX_WAITING = 20_000  # Bounds memory at about 1 KB each.
+MIN_RETRY_AFTER_MS = 100.0
+MAX_RETRY_AFTER_MS = 60_000.0
+
+
+@define
+class _ClassState:
+    """Queue and rates of one class; credit is what its floor earned in grants."""
+
+    cls: RequestClass
+    flows: ClassQueue
+    arrivals: Rate = field(factory=lambda: Rate(RATE_WINDOW_MS))
+    grants: Rate = field(factory=lambda: Rate(RATE_WINDOW_MS))
+    offered: Rate = field(factory=lambda: Rate(SHARE_WINDOW_MS))
+    served: Rate = field(factory=lambda: Rate(SHARE_WINDOW_MS))
+    credit: float = 0.0
+    due_since_ms: float | None = None
+
+    def floor(self) -> float:
+        return max(MIN_FLOOR_SHARE, self.cls.floor_share)
+
+    def fulfilment(self, now_ms: float) -> float:
+        """Return the share of requests that were granted, divided by the weight."""
+        offered = max(1e-9, self.offered.per_second(now_ms))
+        return self.served.per_second(now_ms) / offered / max(1e-9, self.cls.weight)
+
+
+@define
+class Queue:
+    """Waiting requests of a shard.
+
+    ``slots`` is the number of slots of the shard. Times are monotonic milliseconds.
+    """
+
+    cfg: Configuration
+    limits: Limits
+    slots: int
+    count: int = 0
+    releases: Rate = field(factory=lambda: Rate(RATE_WINDOW_MS))
+    _states: dict[str, _ClassState] = field(factory=dict)
+    _tiers: dict[int, list[_ClassState]] = field(factory=dict)
+    _deadlines: list[tuple[float, int, Waiting]] = field(factory=list)
+    _tier_deadlines: dict[int, list[tuple[float, int, Waiting]]] = field(factory=dict)
+    _saturated: bool = False
+    _hold_ms: float = 0.0
+    _counter: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Create the queues of all classes."""
+        shares = {w.name: w.share for w in self.cfg.workspaces.values()}
+        for cls in self.cfg.classes.values():
+            state = _ClassState(cls, ClassQueue(cls, self.limits, shares))
+            self._states[cls.name] = state
+            self._tiers.setdefault(cls.tier, []).append(state)
+        self._tiers = dict(sorted(self._tiers.items()))
+        self._tier_deadlines = {tier: [] for tier in self._tiers}
+
+    # Changes.
+
+    def push(self, waiting: Waiting, now_ms: float) -> None:
+        """Add a new request and count it as offered."""
+        state = self._states[waiting.cls.name]
+        state.arrivals.add(now_ms)
+        state.offered.add(now_ms)
+        state.flows.push(waiting)
+        self.count += 1
+        self._counter += 1
+        entry = (waiting.deadline_ms, self._counter, waiting)
+        heapq.heappush(self._deadlines, entry)
+        heapq.heappush(self._tier_deadlines[waiting.cls.tier], entry)
+        if len(self._deadlines) > 2 * self.count + 64:
+            self._compact()
+
+    def remove(self, waiting: Waiting) -> None:
+        """Withdraw a waiting request."""
+        self._states[waiting.cls.name].flows.remove(waiting)
+        self.count -= 1
+
+    def put_back(self, waiting: Waiting) -> None:
+        """Return a request that was taken but could not be placed."""
+        self._states[waiting.cls.name].flows.put_back(waiting)
+        self.count += 1
+
+    def granted(self, waiting: Waiting, now_ms: float) -> None:
+        """Account for a grant to a request that was taken."""
+        state = self._states[waiting.cls.name]
+        state.grants.add(now_ms)
+        state.served.add(now_ms)
+        state.flows.charge(waiting.request.workspace, waiting.cost)
+        for other in self._states.values():
+            if other.flows.count or other is state:
+                other.credit = min(MAX_FLOOR_CREDIT, other.credit + other.floor())
+            if other.credit >= 1.0 and other.due_since_ms is None:
+                other.due_since_ms = now_ms
+        state.credit = max(0.0, state.credit - 1.0)
+        if state.credit < 1.0:
+            state.due_since_ms = None
+
+    def correct(self, class_name: str, workspace: str, difference: float) -> None:
+        """Correct the charge of a workspace by the tokens used beyond those expected."""
+        state = self._states.get(class_name)
+        if state is not None:
+            state.flows.charge(workspace, difference)
+
+    def refund(self, class_name: str, now_ms: float) -> None:
+        """Take back the accounting of a grant that was returned unused."""
+        state = self._states.get(class_name)
+        if state is not None:
+            state.served.add(now_ms, -1.0)
+            state.grants.add(now_ms, -1.0)
+
+    def released(self, held_ms: float, now_ms: float) -> None:
+        """Record that a slot came free after ``held_ms``."""
+        weight = 0.02 if self._hold_ms else 1.0
+        self._hold_ms += weight * (held_ms - self._hold_ms)
+        if self._saturated:
+            self.releases.add(now_ms)
+
+    def unpark(self, keys: list[LimitKey]) -> None:
+        """Offer again the requests that a limit held back."""
+        for state in self._states.values():
+            for key in keys:
+                state.flows.unpark(key)
+
+    def wake(self, now_ms: float) -> None:
+        """Offer again the requests whose token budget became positive."""
+        for state in self._states.values():
+            state.flows.wake(now_ms)
+
+    def saturated(self, saturated: bool, expected_hold_ms: float, now_ms: float) -> None:
+        """Note whether requests wait for slots; the release rate is measured while they do."""
+        if saturated and not self._saturated:
+            hold_ms = max(1.0, self._hold_ms or expected_hold_ms)
+            self.releases.restart(self.slots * MS_PER_SECOND / hold_ms, now_ms)
+        self._saturated = saturated
+
+    # Order.
+
+    def take(self, free: int, now_ms: float) -> Waiting | None:
+        """Remove and return the request that gets the next slot, if one may have it."""
+        due = self._floor_due(now_ms)
+        waiting = due.flows.take(now_ms) if due is not None else None
+        if waiting is not None:
+            waiting.floor = True
+        else:
+            waiting = self._take_by_tier(free, now_ms)
+        if waiting is not None:
+            self.count -= 1
+        return waiting
+
+    def _take_by_tier(self, free: int, now_ms: float) -> Waiting | None:
+        for tier, states in self._tiers.items():
+            if free <= self.headroom(tier, now_ms):
+                return None
+            ready = [state for state in states if state.flows.count]
+            ready.sort(key=lambda state: state.fulfilment(now_ms))
+            for state in ready:
+                waiting = state.flows.take(now_ms)
+                if waiting is not None:
+                    return waiting
+        return None
+
+    def _floor_due(self, now_ms: float) -> _ClassState | None:
+        """Return the class whose floor is due, unless a higher request would miss its deadline."""
+        due = [s for s in self._states.values() if s.credit >= 1.0 and s.flows.count]
+        if not due:
+            return None
+        state = max(due, key=lambda s: s.credit)
+        since_ms = state.due_since_ms if state.due_since_ms is not None else now_ms
+        if now_ms - since_ms > FLOOR_PATIENCE_MS:
+            return state
+        urgent_ms = now_ms + 2.0 * MS_PER_SECOND / max(1e-3, self._release_rate(now_ms))
+        return None if self._first_deadline(state.cls.tier) < urgent_ms else state
+
+    def _first_deadline(self, below_tier: int) -> float:
+        """Return the earliest deadline of the requests in the tiers above ``below_tier``."""
+        first_ms = math.inf
+        for tier, heap in self._tier_deadlines.items():
+            if tier >= below_tier:
+                break
+            while heap and not _is_waiting(heap[0][2]):
+                heapq.heappop(heap)
+            if heap:
+                first_ms = min(first_ms, heap[0][0])
+        return first_ms
+
+    def headroom(self, tier: int, now_ms: float) -> int:
+        """Return the slots that requests of ``tier`` must leave to higher tiers."""
+        higher = [s for t, states in self._tiers.items() if t < tier for s in states]
+        if not higher:
+            return 0
+        interval_ms = MS_PER_SECOND / max(1e-3, self._release_rate(now_ms))
+        target_ms = min(s.cls.target.first_token_ms for s in higher)
+        if interval_ms < HEADROOM_WAIT_SHARE * target_ms:
+            return 0
+        expected = sum(s.arrivals.per_second(now_ms) for s in higher) * interval_ms
+        most = max(1, int(self.slots * HEADROOM_MAX_SHARE))
+        return min(most, round(expected / MS_PER_SECOND))
+
+    # Refusal.
+
+    def expired(self, now_ms: float) -> Iterator[Waiting]:
+        """Yield the requests whose deadline has passed; the caller removes them."""
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            waiting = heapq.heappop(self._deadlines)[2]
+            if _is_waiting(waiting):
+                yield waiting
+
+    def surplus(self, now_ms: float) -> Iterator[Waiting]:
+        """Yield requests that cannot have a slot in time; the caller removes each.
+
+        The lowest tier comes first, within it the class that got most in proportion to its
+        weight, and within that the newest request of the workspace that uses most of its share.
+        """
+        for tier in reversed(self._tiers):
+            for state in self._tiers[tier]:
+                while state.flows.count > self.bound(state.cls, now_ms):
+                    victim = state.flows.heaviest()
+                    if victim is None:
+                        break
+                    yield victim
+        while self.count > MAX_WAITING:
+            victim = self._lowest(now_ms)
+            if victim is None:
+                return
+            yield victim
+
+    def _lowest(self, now_ms: float) -> Waiting | None:
+        """Return the request to shed when the queue is full."""
+        for tier in reversed(self._tiers):
+            states = [state for state in self._tiers[tier] if state.flows.count]
+            if states:
+                return max(states, key=lambda s: s.fulfilment(now_ms)).flows.heaviest()
+        return None
+
+    def bound(self, cls: RequestClass, now_ms: float) -> float:
+        """Return how many requests of a class can wait and still get a slot in time.
+
+        ``objective.attainment_weight`` scales it: at 1 a request may wait that has a small
+        chance, at 0 only one that is almost certain to get its slot early enough.
+        """
+        optimism = 0.5 + self.cfg.objective.attainment_weight
+        in_time = self.rate(cls, now_ms) * cls.queue_timeout_ms / MS_PER_SECOND
+        return max(1.0, optimism * in_time)
+
+    def rate(self, cls: RequestClass, now_ms: float) -> float:
+        """Return the grants per second that a class can expect while it is overloaded."""
+        total = self._release_rate(now_ms)
+        left = total
+        for tier, states in self._tiers.items():
+            if tier == cls.tier:
+                break
+            left -= sum(s.arrivals.per_second(now_ms) for s in states)
+        peers = self._tiers[cls.tier]
+        wanted = {s.cls.name: s.arrivals.per_second(now_ms) * s.cls.weight for s in peers}
+        share = wanted[cls.name] / max(1e-9, sum(wanted.values()))
+        others = sum(s.arrivals.per_second(now_ms) for s in peers if s.cls is not cls)
+        floor = self._states[cls.name].floor() * total
+        return max(floor, left * share, left - others)
+
+    def retry_after_ms(self, class_name: str, now_ms: float) -> float:
+        """Return the time in which the present backlog of a class is worked off."""
+        state = self._states[class_name]
+        rate = max(1e-3, self.rate(state.cls, now_ms))
+        wait_ms = (state.flows.count + 1) / rate * MS_PER_SECOND
+        return min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
+
+    def limit_wait_ms(self, waiting: Waiting, now_ms: float) -> float:
+        """Return how long the limits alone hold back a new request, 0 if they do not."""
+        request = waiting.request
+        key = self.limits.blocking(request.workspace, request.site, now_ms)
+        if key is None:
+            return 0.0
+        ahead = self._states[waiting.cls.name].flows.waiting(request.workspace)
+        return self.limits.expected_wait_ms(key, ahead, self._hold_ms, waiting.cost, now_ms)
+
+    # Views.
+
+    def next_deadline_ms(self) -> float | None:
+        """Return when a request expires or a token budget allows one more."""
+        while self._deadlines and not _is_waiting(self._deadlines[0][2]):
+            heapq.heappop(self._deadlines)
+        times = [self._deadlines[0][0]] if self._deadlines else []
+        wakes = (state.flows.next_wake_ms() for state in self._states.values())
+        times += [wake for wake in wakes if wake is not None]
+        return min(times, default=None)
+
+    def waiting_by_tier(self) -> tuple[int, ...]:
+        """Return the waiting requests of each configured tier, highest first."""
+        return tuple(sum(s.flows.count for s in states) for states in self._tiers.values())
+
+    def _release_rate(self, now_ms: float) -> float:
+        if self._saturated or not self._hold_ms:
+            return self.releases.per_second(now_ms)
+        return self.slots * MS_PER_SECOND / max(1.0, self._hold_ms)
+
+    def _compact(self) -> None:
+        self._deadlines = [entry for entry in self._deadlines if _is_waiting(entry[2])]
+        heapq.heapify(self._deadlines)
+        for heap in self._tier_deadlines.values():
+            heap[:] = [entry for entry in heap if _is_waiting(entry[2])]
+            heapq.heapify(heap)
+
+
+def _is_waiting(waiting: Waiting) -> bool:
+    return waiting.active
+
+
+def waiting_of(
+    request: types.SlotRequest, cls: RequestClass, cost: float, now_ms: float
+) -> Waiting:
+    """Return the queue entry of a request; ``cost`` is its expected tokens."""
+    return Waiting(request, cls, now_ms - request.waited_ms, now_ms + request.deadline_in_ms, cost)
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -254,6 +254,14 @@
     waiting: tuple[int, ...]
 
 
+@frozen
+class LeaseExtended:
+    """Event: the lease of ``epoch`` holds until the monotonic time ``until_ms``."""
+
+    epoch: int
+    until_ms: float
+
+
 # Reports of upstreams.
 
 
