Add runtime driver and report poller of a node

Cause: the core roles need something that feeds them and carries out effects. Change: driver with one timer task, poller of load reports and cache events.

--- a/packages/lab/src/goldcrestridge_lab/engine_http.py
+++ b/packages/lab/src/goldcrestridge_lab/engine_http.py
@@ -200,6 +200,7 @@
         state = self.engine.load()
         return {
             "time_ms": state.time_ms,
+            "age_ms": self.engine.load_lag_ms,
             "running": state.running,
             "waiting": state.waiting,
             "slots": self.engine.slots,
--- a/packages/lab/src/goldcrestridge_lab/simple_engine.py
+++ b/packages/lab/src/goldcrestridge_lab/simple_engine.py
@@ -59,6 +59,7 @@
 
     slots: int
     slow_factor: float
+    load_lag_ms: float
 
     async def acquire(self, priority: int) -> None:
         """Wait for a slot; the lowest priority number goes first."""
--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -0,0 +1,110 @@
+"""Polling of load reports and cache events of the engines in the shards that this node owns."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+from attrs import define, field
+
+from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.types import CacheEvents, Count, LoadReport, UpstreamId
+
+POLL_INTERVAL_MS = 500.0
+POLL_TIMEOUT_MS = 2_000.0
+
+
+class _Load(msgspec.Struct):
+    running: int
+    waiting: int
+    slots: int
+    age_ms: float = 0.0
+    leaving: bool = False
+
+
+class _CacheEvent(msgspec.Struct):
+    sequence: int
+    kind: str
+    block: int
+
+
+class _CachePage(msgspec.Struct):
+    events: list[_CacheEvent]
+
+
+@define
+class Reports:
+    """Poll each engine in its own task, so that a silent engine delays no other.
+
+    ``engines`` returns the engines to poll now, ``deliver`` takes each report.
+    """
+
+    engines: Callable[[], dict[UpstreamId, Upstream]]
+    deliver: Callable[[LoadReport | CacheEvents], None]
+    count: Callable[[Count], None]
+    _polled: dict[UpstreamId, anyio.CancelScope] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Poll until cancelled; engines come and go with ownership and configuration."""
+        async with anyio.create_task_group() as tasks, httpcore.AsyncConnectionPool() as pool:
+            while True:
+                wanted = self.engines()
+                for name in self._polled.keys() - wanted.keys():
+                    self._polled.pop(name).cancel()
+                for name in wanted.keys() - self._polled.keys():
+                    self._polled[name] = anyio.CancelScope()
+                    tasks.start_soon(self._poll, pool, name, self._polled[name])
+                await anyio.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
+
+    async def _poll(
+        self, pool: httpcore.AsyncConnectionPool, name: UpstreamId, scope: anyio.CancelScope
+    ) -> None:
+        sequence = 0
+        with scope:
+            while True:
+                upstream = self.engines().get(name)
+                if upstream is not None:
+                    try:
+                        sequence = await self._fetch(pool, upstream, sequence)
+                    except (
+                        httpcore.NetworkError,
+                        httpcore.TimeoutException,
+                        httpcore.ProtocolError,
+                        msgspec.DecodeError,
+                        msgspec.ValidationError,
+                    ):
+                        self.count(Count("upstream_reports_failed", 1, (("upstream", name),)))
+                await anyio.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
+
+    async def _fetch(
+        self, pool: httpcore.AsyncConnectionPool, upstream: Upstream, sequence: int
+    ) -> int:
+        """Deliver the load and the cache events after ``sequence``; return the last sequence."""
+        data = await _get(pool, upstream, "/load")
+        load = msgspec.json.decode(data, type=_Load)
+        self.deliver(
+            LoadReport(
+                upstream.name, load.age_ms, load.running, load.waiting, load.slots, load.leaving
+            )
+        )
+        data = await _get(pool, upstream, f"/cache_events?after={sequence}")
+        page = msgspec.json.decode(data, type=_CachePage)
+        if not page.events:
+            return sequence
+        added = tuple(event.block for event in page.events if event.kind == "added")
+        evicted = tuple(event.block for event in page.events if event.kind == "evicted")
+        first = page.events[0].sequence
+        self.deliver(CacheEvents(upstream.name, first, added, evicted))
+        return page.events[-1].sequence
+
+
+async def _get(pool: httpcore.AsyncConnectionPool, upstream: Upstream, path: str) -> bytes:
+    limit = POLL_TIMEOUT_MS / MS_PER_SECOND
+    timeout: dict[str, Any] = dict.fromkeys(("connect", "read", "write", "pool"), limit)
+    url = f"http://{upstream.address}{path}"
+    response = await pool.request("GET", url, extensions={"timeout": timeout})
+    return response.content
--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/runtime.py
@@ -0,0 +1,140 @@
+"""Runtime of one node: moves bytes between sockets, files, timers and the core."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+from attrs import define, field
+
+from goldcrestridge_core.clock import MS_PER_SECOND, Clock
+from goldcrestridge_core.types import (
+    CancelAttempt,
+    Count,
+    Emit,
+    RespondChunk,
+    RespondEnd,
+    RespondFailure,
+    RespondHead,
+    Role,
+    Send,
+    StartAttempt,
+    Tick,
+    TruncateLog,
+    WriteLog,
+    WriteSnapshot,
+)
+
+IDLE_WAIT_MS = 60_000.0
+
+ANSWERS = (RespondHead, RespondChunk, RespondEnd, RespondFailure)
+WRITES = (WriteLog, WriteSnapshot, TruncateLog)
+
+
+@define
+class Outputs:
+    """Where the effects of the core go; ``answer`` returns False if its caller is slow."""
+
+    send: Callable[[Send], None]
+    answer: Callable[[Any], bool]
+    answer_slowly: Callable[[Any], Any]
+    start: Callable[[StartAttempt], None]
+    cancel: Callable[[CancelAttempt], None]
+    write: Callable[[Any], None]
+    emit: Callable[[Emit], None]
+    count: Callable[[Count], None]
+    other: Callable[[Any], None]
+
+
+@define
+class Driver:
+    """Feed events to the core one at a time and carry out its effects.
+
+    An event that an effect causes at once is queued behind the current one, so the core is never
+    entered twice.
+    """
+
+    role: Role
+    clock: Clock
+    outputs: Outputs
+    _events: deque[Any] = field(factory=deque)
+    _busy: bool = False
+    _slow: list[Any] = field(factory=list)
+    _timer_ms: float = 0.0
+    _wake: anyio.Event = field(factory=anyio.Event)
+    _tasks: anyio.abc.TaskGroup | None = None
+
+    def post(self, event: Any) -> None:
+        """Apply an event; answers to slow callers are delivered by a task of their own."""
+        for effect in self._apply(event):
+            if self._tasks is not None:
+                self._tasks.start_soon(self.outputs.answer_slowly, effect)
+
+    async def post_and_wait(self, event: Any) -> None:
+        """Apply an event and wait while a caller is slower than its upstream."""
+        for effect in self._apply(event):
+            await self.outputs.answer_slowly(effect)
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Post a Tick at each deadline of the core until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            task_status.started()
+            while True:
+                await self._wait_for_deadline()
+                self.post(Tick())
+
+    async def _wait_for_deadline(self) -> None:
+        while True:
+            deadline = self.role.next_deadline_ms()
+            now_ms = self.clock.now_ms()
+            self._timer_ms = now_ms + IDLE_WAIT_MS if deadline is None else deadline
+            if self._timer_ms <= now_ms:
+                # Other tasks get a turn even if the core is due again at once.
+                await anyio.lowlevel.checkpoint()
+                return
+            self._wake = anyio.Event()
+            with anyio.move_on_after((self._timer_ms - now_ms) / MS_PER_SECOND):
+                await self._wake.wait()
+
+    def _apply(self, event: Any) -> list[Any]:
+        """Apply an event with all that it causes; return the answers that must wait."""
+        self._events.append(event)
+        if self._busy:
+            return []
+        self._busy = True
+        self._slow = []
+        try:
+            while self._events:
+                for effect in self.role.handle(self._events.popleft(), self.clock.now_ms()):
+                    self._perform(effect)
+        finally:
+            self._busy = False
+        deadline = self.role.next_deadline_ms()
+        if deadline is not None and deadline < self._timer_ms:
+            self._wake.set()
+        return self._slow
+
+    def _perform(self, effect: Any) -> None:
+        outputs = self.outputs
+        if isinstance(effect, ANSWERS):
+            if not outputs.answer(effect):
+                self._slow.append(effect)
+        elif isinstance(effect, Send):
+            outputs.send(effect)
+        elif isinstance(effect, Count):
+            outputs.count(effect)
+        elif isinstance(effect, Emit):
+            outputs.emit(effect)
+        elif isinstance(effect, StartAttempt):
+            outputs.start(effect)
+        elif isinstance(effect, CancelAttempt):
+            outputs.cancel(effect)
+        elif isinstance(effect, WRITES):
+            outputs.write(effect)
+        else:
+            outputs.other(effect)
