Continue broken streams under one identity; test the upstream client

Cause: a stream that broke after its role delta but before its first token went on with a second id, created and role, and an answer without a declared length was broken off after its head although its outcome could be told. Change: the identity of a broken stream is used whenever it is known; the length is checked before the head is reported; tests of continuation, resume, leaving, reuse, pool bounds, prompts, events, classes and the stand-ins. Conclusion: a continued stream is one stream for the caller at every point at which the stand-in can break it.

--- a/packages/lab/src/goldcrestridge_lab/engine_http.py
+++ b/packages/lab/src/goldcrestridge_lab/engine_http.py
@@ -208,6 +208,7 @@
 
     async def _control(self, control: Control, send: Send) -> None:
         if control.crash:
+            await send_json(send, {})
             self.crash.set()
             return
         if control.leave is not None:
@@ -229,6 +230,9 @@
         await send_json(send, {"applied": len(self._orders)})
 
     async def _complete(self, scope: Scope, data: bytes, send: Send) -> None:
+        if connection(scope).transport.is_closing():
+            self.stats.cancelled += 1
+            return
         if self.leaving:
             self.stats.refused += 1
             await send_json(send, {"error": {"message": "The engine is leaving."}}, 503, LEAVING)
@@ -276,10 +280,10 @@
         limit = body.limit()
         fail_after = self._take_failure()
         position = 0
-        while position < limit:
+        while True:
             if position - body.resume_from == fail_after:
                 await self._fail(answer)
-            token = source.next_token()
+            token = source.next_token() if position < limit else None
             if token is None:
                 break
             position += 1
@@ -289,9 +293,9 @@
                 await pause(self.engine.token_ms())
         await answer.finish("length" if position >= limit else "stop")
 
-    def _take_failure(self) -> int:
+    def _take_failure(self) -> int | None:
         if self._fail_times == 0:
-            return -1
+            return None
         self._fail_times -= 1
         return self._fail_after
 
--- a/packages/lab/src/goldcrestridge_lab/service_http.py
+++ b/packages/lab/src/goldcrestridge_lab/service_http.py
@@ -77,6 +77,7 @@
 
     async def _control(self, control: Control, send: Send) -> None:
         if control.crash:
+            await send_json(send, {})
             self.crash.set()
             return
         if control.delay_ms is not None:
--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -23,6 +23,7 @@
     max_idle_ms: float
     clock: Clock
     backend: httpcore.AsyncNetworkBackend
+    opened: int = field(init=False, default=0)
     _idle: list[tuple[float, httpcore.AsyncHTTP11Connection]] = field(init=False, factory=list)
     _permits: anyio.Semaphore = field(init=False)
 
@@ -99,4 +100,5 @@
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise ConnectFailedError(f"Connecting failed: {type(exc).__name__}.") from exc
+        self.opened += 1
         return httpcore.AsyncHTTP11Connection(self.origin, stream)
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -214,14 +214,15 @@
         headers = response_headers(response.headers)
         if response.status == 503 and values(headers, LEAVING_HEADER) == [b"1"]:
             raise _LeavingError
+        events = start.call.stream and _is_event_stream(response.status, headers)
+        if not events and not _is_framed(start.call, response):
+            raise _BrokenError("The upstream did not declare the length of its answer.")
         await self.emit(AttemptHead(start.request_id, start.attempt, response.status, headers))
         assert isinstance(response.stream, AsyncIterable)
         pieces = aiter(response.stream)
-        if start.call.stream and _is_event_stream(response.status, headers):
+        if events:
             await self._stream(start, pieces, resumes)
         else:
-            if not _is_framed(start.call, response):
-                raise _BrokenError("The upstream did not declare the length of its answer.")
             await self._plain(start, headers, pieces)
 
     async def _plain(
@@ -243,7 +244,10 @@
     ) -> None:
         """Report a stream of events up to its end marker."""
         reader = EventReader(self.options.max_event_bytes)
-        continued = self._identity(start) if start.delivered_tokens else None
+        # The role delta may have reached the caller even if no token did.
+        continued = self._identities.get(start.request_id)
+        if continued is None and start.delivered_tokens:
+            continued = self._identity(start)
         first: bytes | None = None
         try:
             async for piece in pieces:
--- /dev/null
+++ b/tests/core/test_classes.py
@@ -0,0 +1,55 @@
+"""Classes: order of the rules, overlay of the site, default, and repeatable calls."""
+
+from __future__ import annotations
+
+from goldcrestridge_core.classes import classify, is_repeatable
+from goldcrestridge_core.config import (
+    CallRule,
+    ClassRule,
+    Configuration,
+    Service,
+    Site,
+    Workspace,
+)
+
+CFG = Configuration(
+    name="test",
+    workspaces={"kiosk": Workspace("kiosk", "default", ()), "b": Workspace("b", "other", ())},
+    sites={"gate": Site("gate", "dc1", {"kiosk": "overlay"}), "home": Site("home", "dc1")},
+    rules=(
+        ClassRule("by-path", service="bookings", path="/status/*"),
+        ClassRule("by-service", service="bookings"),
+        ClassRule("by-model", workspace="kiosk", model="long", site="home"),
+    ),
+)
+
+
+def test_the_first_matching_rule_wins() -> None:
+    # Guards against a later, wider rule that replaces an earlier one.
+    assert classify(CFG, "kiosk", "gate", "", "bookings", "/status/a/b") == "by-path"
+    assert classify(CFG, "kiosk", "gate", "", "bookings", "/book") == "by-service"
+
+
+def test_all_fields_of_a_rule_must_match() -> None:
+    # Guards against rules that match on one field only.
+    assert classify(CFG, "kiosk", "home", "long", "", "/v1/chat/completions") == "by-model"
+    assert classify(CFG, "b", "home", "long", "", "/v1/chat/completions") == "other"
+
+
+def test_the_overlay_of_the_site_comes_before_the_default_of_the_workspace() -> None:
+    # Guards against an overlay that is ignored or that reaches other workspaces and sites.
+    assert classify(CFG, "kiosk", "gate", "short", "", "") == "overlay"
+    assert classify(CFG, "kiosk", "home", "short", "", "") == "default"
+    assert classify(CFG, "kiosk", "unknown", "short", "", "") == "default"
+    assert classify(CFG, "b", "gate", "short", "", "") == "other"
+
+
+def test_only_calls_that_match_method_and_path_are_repeatable() -> None:
+    # Guards against P5: a booking that is taken for a status lookup.
+    service = Service("bookings", "p", (CallRule("get", "/status/*"), CallRule("*", "/ping")))
+    assert is_repeatable(service, "GET", "/status/7")
+    assert is_repeatable(service, "POST", "/ping")
+    assert not is_repeatable(service, "POST", "/status/7")
+    assert not is_repeatable(service, "GET", "/book")
+    assert not is_repeatable(service, "GET", "/STATUS/7")
+    assert not is_repeatable(Service("bookings", "p"), "GET", "/status/7")
--- /dev/null
+++ b/tests/lab/test_stand_ins.py
@@ -0,0 +1,126 @@
+"""Stand-ins: fencing, load reports with a lag, cache events with gaps, and the commands."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+import pytest
+from tests.node.path_helpers import run, until
+
+from goldcrestridge_core.clock import ManualClock
+from goldcrestridge_lab.engine_http import EngineApp, PrefixCache
+from goldcrestridge_lab.simple_engine import SimpleEngine
+
+
+async def ask(app: Any, method: str, path: str, value: object = None) -> tuple[int, Any]:
+    """Call an application without a connection."""
+    sent: list[dict[str, Any]] = []
+
+    async def receive() -> dict[str, Any]:
+        body = b"" if value is None else msgspec.json.encode(value)
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    path, _, query = path.partition("?")
+    scope = {"method": method, "path": path, "query_string": query.encode(), "headers": []}
+    await app(scope, receive, send)
+    return sent[0]["status"], msgspec.json.decode(sent[1]["body"])
+
+
+def test_an_old_fencing_number_is_refused_only_by_engines_that_check_it() -> None:
+    # Guards against a stand-in that hides what an unfenced engine does.
+    async def scenario() -> None:
+        for checks, last in ((True, 409), (False, 200)):
+            app = EngineApp(SimpleEngine(), check_fencing=checks)
+            statuses = [
+                (await ask(app, "POST", "/orders", {"fencing": number, "kind": "load"}))[0]
+                for number in (3, 3, 2)
+            ]
+            assert statuses == [200, 200, last]
+
+    run(scenario)
+
+
+def test_load_reports_lag() -> None:
+    # Guards against a stand-in that is more current than real engines are.
+    async def scenario() -> None:
+        time = ManualClock()
+        engine = SimpleEngine(slots=1, load_lag_ms=100.0, clock=time.clock())
+        app = EngineApp(engine)
+        time.advance(1_000.0)
+        await engine.acquire(0)
+        time.advance(99.0)
+        assert (await ask(app, "GET", "/load"))[1]["running"] == 0
+        time.advance(1.0)
+        report = (await ask(app, "GET", "/load"))[1]
+        assert (report["running"], report["time_ms"]) == (1, 1_000.0)
+
+    run(scenario)
+
+
+def test_the_lowest_priority_number_gets_the_next_slot() -> None:
+    # Guards against a stand-in that ignores priorities or keeps slots of cancelled requests.
+    async def scenario() -> None:
+        engine = SimpleEngine(slots=1)
+        await engine.acquire(0)
+        order: list[int] = []
+
+        async def worker(priority: int) -> None:
+            await engine.acquire(priority)
+            order.append(priority)
+            engine.release()
+
+        async with anyio.create_task_group() as group:
+            scope = anyio.CancelScope()
+
+            async def cancelled() -> None:
+                with scope:
+                    await worker(0)
+
+            for priority in (2, 1, 3):
+                group.start_soon(worker, priority)
+            group.start_soon(cancelled)
+            await until(lambda: engine.load().waiting == 4)
+            scope.cancel()
+            await until(lambda: engine.load().waiting == 3)
+            engine.release()
+        assert order == [1, 2, 3]
+        assert engine.running == 0
+
+    run(scenario)
+
+
+def test_cache_events_are_numbered_and_late_readers_see_a_gap() -> None:
+    # Guards against an index that is wrong without anyone noticing.
+    cache = PrefixCache(capacity=2)
+    cache.add((1, 2, 3))
+    events = cache.events_after(0)
+    assert [event["sequence"] for event in events] == [1, 2, 3, 4]
+    assert [(event["kind"], event["block"]) for event in events][-1] == ("evicted", 1)
+    assert cache.events_after(4) == []
+    cache.add(tuple(range(10, 3_000)))
+    assert cache.events_after(4)[0]["sequence"] > 5
+
+
+@pytest.mark.parametrize("name", ["engine_http", "service_http"])
+def test_the_commands_serve_until_told_to_crash(name: str) -> None:
+    # Guards against commands that do not start, print no address or outlive their crash.
+    command = [sys.executable, "-m", f"goldcrestridge_lab.{name}", "--port", "0"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        assert process.stdout is not None
+        address = process.stdout.readline().strip()
+
+        async def scenario() -> None:
+            async with httpcore.AsyncConnectionPool(retries=0) as pool:
+                url = f"http://{address}/control"
+                assert (await pool.request("POST", url, content=b'{"crash":true}')).status == 200
+
+        run(scenario)
+        assert process.wait(timeout=30) == 70
--- a/tests/node/path_helpers.py
+++ b/tests/node/path_helpers.py
@@ -100,6 +100,7 @@
     address: tuple[str, int]
     stop: anyio.Event
     engine_addresses: list[str] = field(factory=list)
+    service_address: str = ""
 
     @property
     def url(self) -> str:
@@ -141,7 +142,7 @@
         sock = listen("127.0.0.1", 0)
         address = sock.getsockname()[:2]
         await group.start(path.run, sock, stop, server_options)
-        yield World(path, apps, service, address, stop, engine_addresses)
+        yield World(path, apps, service, address, stop, engine_addresses, addresses[-1])
         group.cancel_scope.cancel()
 
 
--- a/tests/node/test_edge_faults.py
+++ b/tests/node/test_edge_faults.py
@@ -263,19 +263,18 @@
     # Guards against callers that hold connections by sending a byte now and then.
     async def scenario() -> None:
         edge = EdgeOptions(body_timeout_ms=20.0)
-        server = ServerOptions(head_timeout_ms=200.0)
-        async with world(edge_options=edge, server_options=server) as w:
-            async with raw(w) as stream:
-                await stream.send(raw_request(chat_body())[:-5])
-                reply = await read_until(stream, b"request_id")
-                assert b" 408 " in reply
-                assert b"body_timeout" in reply
-            async with raw(w) as stream:
-                await stream.send(b"POST /v1/chat")
-                reply = await read_all(stream)
-                assert b" 408 " in reply
-                assert b"head_timeout" in reply
-            assert (await chat(w, max_tokens=1)).status == 200
+        async with world(edge_options=edge) as w, raw(w) as stream:
+            await stream.send(raw_request(chat_body())[:-5])
+            reply = await read_until(stream, b"request_id")
+            assert b" 408 " in reply
+            assert b"body_timeout" in reply
+            await until(lambda: w.path.edge.held_bytes == 0)
+        server = ServerOptions(head_timeout_ms=20.0)
+        async with world(server_options=server) as w, raw(w) as stream:
+            await stream.send(b"POST /v1/chat")
+            reply = await read_all(stream)
+            assert b" 408 " in reply
+            assert b"head_timeout" in reply
 
     run(scenario)
 
--- /dev/null
+++ b/tests/node/test_upstream.py
@@ -0,0 +1,279 @@
+"""Upstream client: continuation, refusals, reuse of connections and what was sent."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from attrs import evolve
+from tests.node.path_helpers import (
+    Reply,
+    call,
+    chat,
+    read_all,
+    read_until,
+    run,
+    until,
+    world,
+)
+from tests.node.test_edge_faults import control
+from tests.node.test_edge_path import output
+
+from goldcrestridge_core.types import AttemptFailed, Call, CallKind, RequestId, StartAttempt
+from goldcrestridge_lab.simple_engine import expected_output
+from goldcrestridge_node.upstream import UpstreamClient, UpstreamOptions
+
+
+def check_one_stream(reply: Reply, expected: str) -> None:
+    """Check that the caller saw one stream that was never broken."""
+    assert reply.text() == expected
+    chunks = reply.chunks()
+    assert len({(chunk["id"], chunk["created"]) for chunk in chunks}) == 1
+    roles = [c for chunk in chunks for c in chunk["choices"] if "role" in c["delta"]]
+    assert len(roles) == 1
+    assert reply.events()[-1] == b"[DONE]"
+
+
+@pytest.mark.parametrize("delivered", [0, 1, 7])
+def test_a_broken_stream_goes_on_at_another_engine_as_one_stream(delivered: int) -> None:
+    # Guards against lost, doubled or mixed text, and against a second identity or role.
+    async def scenario() -> None:
+        async with world(engines=2) as w:
+            await control(w.engines[0], fail_after_tokens=delivered)
+            reply = await chat(w, "survey", stream=True, max_tokens=12)
+            check_one_stream(reply, output("survey", 12))
+            assert len(w.path.failures) == 1
+            sent = w.engines[1].requests[-1]
+            assert sent["max_tokens"] == 12 - delivered
+            if delivered:
+                assert sent["continue_final_message"] is True
+                assert sent["messages"][-1]["role"] == "assistant"
+                assert w.engines[1].stats.tokens <= 12 - delivered
+
+    run(scenario)
+
+
+def test_a_stream_that_breaks_twice_keeps_its_first_identity() -> None:
+    # Guards against an identity that is taken from the second attempt.
+    async def scenario() -> None:
+        async with world(engines=3) as w:
+            await control(w.engines[0], fail_after_tokens=2)
+            await control(w.engines[1], fail_after_tokens=2)
+            reply = await chat(w, "survey", stream=True, max_tokens=12)
+            check_one_stream(reply, output("survey", 12))
+            assert len(w.path.failures) == 2
+
+    run(scenario)
+
+
+def test_a_text_completion_goes_on_from_prompt_and_delivered_text() -> None:
+    # Guards against the chat form of a continuation on the text endpoint.
+    async def scenario() -> None:
+        async with world(engines=2) as w:
+            await control(w.engines[0], fail_after_tokens=3)
+            body = b'{"model":"m1","prompt":"once","stream":true,"max_tokens":8}'
+            reply = await call(w, "POST", "/v1/completions", body)
+            text = "".join(c["text"] for chunk in reply.chunks() for c in chunk["choices"])
+            assert text == "".join(expected_output("once", 8))
+            assert len({chunk["id"] for chunk in reply.chunks()}) == 1
+
+    run(scenario)
+
+
+def test_a_stream_broken_after_its_last_token_ends_without_more_work() -> None:
+    # Guards against an extra token, and against work at the engine for an answer that is whole.
+    async def scenario() -> None:
+        async with world(engines=2) as w:
+            await control(w.engines[0], fail_after_tokens=5)
+            reply = await chat(w, "survey", stream=True, max_tokens=5)
+            check_one_stream(reply, output("survey", 5))
+            assert reply.chunks()[-1]["choices"][0]["finish_reason"] == "length"
+            assert w.engines[1].requests == []
+
+    run(scenario)
+
+
+def test_an_engine_that_resumes_gets_the_offset_and_the_same_request_id() -> None:
+    # Guards against a resume that repeats or skips tokens.
+    async def scenario() -> None:
+        async with world(resumes=True) as w:
+            # Both attempts go to one engine, which knows the request from the first.
+            pool = w.path.cfg.pools["engines"]
+            again = evolve(pool.upstreams[0])
+            w.path.cfg.pools["engines"] = evolve(pool, upstreams=(again, again))
+            await control(w.engines[0], fail_after_tokens=4)
+            reply = await chat(w, "survey", stream=True, max_tokens=12)
+            check_one_stream(reply, output("survey", 12))
+            sent = w.engines[0].requests[-1]
+            assert sent["resume_from"] == 4
+            assert sent["max_tokens"] == 12
+            assert "continue_final_message" not in sent
+
+    run(scenario)
+
+
+def test_a_leaving_engine_refuses_and_the_call_goes_elsewhere() -> None:
+    # Guards against P6 and against "failed" for a call that a leaving engine did not run.
+    async def scenario() -> None:
+        async with world(engines=2) as w:
+            await control(w.engines[0], leave=True)
+            assert (await chat(w, max_tokens=2)).status == 200
+            assert w.path.failures[0].leaving
+            assert w.engines[0].stats.started == 0
+            await control(w.engines[1], leave=True)
+            refused = await chat(w)
+            assert refused.status == 503
+            assert refused.json()["outcome"] == "not_run"
+
+    run(scenario)
+
+
+def test_an_engine_that_crashes_amid_a_stream_is_left() -> None:
+    # Guards against a crash that breaks the stream of the caller.
+    async def scenario() -> None:
+        async with world(engines=2) as w:
+            w.engines[0].engine.slow_factor = 1.0
+            w.engines[0].engine.base_token_ms = 1e9  # type: ignore[attr-defined]
+            async with anyio.create_task_group() as group:
+                replies: list[Reply] = []
+
+                async def caller() -> None:
+                    replies.append(await chat(w, "survey", stream=True, max_tokens=9))
+
+                group.start_soon(caller)
+                await until(lambda: w.engines[0].stats.tokens == 1)
+                w.engines[0].crash.set()
+            check_one_stream(replies[0], output("survey", 9))
+
+    run(scenario)
+
+
+def test_connections_are_reused_but_never_for_calls_that_may_not_be_repeated() -> None:
+    # Guards against an unknown outcome because an idle connection closed during the write.
+    async def scenario() -> None:
+        async with world() as w:
+            pools = w.path.client._pools
+
+            def opened(address: str) -> int:
+                return pools[address].opened
+
+            engine, service = w.engine_addresses[0], w.service_address
+            for _ in range(3):
+                await chat(w, stream=True, max_tokens=2)
+                await until(lambda: w.path.client.running == 0)
+            assert opened(engine) == 1
+            for _ in range(2):
+                await call(w, "GET", "/services/bookings/status/1")
+                await until(lambda: w.path.client.running == 0)
+            assert opened(service) == 1
+            for _ in range(2):
+                await call(w, "POST", "/services/bookings/book", b"{}")
+                await until(lambda: w.path.client.running == 0)
+            assert opened(service) == 3
+
+    run(scenario)
+
+
+def test_an_idle_connection_that_the_upstream_closed_is_not_used() -> None:
+    # Guards against attempts that fail because an upstream closed its idle connections.
+    async def serve_once(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await read_until(stream, b'"priority":3}')
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+    async def scenario() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve_once)
+            async with world(engine_address=f"127.0.0.1:{port}") as w:
+                for _ in range(3):
+                    assert (await chat(w)).body == b"{}"
+                    await until(lambda: w.path.client.running == 0)
+                    pool = w.path.client._pools[f"127.0.0.1:{port}"]
+                    await until(lambda p=pool: p._idle[0][1].has_expired())  # type: ignore[misc]
+                assert w.path.failures == []
+            group.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_a_full_pool_is_reported_as_not_sent() -> None:
+    # Guards against unbounded connections to one upstream.
+    async def scenario() -> None:
+        options = UpstreamOptions(max_open=1, connect_timeout_ms=500.0)
+        async with world(upstream_options=options) as w, anyio.create_task_group() as group:
+            w.engines[0].engine.base_first_token_ms = 1e9  # type: ignore[attr-defined]
+            group.start_soon(chat, w)
+            await until(lambda: w.engines[0].stats.started == 1)
+            reply = await chat(w)
+            assert reply.json()["outcome"] == "not_run"
+            assert not w.path.failures[0].sent
+            group.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_an_unknown_upstream_is_not_sent() -> None:
+    # Guards against a crash when the configuration drops an upstream that was just granted.
+    async def scenario() -> None:
+        events: list[AttemptFailed] = []
+
+        async def emit(event: object) -> None:
+            assert isinstance(event, AttemptFailed)
+            events.append(event)
+
+        client = UpstreamClient(lambda _: None, emit)
+        async with anyio.create_task_group() as group:
+            await group.start(client.run)
+            plain = Call(CallKind.PLAIN, "w", "s", "c", "p", "GET", "/", b"", (), b"")
+            client.start(StartAttempt(RequestId("r"), 1, "gone", plain, 0))  # type: ignore[arg-type]
+            await until(lambda: len(events) == 1)
+            group.cancel_scope.cancel()
+        assert not events[0].sent
+
+    run(scenario)
+
+
+def test_an_event_above_the_size_bound_breaks_the_attempt() -> None:
+    # Guards against unbounded memory for an upstream that never ends its event.
+    async def serve_one(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await read_until(stream, b'"priority":3}')
+            head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            await stream.send(head + b"Content-Length: 100000\r\n\r\ndata: " + b"x" * 5_000)
+            await read_all(stream)
+
+    async def scenario() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve_one)
+            options = UpstreamOptions(max_event_bytes=4_000)
+            address = f"127.0.0.1:{port}"
+            async with world(engine_address=address, upstream_options=options) as w:
+                await chat(w, stream=True)
+                assert "too large" in w.path.failures[0].reason
+            group.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_an_answer_without_a_declared_length_is_never_complete() -> None:
+    # Guards against an answer cut by a closed connection that looks whole.
+    async def serve_one(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await read_until(stream, b'"priority":3}')
+            await stream.send(b"HTTP/1.1 200 OK\r\n\r\n{}")
+
+    async def scenario() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve_one)
+            async with world(engine_address=f"127.0.0.1:{port}") as w:
+                reply = await chat(w)
+                assert reply.status == 502
+                assert reply.json()["outcome"] == "failed"
+            group.cancel_scope.cancel()
+
+    run(scenario)
