--- a/packages/core/src/goldcrestridge_core/grants.py
+++ b/packages/core/src/goldcrestridge_core/grants.py
@@ -30,6 +30,8 @@
     granted_ms: float
     charged: float
     answer: types.SlotGrant | None = None
+    output_tokens: int = 0
+    corrected_tokens: int = 0  # Output at the last correction of ``charged``.
     missing: int = 0
     lost_ms: float | None = None
 
--- a/packages/core/src/goldcrestridge_core/lengths.py
+++ b/packages/core/src/goldcrestridge_core/lengths.py
@@ -34,9 +34,11 @@
 
     counts: array[float] = Factory(lambda: array("d", bytes(8 * BUCKETS)))
     total: float = 0.0
+    _all: list[tuple[float, float]] | None = None
 
     def add(self, tokens: int) -> None:
         """Record one complete length."""
+        self._all = None
         if self.total >= MAX_WEIGHT:
             self.counts = array("d", (count / 2 for count in self.counts))
             self.total /= 2
@@ -45,7 +47,13 @@
 
     def beyond(self, produced: int) -> list[tuple[float, float]]:
         """Return middle and weight of the buckets of lengths above ``produced`` tokens."""
-        first = _bucket(produced + 1) if produced > 0 else 0
+        if produced <= 0:
+            if self._all is None:
+                self._all = self._above(0, 0)
+            return self._all
+        return self._above(_bucket(produced + 1), produced)
+
+    def _above(self, first: int, produced: int) -> list[tuple[float, float]]:
         return [
             (max(_MIDDLES[index], produced + 1.0), self.counts[index])
             for index in range(first, BUCKETS)
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import Any, Protocol
 
-from attrs import define, evolve, field
+from attrs import define, field
 
 from goldcrestridge_core import types
 from goldcrestridge_core.config import Configuration, Upstream
@@ -23,6 +23,7 @@
 ENTRY_SILENCE_MS = 10_000.0  # An entry node that is silent for longer gets no summaries.
 # Requests that fit no upstream at the moment and are passed over in one round.
 MAX_UNPLACED = 4
+CORRECTION_GROWTH = 1.25  # An estimate is corrected when the output has grown by a quarter.
 EXPECTED_TOKEN_MS = 20.0  # Used for the hold time of a slot before one was measured.
 RETRY_JITTER_SHARE = 0.1  # Spreads the requests that come back after one burst.
 
@@ -89,6 +90,7 @@
     queue: Queue = field(init=False)
     _waiting: dict[AttemptKey, Waiting] = field(factory=dict)
     _entries: dict[types.NodeId, float] = field(factory=dict)
+    _reports: dict[types.NodeId, int] = field(factory=dict)
     _left: dict[types.UpstreamId, None] = field(factory=dict)
     _next_grant: int = 0
     _summary_ms: float = field(init=False)
@@ -200,6 +202,9 @@
 
     def _report(self, report: types.GrantReport, now_ms: float) -> list[Any]:
         """Count the reported grants and send lost ones again."""
+        if report.sequence and report.sequence <= self._reports.get(report.entry, 0):
+            return []
+        self._reports[report.entry] = report.sequence
         self._entries[report.entry] = now_ms
         for held in report.held:
             key = (report.entry, held.epoch, held.grant_id)
@@ -220,7 +225,8 @@
         expected = self.lengths.mean(
             held.class_name, held.model, held.workspace, produced=held.output_tokens
         )
-        grant = Grant(held, entry, now_ms, held.prompt_tokens + expected)
+        charged = held.prompt_tokens + expected
+        grant = Grant(held, entry, now_ms, charged, output_tokens=held.output_tokens)
         self.grants.add(grant)
         self.limits.started(held.workspace, held.site, grant.charged, now_ms)
         self.chooser.granted(held, (), round(expected), now_ms)
@@ -228,9 +234,10 @@
     def _progress(self, grant: Grant, output_tokens: int, now_ms: float) -> None:
         """Charge a running request for what it is now expected to use in all."""
         held = grant.held
-        if output_tokens <= held.output_tokens:
+        grant.output_tokens = max(grant.output_tokens, output_tokens)
+        if output_tokens < CORRECTION_GROWTH * grant.corrected_tokens or not output_tokens:
             return
-        grant.held = evolve(held, output_tokens=output_tokens)
+        grant.corrected_tokens = output_tokens
         expected = held.prompt_tokens + self.lengths.mean(
             held.class_name, held.model, held.workspace, produced=output_tokens
         )
@@ -253,6 +260,7 @@
     def _member_down(self, node: types.NodeId, now_ms: float) -> None:
         """Drop the waiting requests of a node; its grants are reclaimed after a while."""
         self._entries.pop(node, None)
+        self._reports.pop(node, None)
         self.grants.entry_down(node, now_ms)
         for attempt, waiting in list(self._waiting.items()):
             if waiting.request.entry == node:
@@ -354,6 +362,8 @@
 
     def _note_saturation(self, now_ms: float) -> None:
         saturated = bool(self._waiting) and self.chooser.free_slots(now_ms) <= 0
+        if saturated == self.queue.is_saturated:
+            return
         hold_ms = EXPECTED_TOKEN_MS * self.lengths.mean("", "", "")
         self.queue.saturated(saturated, hold_ms, now_ms)
 
@@ -394,14 +404,13 @@
     def _end(self, grant: Grant, release: types.SlotRelease, now_ms: float) -> None:
         """Free the slot of a grant and correct the accounts by what was used."""
         held = grant.held
-        unused = release.end in _NOT_RUN and not held.output_tokens
-        output = max(held.output_tokens, release.output_tokens)
+        unused = release.end in _NOT_RUN and not grant.output_tokens
+        output = max(grant.output_tokens, release.output_tokens)
         used = 0.0 if unused else float(held.prompt_tokens + output)
         if release.end is types.GrantEnd.COMPLETED:
             self.lengths.observe(held.class_name, held.model, held.workspace, release.output_tokens)
         if release.first_token_ms >= 0.0:
-            first_token_ms = round(release.first_token_ms)
-            self.queue.first_tokens.observe(held.class_name, "", "", first_token_ms)
+            self.queue.first_token(held.class_name, release.first_token_ms)
         self.grants.end(grant)
         touched = self.limits.ended(held.workspace, held.site, grant.charged, used, now_ms)
         self.queue.correct(held.class_name, held.workspace, used - grant.charged)
--- a/packages/core/src/goldcrestridge_core/queue.py
+++ b/packages/core/src/goldcrestridge_core/queue.py
@@ -72,11 +72,12 @@
     count: int = 0
     releases: Rate = field(factory=lambda: Rate(RATE_WINDOW_MS))
     first_tokens: Lengths = field(factory=lambda: Lengths(FIRST_TOKEN_PRIOR_MS))
+    _in_time: dict[str, float] = field(factory=dict)
     _states: dict[str, _ClassState] = field(factory=dict)
     _tiers: dict[int, list[_ClassState]] = field(factory=dict)
     _deadlines: list[tuple[float, int, Waiting]] = field(factory=list)
     _tier_deadlines: dict[int, list[tuple[float, int, Waiting]]] = field(factory=dict)
-    _saturated: bool = False
+    is_saturated: bool = False
     _hold_ms: float = 0.0
     _counter: int = 0
 
@@ -148,7 +149,7 @@
         """Record that a slot came free after ``held_ms``."""
         weight = 0.02 if self._hold_ms else 1.0
         self._hold_ms += weight * (held_ms - self._hold_ms)
-        if self._saturated:
+        if self.is_saturated:
             self.releases.add(now_ms)
 
     def unpark(self, keys: list[LimitKey]) -> None:
@@ -164,10 +165,10 @@
 
     def saturated(self, saturated: bool, expected_hold_ms: float, now_ms: float) -> None:
         """Note whether requests wait for slots; the release rate is measured while they do."""
-        if saturated and not self._saturated:
+        if saturated and not self.is_saturated:
             hold_ms = max(1.0, self._hold_ms or expected_hold_ms)
             self.releases.restart(self.slots * MS_PER_SECOND / hold_ms, now_ms)
-        self._saturated = saturated
+        self.is_saturated = saturated
 
     # Order.
 
@@ -288,8 +289,18 @@
 
     def _in_time_ms(self, cls: RequestClass) -> float:
         """Return how long a request can wait and probably meet its first-token target."""
-        first_token_ms = self.first_tokens.quantile(FIRST_TOKEN_SHARE, cls.name, "", "")
-        return max(0.0, cls.target.first_token_ms - first_token_ms)
+        in_time_ms = self._in_time.get(cls.name)
+        if in_time_ms is None:
+            first_token_ms = self.first_tokens.quantile(FIRST_TOKEN_SHARE, cls.name, "", "")
+            in_time_ms = max(0.0, cls.target.first_token_ms - first_token_ms)
+            self._in_time[cls.name] = in_time_ms
+        return in_time_ms
+
+    def first_token(self, class_name: str, first_token_ms: float) -> None:
+        """Learn the time from a grant to the first token."""
+        self.first_tokens.observe(class_name, "", "", round(first_token_ms))
+        # The times of all classes answer for a class without its own.
+        self._in_time.clear()
 
     def waiting(self, request: types.SlotRequest, cost: float, now_ms: float) -> Waiting:
         """Return the queue entry of a request; ``cost`` is its expected tokens."""
@@ -347,7 +358,7 @@
         return tuple(sum(s.flows.count for s in states) for states in self._tiers.values())
 
     def _release_rate(self, now_ms: float) -> float:
-        if self._saturated or not self._hold_ms:
+        if self.is_saturated or not self._hold_ms:
             return self.releases.per_second(now_ms)
         return self.slots * MS_PER_SECOND / max(1.0, self._hold_ms)
 
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -224,12 +224,17 @@
 @message
 @frozen
 class GrantReport:
-    """List all grants that an entry holds in a shard, and the attempts that wait for one."""
+    """List all grants that an entry holds in a shard, and the attempts that wait for one.
+
+    ``sequence`` grows with each report of an entry, so that the owner can ignore one that was
+    overtaken; 0 means that the reports are not numbered.
+    """
 
     entry: NodeId
     shard: ShardId
     held: tuple[HeldGrant, ...]
     waiting: tuple[tuple[RequestId, int], ...] = ()
+    sequence: int = 0
 
 
 @message
--- a/packages/lab/src/goldcrestridge_lab/engine.py
+++ b/packages/lab/src/goldcrestridge_lab/engine.py
@@ -167,6 +167,7 @@
     _counter: int = 0
     _sequence: int = 1
     _report_at_ms: float = 0.0
+    _step_at_ms: float | None = None  # Next end of a prefill or decode; None if not computed.
 
     def __attrs_post_init__(self) -> None:
         """Spread the reports of different engines over the interval."""
@@ -200,6 +201,7 @@
         heapq.heapify(self._waiting)
         self._suspended.pop(job_id, None)
         sequence = self._running.pop(job_id, None)
+        self._step_at_ms = None
         self._fill(now_ms)
         return sequence.produced() if sequence else 0
 
@@ -229,6 +231,7 @@
         running = [(s.job.job_id, s.produced()) for s in self._running.values()]
         queued = [(job.job_id, 0) for _, _, job in sorted(self._waiting)]
         self._running.clear()
+        self._step_at_ms = None
         self._waiting.clear()
         self._suspended.clear()
         self._outbox.clear()
@@ -250,6 +253,7 @@
     def set_straggle(self, factor: float) -> None:
         """Divide all rates by ``factor``."""
         self.straggle = factor
+        self._step_at_ms = None
 
     def next_ms(self) -> float:
         """Return the time of the next event, infinity if there is none."""
@@ -283,12 +287,15 @@
         """Return when the next sequence ends its prefill or its decode."""
         if not self._running:
             return float("inf")
+        if self._step_at_ms is not None:
+            return self._step_at_ms
         prefill, decode = self._rates()
         left = min(
             s.decode / decode if s.prefilled else s.prefill / prefill
             for s in self._running.values()
         )
-        return self.now_ms + max(0.0, left)
+        self._step_at_ms = self.now_ms + max(0.0, left)
+        return self._step_at_ms
 
     def _work_off(self, at_ms: float) -> None:
         prefill, decode = self._rates()
@@ -302,6 +309,9 @@
 
     def _complete_steps(self) -> list[EngineEvent]:
         """End the prefills and decodes that are worked off."""
+        if self._step_at_ms is not None and self.now_ms < self._step_at_ms:
+            return []
+        self._step_at_ms = None
         events: list[EngineEvent] = []
         for sequence in list(self._running.values()):
             if not sequence.prefilled and sequence.prefill <= _DONE_TOKENS:
@@ -324,6 +334,7 @@
         while self._waiting and len(self._running) < self.spec.slots:
             _, _, job = heapq.heappop(self._waiting)
             self._running[job.job_id] = self._start(job, now_ms)
+            self._step_at_ms = None
 
     def _start(self, job: Job, now_ms: float) -> _Sequence:
         suspended, until_ms = self._suspended.pop(job.job_id, (None, 0.0))
