--- /dev/null
+++ b/tests/core/test_owner.py
@@ -0,0 +1,325 @@
+"""Slot owner: single faults of messages, floors, shedding, limits and leases."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from attrs import define, evolve, field
+
+from goldcrestridge_core import config, types
+from goldcrestridge_core.choice_simple import LeastLoaded
+from goldcrestridge_core.owner import REBUILD_MS, Owner
+
+SHARD = types.ShardId("p/0")
+ENTRY = types.NodeId("e")
+TARGET = config.LatencyTarget(1_000.0, 30.0)
+TOP = config.RequestClass("top", 0, 4.0, 0.05, TARGET, 800.0)
+LOW = config.RequestClass("low", 1, 1.0, 0.05, TARGET, 60_000.0)
+
+
+def configuration(*classes: config.RequestClass, **limits: config.Limit) -> config.Configuration:
+    return config.Configuration(
+        "t",
+        classes={cls.name: cls for cls in classes or (TOP, LOW)},
+        workspaces={name: config.Workspace(name, "", (), limit=v) for name, v in limits.items()},
+    )
+
+
+@define
+class Harness:
+    """An owner with its time and one entry node."""
+
+    cfg: config.Configuration = field(factory=configuration)
+    slots: int = 1
+    epoch: int = 1
+    now_ms: float = 0.0
+    started_ms: float = -REBUILD_MS
+    lease_until_ms: float = float("inf")
+    number: int = 0
+    owner: Owner = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        upstream = config.Upstream(types.UpstreamId("u"), "a", "dc", self.slots)
+        self.owner = Owner(
+            self.cfg,
+            SHARD,
+            types.NodeId("o"),
+            (upstream,),
+            self.epoch,
+            LeastLoaded(),
+            random.Random(1),
+            self.started_ms,
+            self.lease_until_ms,
+        )
+
+    def event(self, event: Any) -> list[Any]:
+        effects = self.owner.handle(event, self.now_ms)
+        sent = [effect.message for effect in effects if isinstance(effect, types.Send)]
+        return [message for message in sent if not isinstance(message, types.ShardSummary)]
+
+    def send(self, message: Any) -> list[Any]:
+        return self.event(types.Receive(ENTRY, message))
+
+    def wait(self, delta_ms: float) -> list[Any]:
+        """Advance the time and return what the owner sends."""
+        until_ms = self.now_ms + delta_ms
+        sent = []
+        while (due_ms := self.owner.next_deadline_ms()) is not None and due_ms <= until_ms:
+            self.now_ms = max(self.now_ms, due_ms)
+            sent += self.event(types.Tick())
+        self.now_ms = until_ms
+        return sent
+
+    def request(
+        self, class_name: str = "top", workspace: str = "w", **changes: Any
+    ) -> types.SlotRequest:
+        self.number += 1
+        base = types.SlotRequest(
+            types.RequestId(f"r{self.number}"),
+            1,
+            ENTRY,
+            SHARD,
+            workspace,
+            "",
+            class_name,
+            "m",
+            100,
+            1_000,
+            (),
+            0.0,
+            self.cfg.classes[class_name].queue_timeout_ms,
+        )
+        return evolve(base, **changes)
+
+    def grant(self, class_name: str = "top", workspace: str = "w") -> types.SlotGrant:
+        (answer,) = self.send(self.request(class_name, workspace))
+        assert isinstance(answer, types.SlotGrant)
+        return answer
+
+
+def cancel(request_id: types.RequestId) -> types.SlotCancel:
+    return types.SlotCancel(request_id, 1, ENTRY, SHARD)
+
+
+def release(
+    grant: types.SlotGrant, end: types.GrantEnd = types.GrantEnd.COMPLETED
+) -> types.SlotRelease:
+    return types.SlotRelease(
+        grant.request_id, 1, ENTRY, SHARD, grant.epoch, grant.grant_id, grant.upstream, end, 50
+    )
+
+
+def held(grant: types.SlotGrant) -> types.HeldGrant:
+    return types.HeldGrant(
+        grant.request_id, 1, grant.epoch, grant.grant_id, grant.upstream, "w", "", "top", "m", 9, 5
+    )
+
+
+def report(
+    *grants: types.SlotGrant, waiting: tuple[types.RequestId, ...] = (), sequence: int = 0
+) -> types.GrantReport:
+    return types.GrantReport(
+        ENTRY, SHARD, tuple(map(held, grants)), tuple((r, 1) for r in waiting), sequence
+    )
+
+
+def test_a_cancel_that_overtakes_its_request_keeps_it_from_running() -> None:
+    # Guards against a slot for a request that its entry node has given up.
+    harness = Harness()
+    request = harness.request()
+    harness.send(cancel(request.request_id))
+    assert harness.send(request) == []
+    assert len(harness.owner.grants) == 0
+
+
+def test_a_cancelled_grant_frees_its_slot_at_once() -> None:
+    # Guards against a slot that stays taken until the grant is reclaimed.
+    harness = Harness()
+    first = harness.grant()
+    harness.send(harness.request())
+    (answer,) = harness.send(cancel(first.request_id))
+    assert isinstance(answer, types.SlotGrant)
+    assert harness.send(release(first, types.GrantEnd.UNUSED)) == []
+    assert len(harness.owner.grants) == 1
+
+
+def test_a_grant_that_was_lost_on_the_way_is_sent_again() -> None:
+    # Guards against a request that waits for ever while the owner counts its grant.
+    harness = Harness()
+    grant = harness.grant()
+    assert harness.send(report(waiting=(grant.request_id,))) == [grant]
+
+
+def test_reports_sent_before_the_grant_arrived_do_not_count_it_as_missing() -> None:
+    # Guards against taking back a grant that the entry node is about to use.
+    harness = Harness()
+    harness.grant()
+    harness.wait(400.0)
+    harness.send(report())
+    harness.send(report())
+    harness.wait(10_000.0)
+    assert len(harness.owner.grants) == 1
+
+
+def test_an_overtaken_report_does_not_count_a_grant_as_missing() -> None:
+    # Guards against old reports that are delivered late, after newer ones.
+    harness = Harness()
+    grant = harness.grant()
+    harness.wait(2_000.0)
+    harness.send(report(grant, sequence=5))
+    harness.send(report(sequence=3))
+    harness.send(report(sequence=4))
+    harness.wait(10_000.0)
+    assert len(harness.owner.grants) == 1
+
+
+def test_a_missing_grant_is_reclaimed_after_two_reports_and_the_grant_timeout() -> None:
+    # Guards against reclaiming too early, when the request may still run, or never.
+    harness = Harness()
+    harness.grant()
+    harness.wait(2_000.0)
+    harness.send(report())
+    harness.wait(1_999.0)
+    harness.send(report())
+    harness.wait(1_999.0)
+    assert len(harness.owner.grants) == 1
+    harness.wait(2.0)
+    assert len(harness.owner.grants) == 0
+
+
+def test_a_grant_seen_again_is_not_reclaimed() -> None:
+    # Guards against a mark of loss that outlives its cause.
+    harness = Harness()
+    grant = harness.grant()
+    harness.event(types.MemberDown(ENTRY))
+    harness.send(report(grant))
+    harness.wait(10_000.0)
+    assert len(harness.owner.grants) == 1
+
+
+def test_a_new_owner_grants_nothing_until_the_entry_nodes_had_time_to_report() -> None:
+    # Guards against granting slots that requests of the last owner still use.
+    harness = Harness(epoch=2, started_ms=0.0)
+    request = harness.request()
+    assert harness.send(request) == []
+    old = types.SlotGrant(types.RequestId("x"), 1, SHARD, 1, 7, types.UpstreamId("u"))
+    assert harness.wait(REBUILD_MS / 2) == []
+    harness.send(report(old))
+    assert harness.wait(REBUILD_MS / 2 + 100.0) == []
+    (answer,) = harness.send(release(old))
+    assert answer.request_id == request.request_id
+    assert answer.epoch == 2
+
+
+def test_a_report_that_arrives_after_the_release_does_not_revive_a_grant() -> None:
+    # Guards against a slot that nobody will ever release.
+    harness = Harness(epoch=2)
+    old = types.SlotGrant(types.RequestId("x"), 1, SHARD, 1, 7, types.UpstreamId("u"))
+    harness.send(release(old))
+    harness.send(report(old))
+    assert len(harness.owner.grants) == 0
+
+
+def test_an_owner_whose_lease_expired_grants_nothing_until_it_is_extended() -> None:
+    # Guards against two owners that grant the same slots.
+    harness = Harness(lease_until_ms=100.0, now_ms=100.0)
+    request = harness.request()
+    assert harness.send(request) == []
+    assert harness.event(types.LeaseExtended(2, 5_000.0)) == []
+    (answer,) = harness.event(types.LeaseExtended(1, 5_000.0))
+    assert answer.request_id == request.request_id
+
+
+def test_a_repeated_request_gets_the_same_refusal() -> None:
+    # Guards against a second answer to a request that was refused.
+    harness = Harness()
+    harness.grant()
+    request = harness.request()
+    harness.send(request)
+    (refusal,) = harness.wait(900.0)
+    assert refusal.reason is types.Reason.DEADLINE
+    assert harness.send(request) == [refusal]
+
+
+def test_the_lowest_class_runs_while_a_higher_tier_always_waits() -> None:
+    # Guards against starvation (P2); the floor of 0.05 grants one slot in twenty.
+    harness = Harness()
+    current = harness.grant()
+    low = harness.request("low")
+    harness.send(low)
+    for _ in range(60):
+        harness.send(harness.request())
+        harness.send(harness.request())
+        harness.wait(20.0)
+        (current,) = [m for m in harness.send(release(current)) if isinstance(m, types.SlotGrant)]
+        if current.request_id == low.request_id:
+            return
+    pytest.fail("The lowest class did not run.")
+
+
+def test_a_flood_is_refused_early_and_from_the_workspace_that_causes_it() -> None:
+    # Guards against a burst of one workspace that costs the others their requests.
+    harness = Harness(slots=4, cfg=configuration(evolve(TOP, queue_timeout_ms=5_000.0)))
+    current = [harness.grant(workspace="calm") for _ in range(4)]
+    refused: list[types.RequestId] = []
+    calm: list[types.RequestId] = []
+    for step in range(200):
+        requests = [harness.request(workspace="flood") for _ in range(10)]
+        if step % 4 == 0:
+            requests.append(harness.request(workspace="calm"))
+            calm.append(requests[-1].request_id)
+        sent = [m for request in requests for m in harness.send(request)]
+        sent += harness.wait(100.0)
+        sent += harness.send(release(current.pop(0)))
+        current += [m for m in sent if isinstance(m, types.SlotGrant)]
+        refused += [m.request_id for m in sent if isinstance(m, types.SlotRefusal)]
+    assert len(refused) > 1_500
+    assert not set(refused) & set(calm)
+
+
+def test_a_request_over_a_limit_is_refused_early_with_the_time_to_come_back() -> None:
+    # Guards against a promise that the token rate of the workspace cannot keep.
+    limit = config.Limit(tokens_per_second=10.0)
+    harness = Harness(slots=4, cfg=configuration(w=limit))
+    first = harness.grant()
+    (refusal,) = harness.send(harness.request())
+    assert refusal.reason is types.Reason.LIMIT
+    harness.send(evolve(release(first), output_tokens=100))
+    harness.wait(refusal.retry_after_ms)
+    assert isinstance(harness.send(harness.request())[0], types.SlotGrant)
+
+
+def test_a_leaving_upstream_gets_no_grant_and_the_entry_nodes_learn_of_it() -> None:
+    # Guards against new work for an upstream that leaves (P6).
+    harness = Harness()
+    harness.grant()
+    notice = types.LoadReport(types.UpstreamId("u"), 0.0, 1, 0, 1, leaving=True)
+    sent = harness.send(notice)
+    assert sent == [types.UpstreamLeaving(types.UpstreamId("u"), "load_report")]
+    (refusal,) = harness.send(harness.request())
+    assert refusal.reason is types.Reason.NO_UPSTREAM
+
+
+def test_lower_tiers_leave_headroom_while_a_higher_tier_shows_demand() -> None:
+    # Guards against a pool of long requests that a lower tier fills to the last slot.
+    harness = Harness(slots=10)
+    for _ in range(10):
+        grant = harness.grant()
+        harness.wait(20_000.0)
+        harness.send(release(grant))
+    for _ in range(4):
+        harness.send(release(harness.grant()))
+    granted = [harness.send(harness.request("low", f"w{number}")) for number in range(12)]
+    assert sum(bool(answers) for answers in granted) == 9
+    assert isinstance(harness.send(harness.request("top", "other"))[0], types.SlotGrant)
+
+
+def test_an_unused_grant_costs_its_workspace_nothing() -> None:
+    # Guards against limits that count work that never ran.
+    limit = config.Limit(max_concurrent=1, tokens_per_second=100.0)
+    harness = Harness(slots=2, cfg=configuration(w=limit))
+    grant = harness.grant()
+    harness.send(release(grant, types.GrantEnd.UNUSED))
+    assert isinstance(harness.send(harness.request())[0], types.SlotGrant)
