--- a/packages/core/src/goldcrestridge_core/log_snapshots.py
+++ b/packages/core/src/goldcrestridge_core/log_snapshots.py
@@ -22,20 +22,31 @@
     return [membership for at, membership in state.memberships if at <= index][-1]
 
 
-def take_snapshot(state: LogState) -> None:
-    """Write a snapshot if enough was applied since the last one."""
+def _snapshot_due(state: LogState) -> bool:
+    """Tell whether enough was applied since the last snapshot.
+
+    The state can be large and the commands small (lease renewals), so the number of entries
+    alone would write the same state again every few seconds.
+    """
     last = state.snapshot
     options = state.options
-    size_limit = max(options.snapshot_bytes, 2 * len(last.state) if last else 0)
-    grown = state.applied - (last.index if last else 0)
-    if state.taken or state.installing:
-        return
-    if grown < options.snapshot_entries and state.applied_bytes < size_limit:
+    size = len(last.state) if last else 0
+    count = state.applied - (last.index if last else 0)
+    if state.applied_bytes >= max(options.snapshot_bytes, 2 * size):
+        return True
+    if count < options.snapshot_entries:
+        return False
+    return 4 * state.applied_bytes >= size or count >= 16 * options.snapshot_entries
+
+
+def take_snapshot(state: LogState) -> None:
+    """Write a snapshot if one is due and none is being written."""
+    if state.taken or state.installing or not _snapshot_due(state):
         return
     term = state.entries.term_at(state.applied)
     if term is None or not state.memberships:
         return
-    stamp_ms = state.entries.at(state.applied).stamp_ms if grown else 0.0
+    stamp_ms = state.entries.at(state.applied).stamp_ms
     membership = membership_at(state, state.applied)
     snapshot = Snapshot(state.applied, term, stamp_ms, membership, state.machine.snapshot())
     state.applied_bytes = 0
--- a/packages/core/src/goldcrestridge_core/log_state.py
+++ b/packages/core/src/goldcrestridge_core/log_state.py
@@ -71,6 +71,7 @@
     lease_share: float = 0.9
     lease_reads: bool = True
     resend_ms: float = 200.0
+    promotion_heartbeats: int = 10  # Commits wait for a learner in at most one of so many.
     join_ms: float = 500.0
     snapshot_entries: int = 4096
     snapshot_bytes: int = 8 << 20  # At least; otherwise twice the size of the last snapshot.
@@ -104,6 +105,11 @@
     snapshot_data: bytes = b""
     offset: int = 0
     wall_offset_ms: float | None = None
+    # Learners only: commit index at the last heartbeat, heartbeats since commits last waited for
+    # this learner, and whether they wait now.
+    target: int = 1 << 62
+    waits: int = 0
+    holds_commit: bool = False
 
 
 @define
--- a/packages/core/src/goldcrestridge_core/replication.py
+++ b/packages/core/src/goldcrestridge_core/replication.py
@@ -183,10 +183,28 @@
         state.synced if voter == state.me else state.peers[voter].match for voter in voters
     )
     index = held[(len(held) - 1) // 2]
+    for learner in state.membership.learners:
+        if state.peers[learner].holds_commit:
+            index = min(index, state.peers[learner].match)
     if index > state.commit and state.entries.term_at(index) == state.term:
         state.commit = index
 
 
+def _hold_commits(state: LogState) -> None:
+    """Let commits wait one heartbeat for a learner that lags behind by less than one.
+
+    Under steady load a learner is always a few entries behind and could never be promoted.
+    """
+    for learner in state.membership.learners:
+        peer = state.peers[learner]
+        peer.waits += 1
+        near = peer.match >= peer.target
+        peer.holds_commit = near and peer.waits >= state.options.promotion_heartbeats
+        if peer.holds_commit:
+            peer.waits = 0
+        peer.target = state.commit
+
+
 def quorum_contact_ms(state: LogState, now_ms: float) -> float:
     """Return the latest time at which a quorum of voters is known to have followed this leader."""
     contacts = sorted(
@@ -209,4 +227,5 @@
         step_down(state, now_ms)
         return
     state.heartbeat_at_ms = now_ms + state.options.heartbeat_ms
+    _hold_commits(state)
     replicate(state, now_ms, heartbeat=True)
--- a/packages/lab/src/goldcrestridge_lab/bench_log.py
+++ b/packages/lab/src/goldcrestridge_lab/bench_log.py
@@ -275,6 +275,7 @@
     store = Store(accept)
     recovered = folder.load()
     loaded_ms = now_ms() - begun_ms
+    replayed = len(recovered.entries.items)  # The log compacts this list once it is open.
     log = open_log(folder.replica, recovered, store, Random(seed), 0.0, NODES[:1])
     time_ms = 0.0
     pending: list[Any] = []
@@ -293,7 +294,7 @@
         "restart_ms": elapsed_ms,
         "load_ms": loaded_ms,
         "folder_bytes": float(read_bytes),
-        "replayed_entries_count": float(len(recovered.entries.items)),
+        "loaded_entries_count": float(replayed),
     }
 
 
--- a/tests/core/test_log.py
+++ b/tests/core/test_log.py
@@ -242,6 +242,61 @@
     assert group.highest == 0
 
 
+def test_a_learner_is_promoted_only_when_it_holds_all_committed_entries() -> None:
+    # Guards against a repaired replica that is counted while it still lacks entries.
+    group, leader = formed_group()
+    lost = followers_of(group)[0]
+    group.lose_disk(lost.node)
+    lost.disk.delay_ms = 30.0
+    group.start(lost.node)
+    group.load_ms = 5.0
+    assert leader.log is not None
+    committed = 0
+    for _ in range(20_000):
+        if lost.disk.replica in leader.log.state.membership.voters:
+            break
+        committed = leader.log.state.commit
+        group.run(0.5)
+    assert lost.disk.replica in leader.log.state.membership.voters
+    assert lost.log is not None
+    assert lost.log.state.synced >= committed
+
+
+def test_a_candidate_that_lacks_entries_gets_no_vote() -> None:
+    # Guards against a leader without a committed entry.
+    replica = one_replica()
+    entry = LogEntry(2, 1, EntryKind.BARRIER, 0.0, b"")
+    replica.handle(Receive(B.node, Append(route(B, A), 1, 1, 0, (entry,), 0, 1.0)), 1.0)
+    for last_index, last_term, granted in ((1, 0, False), (9, 0, False), (2, 1, True)):
+        request = PreVote(route(C, A), 2, last_index, last_term)
+        (reply,) = sent(replica.handle(Receive(C.node, request), 502.0), PreVoteReply)
+        assert reply.granted is granted
+    effects = replica.handle(Receive(C.node, Vote(route(C, A), 2, 1, 0)), 503.0)
+    for write in written(effects):
+        effects += replica.handle(LogSynced(write.token), 504.0)
+    assert not any(reply.granted for reply in sent(effects, VoteReply))
+
+
+def test_entries_of_an_earlier_term_are_committed_only_with_the_barrier() -> None:
+    # Guards against a commit that a later leader can still replace although a quorum held it.
+    replica = one_replica()
+    entry = LogEntry(2, 1, EntryKind.BARRIER, 0.0, b"")
+    append = Append(route(B, A), 1, 1, 0, (entry,), 0, 1.0)
+    write = written(replica.handle(Receive(B.node, append), 1.0))[0]
+    replica.handle(LogSynced(write.token), 2.0)
+    replica.handle(Tick(), 1100.0)
+    effects = replica.handle(Receive(B.node, PreVoteReply(route(B, A), 2, True)), 1101.0)
+    replica.handle(LogSynced(written(effects)[0].token), 1102.0)
+    effects = replica.handle(Receive(B.node, VoteReply(route(B, A), 2, True)), 1103.0)
+    assert replica.state.position is Position.LEADER
+    replica.handle(LogSynced(written(effects)[0].token), 1104.0)
+    reply = AppendReply(route(B, A), 2, True, 2, 1103.0)
+    replica.handle(Receive(B.node, reply), 1105.0)
+    assert replica.state.commit == 0
+    replica.handle(Receive(B.node, AppendReply(route(B, A), 2, True, 3, 1103.0)), 1106.0)
+    assert replica.state.commit == 3
+
+
 def test_a_failed_sync_stops_the_replica_for_good() -> None:
     # Guards against a second sync that succeeds after the kernel dropped the pages.
     replica = one_replica()
