Add configuration distribution and differences of documents

Cause: every node has to bring each accepted version into force within 4 s and must never go back, also across a restart without a disk. Change: differences (compact differences, digest, apply, verify, readable form) and spread (hints, pulls with numbered answers, gate after a start, bounded past versions that share unchanged parts). After a start nothing is in force until a version is held that was current at a moment after the start. Without the sequence an answer to an earlier pull passes for a newer one and dates the version too late; the state machine finds this.

--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/differences.py
@@ -0,0 +1,205 @@
+"""Compact differences of two nested documents, with digest, verification and readable form.
+
+A document consists of tables (``dict`` with string keys), lists, strings, booleans, floats and
+integers of 64 bits. Dates are not allowed, because MessagePack has no form for local ones.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from goldcrestridge_core.exceptions import PatchError
+
+Document = dict[str, Any]
+
+
+class ListPatch(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """Replace ``removed`` items from ``start`` on with ``put``."""
+
+    start: int
+    removed: int
+    put: list[Any]
+
+
+class TablePatch(msgspec.Struct, frozen=True, array_like=True, tag="t"):
+    """Remove keys, put whole values, and change the values of the keys in ``inner``."""
+
+    removed: list[str]
+    put: dict[str, Any]
+    inner: dict[str, TablePatch | ListPatch]
+
+
+_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
+_DOCUMENT: msgspec.msgpack.Decoder[Document] = msgspec.msgpack.Decoder(Document)
+_PATCH: msgspec.msgpack.Decoder[TablePatch] = msgspec.msgpack.Decoder(TablePatch)
+_MALFORMED = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
+
+def encode_document(document: Document) -> bytes:
+    """Return the canonical encoding of a document; equal documents give equal bytes."""
+    return _ENCODER.encode(document)
+
+
+def decode_document(data: bytes) -> Result[Document, PatchError]:
+    """Return the document in ``data``, or a PatchError for rubbish."""
+    try:
+        return Success(_DOCUMENT.decode(data))
+    except _MALFORMED as exc:
+        return Failure(PatchError(f"The data is not a document: {exc}."))
+
+
+def digest(document: Document) -> str:
+    """Return the digest of a whole document, 32 hexadecimal digits (XXH3, 128 bits)."""
+    return digest_of(encode_document(document))
+
+
+def digest_of(encoded: bytes) -> str:
+    """Return the digest of a document in its canonical encoding."""
+    return xxhash.xxh3_128_hexdigest(encoded)
+
+
+def compare(old: Document, new: Document) -> TablePatch:
+    """Return the difference that turns ``old`` into ``new``."""
+    removed = [key for key in old if key not in new]
+    put: dict[str, Any] = {}
+    inner: dict[str, TablePatch | ListPatch] = {}
+    for key, value in new.items():
+        before = old.get(key)
+        if key in old and same(before, value):
+            continue
+        if isinstance(before, dict) and isinstance(value, dict):
+            inner[key] = compare(before, value)
+        elif isinstance(before, list) and isinstance(value, list):
+            inner[key] = _compare_lists(before, value)
+        else:
+            put[key] = value
+    return TablePatch(sorted(removed), put, inner)
+
+
+def same(one: Any, other: Any) -> bool:
+    """Tell whether two values have the same encoding; 1, 1.0 and true all differ."""
+    if one is other:
+        return True
+    if type(one) is not type(other):
+        return False
+    if isinstance(one, dict):
+        return one.keys() == other.keys() and all(same(one[key], other[key]) for key in one)
+    if isinstance(one, list):
+        return len(one) == len(other) and all(map(same, one, other))
+    if isinstance(one, float):
+        # Zero has two encodings, and a NaN differs from itself but has one.
+        equal = one == other and math.copysign(1.0, one) == math.copysign(1.0, other)
+        return equal or bool(math.isnan(one) and math.isnan(other))
+    return bool(one == other)
+
+
+def _compare_lists(old: list[Any], new: list[Any]) -> ListPatch:
+    """Return the difference of two lists as one replaced stretch."""
+    shorter = min(len(old), len(new))
+    start = next((i for i in range(shorter) if not same(old[i], new[i])), shorter)
+    room = shorter - start
+    tail = next((i for i in range(room) if not same(old[-1 - i], new[-1 - i])), room)
+    return ListPatch(start, len(old) - start - tail, new[start : len(new) - tail])
+
+
+def encode_patch(patch: TablePatch) -> bytes:
+    """Return the MessagePack encoding of a difference."""
+    return _ENCODER.encode(patch)
+
+
+def decode_patch(data: bytes) -> Result[TablePatch, PatchError]:
+    """Return the difference in ``data``, or a PatchError for rubbish."""
+    try:
+        return Success(_PATCH.decode(data))
+    except _MALFORMED as exc:
+        return Failure(PatchError(f"The data is not a difference: {exc}."))
+
+
+def apply(document: Document, patch: TablePatch) -> Result[Document, PatchError]:
+    """Return the changed document, which shares its unchanged parts with ``document``."""
+    try:
+        return Success(_apply_table(document, patch))
+    except _MisfitError as exc:
+        return Failure(PatchError(str(exc)))
+
+
+def apply_verified(document: Document, data: bytes, want: str) -> Result[Document, PatchError]:
+    """Apply an encoded difference; fail unless the digest of the result is ``want``."""
+    return (
+        decode_patch(data)
+        .bind(lambda patch: apply(document, patch))
+        .bind(lambda changed: verify(changed, want))
+    )
+
+
+def verify(document: Document, want: str) -> Result[Document, PatchError]:
+    """Return the document if its digest is ``want``."""
+    got = digest(document)
+    if got == want:
+        return Success(document)
+    return Failure(PatchError(f"The digest is {got} and should be {want}."))
+
+
+class _MisfitError(Exception):
+    """A difference does not fit; never leaves this module."""
+
+
+def _apply_table(table: Document, patch: TablePatch) -> Document:
+    """Return the changed table."""
+    missing = [key for key in (*patch.removed, *patch.inner) if key not in table]
+    if missing:
+        raise _MisfitError(f"The document has no key {missing[0]!r}.")
+    kept = {key: value for key, value in table.items() if key not in patch.removed}
+    changed = {key: _apply_inner(table[key], inner) for key, inner in patch.inner.items()}
+    return kept | changed | patch.put
+
+
+def _apply_inner(value: Any, patch: TablePatch | ListPatch) -> Any:
+    """Return the changed table or list."""
+    if isinstance(patch, TablePatch) and isinstance(value, dict):
+        return _apply_table(value, patch)
+    if isinstance(patch, ListPatch) and isinstance(value, list):
+        end = patch.start + patch.removed
+        if 0 <= patch.start <= end <= len(value):
+            return value[: patch.start] + patch.put + value[end:]
+    raise _MisfitError("The difference has another shape than the document.")
+
+
+def render(old: Document, patch: TablePatch) -> list[str]:
+    """Return one line per change for operators: ``+`` added, ``-`` removed, ``~`` changed."""
+    return list(_lines(old, patch, ""))
+
+
+def _lines(old: Document, patch: TablePatch, path: str) -> Iterator[str]:
+    """Yield the lines of a table in the order of its keys."""
+    for key in sorted({*patch.removed, *patch.put, *patch.inner}):
+        at = f"{path}.{key}" if path else key
+        if key in patch.removed:
+            yield f"- {at} = {_show(old.get(key))}"
+        elif key in patch.put and key in old:
+            yield f"~ {at} = {_show(old[key])} -> {_show(patch.put[key])}"
+        elif key in patch.put:
+            yield f"+ {at} = {_show(patch.put[key])}"
+        else:
+            yield from _inner_lines(old.get(key), patch.inner[key], at)
+
+
+def _inner_lines(value: Any, patch: TablePatch | ListPatch, path: str) -> Iterator[str]:
+    """Yield the lines of a changed table or list."""
+    if isinstance(patch, TablePatch):
+        yield from _lines(value if isinstance(value, dict) else {}, patch, path)
+        return
+    before = value[patch.start : patch.start + patch.removed] if isinstance(value, list) else []
+    yield from (f"- {path}[{patch.start + i}] = {_show(v)}" for i, v in enumerate(before))
+    yield from (f"+ {path}[{patch.start + i}] = {_show(v)}" for i, v in enumerate(patch.put))
+
+
+def _show(value: Any) -> str:
+    """Return a value as one line of JSON."""
+    return msgspec.json.encode(value, order="deterministic").decode()
--- a/packages/core/src/goldcrestridge_core/exceptions.py
+++ b/packages/core/src/goldcrestridge_core/exceptions.py
@@ -39,3 +39,10 @@
     def __str__(self) -> str:
         """Return ``file: key: reason`` for a terminal."""
         return ": ".join(part for part in (self.file, self.key, self.reason) if part)
+
+
+@frozen
+class PatchError:
+    """Describe a difference that does not fit its document; ``reason`` is a full sentence."""
+
+    reason: str
--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/spread.py
@@ -0,0 +1,350 @@
+"""Distribution of the configuration in force to every node, by hints and differences."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from typing import Any
+
+from attrs import define, field, frozen
+from returns.result import Success
+
+from goldcrestridge_core import differences
+from goldcrestridge_core.differences import Document
+from goldcrestridge_core.types import (
+    Ack,
+    ConfigCommitted,
+    ConfigConfirmed,
+    ConfigDelta,
+    ConfigHint,
+    ConfigInForce,
+    ConfigPull,
+    Count,
+    Emit,
+    MemberDown,
+    MemberGossip,
+    MemberUp,
+    NodeId,
+    Ping,
+    PingReq,
+    Receive,
+    Send,
+    Tick,
+)
+
+PULL_TIMEOUT_MS = 400.0  # Four round trips between regions; nine tries fit into the 4 s.
+HINT_FANOUT = 3
+HINT_ROUNDS = 3
+HINT_INTERVAL_MS = 250.0
+MAX_OFFERS = 16
+MAX_FAILURES = 4  # Pulls in a row that a peer may leave unanswered before its offer is dropped.
+PAST_VERSIONS = 64  # Eight minutes of changes at 12,000 a day.
+PAST_BYTES = 2_000_000  # Encoded size of the differences between the kept versions.
+MAX_ENCODED_PATCHES = 16
+CONFIRM_ATTEMPT_MS = 250.0
+
+REPLICA_ROLE = "replica"
+
+
+@frozen
+class _Version:
+    """One whole version; documents of successive versions share their unchanged parts."""
+
+    version: int
+    digest: str
+    document: Document
+    change_bytes: int = 0
+
+
+@define
+class _Offer:
+    """A version that a peer says it has, and the pulls it left unanswered in a row."""
+
+    version: int
+    failures: int = 0
+
+
+@define
+class _Pull:
+    """A pull that waits for its answer."""
+
+    peer: NodeId
+    sequence: int
+    sent_ms: float
+    due_ms: float
+
+
+@define
+class Spread:
+    """Bring the current configuration version into force on this node and pass it on.
+
+    ``own`` is this node's id, ``replicas`` the nodes known from the settings to hold the log.
+    ``rng`` must be seeded differently at every start: it numbers the pulls, and an answer to an
+    earlier life must not pass for one to this life.
+    Events: Tick; Receive of ConfigHint, ConfigPull, ConfigDelta, and of the membership messages
+    that carry a hint; MemberUp and MemberDown; ConfigCommitted from the store of a local replica;
+    ConfigConfirmed from a quorum-backed source (on a replica after each contact with the leader,
+    elsewhere after the answer to a Query). Effects: ConfigInForce, Send, Emit, Count.
+
+    Nothing is in force after a start until a version is held that was current at a moment after
+    the start. Whatever this node had in force in an earlier life was committed before the start,
+    so the first version in force is never older, and no file has to be kept for it. The bound on
+    its age is the time since the start. Afterwards only newer versions come into force.
+    """
+
+    own: NodeId
+    replicas: tuple[NodeId, ...]
+    rng: random.Random
+    _held: _Version | None = None
+    _in_force: int = 0
+    _past: deque[_Version] = field(factory=deque)
+    _patches: dict[int, bytes] = field(factory=dict)
+    _peers: dict[NodeId, bool] = field(factory=dict)
+    _offers: dict[NodeId, _Offer] = field(factory=dict)
+    _pull: _Pull | None = None
+    _started_ms: float | None = None
+    _floor: int | None = None
+    _current: tuple[float, int] | None = None  # Latest moment known, and the version then.
+    _next_confirm_ms: float = 0.0
+    _hint_rounds: int = 0
+    _next_hint_ms: float = 0.0
+
+    def hint(self) -> ConfigHint:
+        """Return the version in force to piggyback on gossip; version 0 if there is none."""
+        if self._held is None or self._in_force == 0:
+            return ConfigHint(0, "")
+        return ConfigHint(self._held.version, self._held.digest)
+
+    @property
+    def serving(self) -> bool:
+        """Tell whether a version is in force, so that this node may serve."""
+        return self._in_force > 0
+
+    def next_deadline_ms(self) -> float | None:
+        """Return when a pull, a hint or a question for the current version is due."""
+        times = [self._pull.due_ms] if self._pull else []
+        if self._hint_rounds and self._peers:
+            times.append(self._next_hint_ms)
+        if not self.serving and self._pull is None:
+            times.append(self._next_confirm_ms)
+        return min(times, default=None)
+
+    def handle(self, event: Any, now_ms: float) -> list[Any]:
+        """Apply one event at monotonic time ``now_ms`` in milliseconds."""
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        match event:
+            case Tick():
+                return self._tick(now_ms)
+            case Receive(sender=sender, message=ConfigPull() as pull):
+                return self._answer(sender, pull, now_ms)
+            case Receive(sender=sender, message=ConfigDelta() as delta):
+                return self._delta(sender, delta, now_ms)
+            case Receive(sender=sender, message=ConfigHint() as hint):
+                return self._hinted(sender, hint, now_ms)
+            case Receive(sender=sender, message=Ping() | PingReq() | Ack() | MemberGossip() as msg):
+                return self._hinted(sender, msg.hint, now_ms)
+            case ConfigCommitted(version=version, document=document):
+                return self._take(version, differences.digest(document), document, now_ms)
+            case ConfigConfirmed(version=version, age_ms=age_ms):
+                return self._confirmed(version, now_ms - age_ms, now_ms)
+            case MemberUp(member=member):
+                if member.node != self.own:
+                    self._peers[member.node] = REPLICA_ROLE in member.roles
+            case MemberDown(node=node):
+                self._peers.pop(node, None)
+                self._offers.pop(node, None)
+        return []
+
+    # Timers.
+
+    def _tick(self, now_ms: float) -> list[Any]:
+        """Repeat an unanswered pull, pass hints on, and ask for the current version."""
+        effects: list[Any] = []
+        if self._pull and now_ms >= self._pull.due_ms:
+            self._fail(self._pull.peer)
+            self._pull = None
+            effects += self._next_pull(now_ms)
+        if self._hint_rounds and now_ms >= self._next_hint_ms:
+            effects += self._send_hints(now_ms)
+        if not self.serving and self._pull is None and now_ms >= self._next_confirm_ms:
+            self._next_confirm_ms = now_ms + CONFIRM_ATTEMPT_MS
+            sources = self._sources()
+            if sources:
+                effects += self._ask(self.rng.choice(sources), now_ms)
+        return effects
+
+    def _sources(self) -> list[NodeId]:
+        """Return the nodes that may know the current version: replicas, or else any peer."""
+        known = [node for node, replica in self._peers.items() if replica]
+        listed = [node for node in self.replicas if node != self.own and node not in known]
+        return known + listed or list(self._peers)
+
+    def _send_hints(self, now_ms: float) -> list[Any]:
+        """Tell a few random peers of a new version, so that it does not wait for a probe."""
+        self._hint_rounds -= 1
+        self._next_hint_ms = now_ms + HINT_INTERVAL_MS
+        peers = self.rng.sample(list(self._peers), min(HINT_FANOUT, len(self._peers)))
+        return [Send(peer, self.hint()) for peer in peers]
+
+    # Pulling.
+
+    def _hinted(self, sender: NodeId, hint: ConfigHint, now_ms: float) -> list[Any]:
+        """Note what the sender has and pull it if it is newer."""
+        have = self._held.version if self._held else 0
+        if hint.version <= have:
+            return []
+        if sender in self._offers or len(self._offers) < MAX_OFFERS:
+            self._offers[sender] = _Offer(hint.version)
+        return self._next_pull(now_ms)
+
+    def _next_pull(self, now_ms: float) -> list[Any]:
+        """Start a pull from a peer that offers a newer version, unless one is on its way."""
+        have = self._held.version if self._held else 0
+        self._offers = {n: offer for n, offer in self._offers.items() if offer.version > have}
+        if self._pull or not self._offers:
+            return []
+        fewest = min(offer.failures for offer in self._offers.values())
+        peers = [node for node, offer in self._offers.items() if offer.failures == fewest]
+        return self._ask(self.rng.choice(peers), now_ms)
+
+    def _ask(self, peer: NodeId, now_ms: float) -> list[Any]:
+        """Send a pull."""
+        sequence = self.rng.getrandbits(32)
+        self._pull = _Pull(peer, sequence, now_ms, now_ms + PULL_TIMEOUT_MS)
+        version, digest = (self._held.version, self._held.digest) if self._held else (0, "")
+        return [Send(peer, ConfigPull(version, digest, sequence))]
+
+    def _fail(self, peer: NodeId) -> None:
+        """Count an unanswered pull and drop an offer that stays unanswered."""
+        offer = self._offers.get(peer)
+        if offer is None:
+            return
+        offer.failures += 1
+        if offer.failures >= MAX_FAILURES:
+            del self._offers[peer]
+
+    def _delta(self, sender: NodeId, delta: ConfigDelta, now_ms: float) -> list[Any]:
+        """Take a version that verifies, and what the sender knows about its age."""
+        asked = self._pull
+        if asked and (asked.peer, asked.sequence) == (sender, delta.sequence):
+            self._pull = None
+        else:
+            asked = None
+        if sender in self._offers:
+            self._offers[sender].version = min(delta.version, self._offers[sender].version)
+        effects = self._decode(sender, delta, now_ms)
+        if asked and delta.age_ms >= 0.0:
+            # The age counts from the answer, which came after the question was sent.
+            effects += self._confirmed(delta.version, asked.sent_ms - delta.age_ms, now_ms)
+        return effects + self._next_pull(now_ms)
+
+    def _decode(self, sender: NodeId, delta: ConfigDelta, now_ms: float) -> list[Any]:
+        """Apply a difference or a full document if it is newer and its digest matches."""
+        held = self._held
+        if held and delta.version <= held.version:
+            return []
+        if delta.base_version == 0:
+            result = differences.decode_document(delta.patch).bind(
+                lambda document: differences.verify(document, delta.digest)
+            )
+        elif held and delta.base_version == held.version:
+            result = differences.apply_verified(held.document, delta.patch, delta.digest)
+        else:
+            return []
+        match result:
+            case Success(document):
+                return self._take(delta.version, delta.digest, document, now_ms)
+        self._offers.pop(sender, None)
+        return [Count("config_deltas_rejected")]
+
+    # Versions.
+
+    def _take(self, version: int, digest: str, document: Document, now_ms: float) -> list[Any]:
+        """Hold a verified version if it is newer."""
+        if self._held and version <= self._held.version:
+            return []
+        change_bytes = 0
+        if self._held:
+            # A document from the log shares nothing with the past ones; applying the difference
+            # to the held one makes it share all that did not change.
+            patch = differences.compare(self._held.document, document)
+            document = differences.apply(self._held.document, patch).value_or(document)
+            change_bytes = len(differences.encode_patch(patch))
+            self._past.append(self._held)
+        self._held = _Version(version, digest, document, change_bytes)
+        self._patches.clear()
+        self._trim()
+        return self._enforce(now_ms)
+
+    def _trim(self) -> None:
+        """Forget the oldest versions beyond the bounds; their holders get the full document."""
+        versions = (*self._past, self._held) if self._held else ()
+        kept = sum(version.change_bytes for version in versions)
+        while self._past and (len(self._past) > PAST_VERSIONS or kept > PAST_BYTES):
+            kept -= self._past.popleft().change_bytes
+
+    def _confirmed(self, version: int, current_ms: float, now_ms: float) -> list[Any]:
+        """Note that ``version`` was current at ``current_ms``."""
+        if self._current is None or current_ms > self._current[0]:
+            self._current = (current_ms, version)
+        if self._started_ms is not None and current_ms >= self._started_ms:
+            self._floor = max(version, self._floor or 0)
+        return self._enforce(now_ms)
+
+    def _enforce(self, now_ms: float) -> list[Any]:
+        """Put the held version into force once it is certain that no newer one was before."""
+        held = self._held
+        if held is None or self._floor is None or held.version < self._floor:
+            return []
+        if held.version <= self._in_force:
+            return []
+        self._in_force = held.version
+        self._hint_rounds = HINT_ROUNDS
+        self._next_hint_ms = now_ms
+        detail = (("version", held.version), ("digest", held.digest))
+        return [
+            ConfigInForce(held.version, held.document),
+            Emit("config_in_force", detail=detail),
+            *(self._send_hints(now_ms) if self._peers else []),
+        ]
+
+    # Answering.
+
+    def _answer(self, sender: NodeId, pull: ConfigPull, now_ms: float) -> list[Any]:
+        """Answer with the difference, the full document, or nothing new but the age."""
+        held = self._held
+        if held is None or not self.serving:
+            return []
+        version, digest, sequence = held.version, held.digest, pull.sequence
+        age_ms = self._age_ms(now_ms)
+        if pull.have_version >= version:
+            delta = ConfigDelta(version, version, digest, b"", age_ms, sequence)
+        elif (patch := self._patch_from(pull)) is not None:
+            delta = ConfigDelta(pull.have_version, version, digest, patch, age_ms, sequence)
+        else:
+            document = differences.encode_document(held.document)
+            delta = ConfigDelta(0, version, digest, document, age_ms, sequence)
+        return [Send(sender, delta)]
+
+    def _age_ms(self, now_ms: float) -> float:
+        """Return the age of the last moment at which no newer version than the held one existed.
+
+        Below zero there is no such moment, because the held version is known to be outdated.
+        """
+        if self._held is None or self._current is None or self._held.version < self._current[1]:
+            return -1.0
+        return max(0.0, now_ms - self._current[0])
+
+    def _patch_from(self, pull: ConfigPull) -> bytes | None:
+        """Return the difference from a past version, or None if it is not kept."""
+        base = next((past for past in self._past if past.version == pull.have_version), None)
+        held = self._held
+        if base is None or held is None or base.digest != pull.have_digest:
+            return None
+        if base.version not in self._patches:
+            if len(self._patches) >= MAX_ENCODED_PATCHES:
+                self._patches.clear()
+            patch = differences.compare(base.document, held.document)
+            self._patches[base.version] = differences.encode_patch(patch)
+        return self._patches[base.version]
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -652,10 +652,14 @@
 @message
 @frozen
 class ConfigPull:
-    """Ask for the difference from ``have_version`` to the current version."""
+    """Ask for the difference from ``have_version`` to the current version.
+
+    ``sequence`` returns in the answer, so that an answer is never taken for a later question's.
+    """
 
     have_version: int
     have_digest: str
+    sequence: int = 0
 
 
 @message
@@ -672,6 +676,7 @@
     digest: str
     patch: bytes
     age_ms: float = -1.0
+    sequence: int = 0
 
 
 @frozen
--- a/packages/lab/src/goldcrestridge_lab/carrier_members.py
+++ b/packages/lab/src/goldcrestridge_lab/carrier_members.py
@@ -8,10 +8,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from attrs import Factory, define
+from attrs import Factory, define, evolve
 
 from goldcrestridge_core import codec
 from goldcrestridge_core.membership import Membership
+from goldcrestridge_core.spread import Spread
 from goldcrestridge_core.types import (
     ConfigHint,
     Member,
@@ -208,6 +209,18 @@
     return role
 
 
+def start_spread(carrier: Carrier, number: int, life: int, replicas: int) -> Spread:
+    """Start or restart a node with membership and configuration; the first ones are replicas."""
+    node = node_id(number)
+    listed = tuple(node_id(n) for n in range(replicas))
+    spread = Spread(node, listed, random.Random(f"spread/{number}/{life}"))
+    own = evolve(member(number, life), roles=("replica",) if number < replicas else ("entry",))
+    rng = random.Random(f"{number}/{life}")
+    membership = Membership(own, listed, rng, spread.hint)
+    carrier.add(Host(node, [membership, spread]))
+    return spread
+
+
 def start_members(carrier: Carrier, count: int) -> dict[NodeId, Membership]:
     """Start numbered nodes that know the first three as seeds."""
     return {node_id(number): start_member(carrier, number) for number in range(count)}
--- /dev/null
+++ b/tests/core/test_spread.py
@@ -0,0 +1,272 @@
+"""Configuration distribution: convergence, no reversal across restarts, digests, bounds."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from goldcrestridge_core import differences
+from goldcrestridge_core.spread import PAST_BYTES, PAST_VERSIONS, Spread
+from goldcrestridge_core.types import (
+    ConfigCommitted,
+    ConfigConfirmed,
+    ConfigDelta,
+    ConfigHint,
+    ConfigInForce,
+    ConfigPull,
+    MemberUp,
+    NodeId,
+    Receive,
+    Send,
+    Tick,
+)
+from goldcrestridge_lab.carrier_members import Carrier, Cuts, member, node_id, start_spread
+
+REPLICAS = 2
+NODES = 5
+PEER = node_id(1)
+
+
+def document(version: int) -> dict[str, Any]:
+    """Return a document of which each version changes, adds and removes something."""
+    names = [f"w{n}" for n in range(version % 7, 12)]
+    return {"workspaces": {name: {"share": float(version)} for name in names}, "v": version}
+
+
+def spread_nodes(carrier: Carrier, count: int, replicas: int) -> dict[NodeId, Spread]:
+    return {node_id(n): start_spread(carrier, n, 1, replicas) for n in range(count)}
+
+
+def commit(carrier: Carrier, node: NodeId, version: int) -> None:
+    carrier.inject(node, ConfigCommitted(version, document(version)))
+    carrier.inject(node, ConfigConfirmed(version, 0.0))
+
+
+def test_a_change_is_in_force_everywhere_within_4_s_despite_loss_and_a_leader_change() -> None:
+    # Guards against changes that wait for a probe, and against waiting for a silent peer.
+    for seed in range(10):
+        carrier = Carrier(random.Random(seed), loss=0.1, delay_ms=(0.5, 60.0))
+        spreads = spread_nodes(carrier, 12, 3)
+        carrier.run(8_000.0)
+        commit(carrier, node_id(0), 1)
+        assert carrier.run(4_000.0, lambda s=spreads: all(r.serving for r in s.values()))  # type: ignore[misc]
+        commit(carrier, node_id(0), 2)
+        carrier.run(20.0)
+        carrier.remove(node_id(0))
+        del spreads[node_id(0)]
+        carrier.run(1_000.0)
+        commit(carrier, node_id(1), 2)
+        hints = [spread.hint for spread in spreads.values()]
+        assert carrier.run(2_980.0, lambda h=hints: all(hint().version == 2 for hint in h))  # type: ignore[misc]
+
+
+def started(version: int = 0) -> Spread:
+    """Return a role that serves ``version`` and knows one peer."""
+    role = Spread(node_id(0), (PEER,), random.Random(1))
+    role.handle(MemberUp(member(1)), 0.0)
+    for number in range(1, version + 1):
+        role.handle(ConfigCommitted(number, document(number)), 0.0)
+    role.handle(ConfigConfirmed(version, 0.0), 0.0)
+    return role
+
+
+def test_a_node_does_not_serve_before_it_knows_what_was_current_after_its_start() -> None:
+    # Guards against serving an older version than before the restart.
+    role = Spread(node_id(0), (PEER,), random.Random(1))
+    asked = role.handle(MemberUp(member(1)), 1_000.0) + role.handle(_tick(), 1_000.0)
+    pull = next(e.message for e in asked if isinstance(e, Send))
+    data = differences.encode_document(document(3))
+    digest = differences.digest(document(3))
+    stale = ConfigDelta(0, 3, digest, data, age_ms=1.0, sequence=pull.sequence)
+    effects = role.handle(Receive(PEER, stale), 1_010.0)
+    assert not role.serving
+    assert role.hint() == ConfigHint(0, "")
+    assert not [e for e in effects if isinstance(e, ConfigInForce)]
+    asked = role.handle(_tick(), 1_300.0)
+    pull = next(e.message for e in asked if isinstance(e, Send))
+    other = ConfigDelta(3, 3, digest, b"", age_ms=10.0, sequence=pull.sequence + 1)
+    role.handle(Receive(PEER, other), 1_310.0)
+    assert not role.serving
+    fresh = ConfigDelta(3, 3, digest, b"", age_ms=10.0, sequence=pull.sequence)
+    effects = role.handle(Receive(PEER, fresh), 1_320.0)
+    assert ConfigInForce(3, document(3)) in effects
+
+
+def test_a_delta_with_a_wrong_digest_or_an_older_version_changes_nothing() -> None:
+    # Guards against a version in force that no operator applied, and against reversal.
+    role = started(4)
+    wrong = differences.encode_patch(differences.compare(document(4), document(6)))
+    bad = ConfigDelta(4, 5, differences.digest(document(5)), wrong)
+    rubbish = ConfigDelta(4, 5, differences.digest(document(5)), b"\xc1")
+    old = ConfigDelta(0, 3, differences.digest(document(3)), _encoded(3))
+    for delta in (bad, rubbish, old):
+        effects = role.handle(Receive(PEER, delta), 10.0)
+        assert not [e for e in effects if isinstance(e, ConfigInForce)]
+    assert role.hint() == ConfigHint(4, differences.digest(document(4)))
+
+
+def test_a_replica_that_knows_of_a_newer_version_gives_no_age_for_its_own() -> None:
+    # Guards against a starting node that takes an outdated version for the current one.
+    role = started(4)
+    role.handle(ConfigConfirmed(5, 0.0), 100.0)
+    answer = role.handle(Receive(PEER, ConfigPull(0, "", 9)), 100.0)[0]
+    assert answer.message.version == 4
+    assert answer.message.age_ms < 0.0
+    role.handle(ConfigCommitted(5, document(5)), 150.0)
+    answer = role.handle(Receive(PEER, ConfigPull(0, "", 9)), 160.0)[0]
+    assert (answer.message.version, answer.message.age_ms) == (5, 60.0)
+
+
+def test_past_versions_are_bounded_and_share_what_did_not_change() -> None:
+    # Guards against memory that grows with the number of changes.
+    role = started(3 * PAST_VERSIONS)
+    assert len(role._past) == PAST_VERSIONS
+    recent = 3 * PAST_VERSIONS - 7
+    pull = ConfigPull(recent, differences.digest(document(recent)))
+    assert role.handle(Receive(PEER, pull), 1.0)[0].message.base_version == recent
+    forgotten = ConfigPull(1, differences.digest(document(1)))
+    assert role.handle(Receive(PEER, forgotten), 1.0)[0].message.base_version == 0
+    forged = ConfigPull(recent, "another digest")
+    assert role.handle(Receive(PEER, forged), 1.0)[0].message.base_version == 0
+    large = {"blob": "x" * (PAST_BYTES + 1)}
+    role.handle(ConfigCommitted(1_000, large), 2.0)
+    assert not role._past
+    role.handle(ConfigCommitted(1_001, {**large, "a": {"b": 1}}), 3.0)
+    role.handle(ConfigCommitted(1_002, {"blob": "y", "a": {"b": 1}}), 4.0)
+    assert role._held
+    assert role._past[-1].document["a"] is role._held.document["a"]
+
+
+def test_a_peer_that_offers_what_it_does_not_have_is_dropped() -> None:
+    # Guards against endless pulls after a hint of a broken peer.
+    role = started(2)
+    role.handle(Receive(PEER, ConfigHint(99, "x")), 0.0)
+    now_ms = 0.0
+    for _ in range(200):
+        deadline = role.next_deadline_ms()
+        if deadline is None:
+            break
+        now_ms = max(deadline, now_ms)
+        role.handle(_tick(), now_ms)
+    assert role.next_deadline_ms() is None
+    assert now_ms < 5_000.0
+
+
+def _tick() -> Tick:
+    return Tick()
+
+
+def _encoded(version: int) -> bytes:
+    return differences.encode_document(document(version))
+
+
+class SpreadMachine(RuleBasedStateMachine):
+    """Oracle: the times at which versions 1, 2, 3, ... were committed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cuts = Cuts()
+        self.carrier = Carrier(random.Random(3), delay_ms=(0.5, 900.0), cut=self.cuts)
+        self.spreads = spread_nodes(self.carrier, NODES, REPLICAS)
+        self.committed_ms: list[float] = []
+        self.life = 1
+        self.least: dict[NodeId, int] = dict.fromkeys(self.spreads, 0)
+        self.highest: dict[NodeId, int] = dict.fromkeys(self.spreads, 0)
+        self.read: dict[NodeId, int] = dict.fromkeys(self.spreads, 0)
+        self.commit(node_id(0), tell=True)
+        self.heal()
+
+    nodes = st.integers(0, NODES - 1).map(node_id)
+    replicas = st.integers(0, REPLICAS - 1).map(node_id)
+
+    def current(self, at_ms: float) -> int:
+        return sum(time_ms <= at_ms for time_ms in self.committed_ms)
+
+    @rule(node=replicas, tell=st.booleans())
+    def commit(self, node: NodeId, tell: bool) -> None:
+        self.committed_ms.append(self.carrier.now_ms)
+        version = len(self.committed_ms)
+        if tell:
+            self.carrier.inject(node, ConfigCommitted(version, document(version)))
+
+    @rule(node=replicas, age_ms=st.sampled_from([0.0, 100.0, 1_000.0]))
+    def confirm(self, node: NodeId, age_ms: float) -> None:
+        current = self.current(self.carrier.now_ms - age_ms)
+        self.carrier.inject(node, ConfigConfirmed(current, age_ms))
+
+    @rule(node=replicas)
+    def catch_up(self, node: NodeId) -> None:
+        version = len(self.committed_ms)
+        self.carrier.inject(node, ConfigCommitted(version, document(version)))
+
+    @rule(node=nodes)
+    def restart(self, node: NodeId) -> None:
+        self.life += 1
+        self.spreads[node] = start_spread(self.carrier, int(node[1:]), self.life, REPLICAS)
+        self.spreads[node].handle(MemberUp(member(0)), self.carrier.now_ms)
+        self.least[node] = len(self.committed_ms)
+        self.read[node] = 0
+
+    @rule(node=nodes, ms=st.sampled_from([30.0, 300.0]))
+    def restart_after_an_untold_change(self, node: NodeId, ms: float) -> None:
+        self.confirm(node_id(0), 0.0)
+        self.carrier.run(ms)
+        self.commit(node_id(0), tell=False)
+        self.restart(node)
+        self.carrier.run(3_000.0)
+
+    @rule(loss=st.sampled_from([0.0, 0.2, 0.5]), duplicates=st.sampled_from([0.0, 0.5]))
+    def weather(self, loss: float, duplicates: float) -> None:
+        self.carrier.loss = loss
+        self.carrier.duplicates = duplicates
+
+    @rule(mask=st.integers(1, 2**NODES - 2), one_way=st.booleans())
+    def partition(self, mask: int, one_way: bool) -> None:
+        left = [node_id(n) for n in range(NODES) if mask >> n & 1]
+        right = [node_id(n) for n in range(NODES) if not mask >> n & 1]
+        self.cuts.split(left, right, one_way)
+
+    @rule(ms=st.sampled_from([30.0, 300.0, 5_000.0]))
+    def run_for(self, ms: float) -> None:
+        self.carrier.run(ms)
+
+    @rule()
+    def heal(self) -> None:
+        self.cuts.links.clear()
+        self.carrier.loss = 0.0
+        for replica in range(REPLICAS):
+            self.catch_up(node_id(replica))
+        for _ in range(150):
+            for replica in range(REPLICAS):
+                self.confirm(node_id(replica), 0.0)
+            self.carrier.run(200.0)
+            if all(s.hint().version == len(self.committed_ms) for s in self.spreads.values()):
+                return
+        raise AssertionError({n: s.hint().version for n, s in self.spreads.items()})
+
+    @invariant()
+    def versions_are_exact_and_never_go_back(self) -> None:
+        for node, host in self.carrier.hosts.items():
+            for _, effect in host.effects[self.read[node] :]:
+                if isinstance(effect, ConfigInForce):
+                    assert effect.version > self.highest[node] or self.first_of_life(node, effect)
+                    assert effect.version >= max(self.highest[node], self.least[node])
+                    assert effect.document == document(effect.version)
+                    self.highest[node] = effect.version
+            self.read[node] = len(host.effects)
+
+    def first_of_life(self, node: NodeId, effect: ConfigInForce) -> bool:
+        taken = [e for _, e in self.carrier.hosts[node].effects if isinstance(e, ConfigInForce)]
+        return taken[0] is effect
+
+    def teardown(self) -> None:
+        self.heal()
+        self.versions_are_exact_and_never_go_back()
+
+
+TestSpreadMachine = SpreadMachine.TestCase
+TestSpreadMachine.settings = settings(max_examples=50, stateful_step_count=15)
