Add the entry role: request life cycle, slots, claims and retry budget

Cause: an entry node needs one place that decides every attempt and gives each request exactly one truthful outcome. Change: modules requests, slots, attempts, claims and retries; events OwnerChanged, StartDrain, EndDrain, effect DrainEnded, fields CallerRequest.wall_ms and AttemptChunk.opening. A hypothesis state machine drives three entries with stand-ins for owners, upstreams and the claim store over a carrier that loses, repeats and reorders messages. The state machine was seen to fail with each of these removed: attempt number check, cancel on caller gone, mark of an attempt that ran, repeatable check, budget check, drop of held data, unknown fate of a cut charge, withdrawal of waiting requests, refusal check of a broken attempt, decay of the budget. The single cases were seen to fail with key form check, key spelling, opening mark, held empty chunks, local share, owner silence, resend to a new owner or release of an unsure claim removed. Conclusion: usable by the node; a continuation that ends without text showed that the first chunk of an answer must be marked, hence the new field.

--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/attempts.py
@@ -0,0 +1,151 @@
+"""Delivery of one answer to its caller across attempts."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from goldcrestridge_core.types import (
+    AttemptChunk,
+    AttemptHead,
+    Call,
+    Headers,
+    RequestId,
+    RespondChunk,
+    RespondEnd,
+    RespondHead,
+)
+
+# A whole answer of usual size is held until it is complete, so that it can be repeated
+# elsewhere, or fail with a proper error response, as long as the caller has seen nothing.
+MAX_HELD_BYTES = 1024 * 1024
+
+Response = RespondHead | RespondChunk | RespondEnd
+
+
+@define
+class Timing:
+    """First-token and inter-token times of one attempt; negative times mean not measured."""
+
+    started_ms: float
+    first_ms: float = -1.0
+    last_ms: float = -1.0
+    tokens: int = 0
+    first_tokens: int = 0
+
+    def observe(self, tokens: int, now_ms: float) -> None:
+        """Count a piece of output that arrived now."""
+        if self.first_ms < 0.0:
+            self.first_ms = now_ms
+            self.first_tokens = tokens
+        self.last_ms = now_ms
+        self.tokens += tokens
+
+    def first_token_ms(self) -> float:
+        """Return the time from the start to the first output."""
+        return self.first_ms - self.started_ms if self.first_ms >= 0.0 else -1.0
+
+    def inter_token_ms(self) -> float:
+        """Return the mean time between tokens after the first piece."""
+        later = self.tokens - self.first_tokens
+        return (self.last_ms - self.first_ms) / later if later > 0 else -1.0
+
+
+@define
+class Answer:
+    """What the caller has received, and what is held back from the current attempt.
+
+    Chunks without text (roles, finish reasons, incomplete characters) are held until text or the
+    end follows, because a continuation on another engine sends its own.
+    """
+
+    request_id: RequestId
+    call: Call
+    begun: bool = False
+    status: int = 0
+    headers: Headers = ()
+    delivered_tokens: int = 0
+    _texts: list[str] = field(factory=list)
+    _head: AttemptHead | None = None
+    _held: list[AttemptChunk] = field(factory=list)
+    _held_bytes: int = 0
+    flowing: bool = False  # The current attempt has delivered to the caller.
+
+    @property
+    def delivered_text(self) -> str:
+        """Return the text that the caller has received."""
+        return "".join(self._texts)
+
+    @property
+    def continuable(self) -> bool:
+        """Return whether another attempt may go on behind the delivered text."""
+        return self.call.stream and self.call.continuable
+
+    @property
+    def restartable(self) -> bool:
+        """Return whether another attempt can still produce the whole answer."""
+        return not self.begun or self.continuable
+
+    @property
+    def has_head(self) -> bool:
+        """Return whether the current attempt has sent its head."""
+        return self._head is not None
+
+    @property
+    def held_tokens(self) -> int:
+        """Return the tokens received and not delivered."""
+        return sum(chunk.tokens for chunk in self._held)
+
+    def head(self, head: AttemptHead) -> None:
+        """Keep the head of the current attempt; it goes out with the first data."""
+        self._head = head
+
+    def fits(self, head: AttemptHead) -> bool:
+        """Return whether an attempt with this head can go on with what was delivered."""
+        return not self.begun or head.status == self.status
+
+    def chunk(self, chunk: AttemptChunk) -> list[Response]:
+        """Deliver or hold one piece of the current attempt."""
+        self._held.append(chunk)
+        self._held_bytes += len(chunk.data)
+        if self.call.stream:
+            deliver = bool(chunk.text) or not self.call.continuable
+        else:
+            deliver = self.flowing or self._held_bytes > MAX_HELD_BYTES
+        return self._flush(at_end=False) if deliver else []
+
+    def end(self) -> list[Response]:
+        """Deliver what is held and end the complete answer."""
+        return [*self._flush(at_end=True), RespondEnd(self.request_id)]
+
+    def drop(self) -> None:
+        """Forget the current attempt's held data."""
+        self._held.clear()
+        self._held_bytes = 0
+        self._head = None
+        self.flowing = False
+
+    def _flush(self, *, at_end: bool) -> list[Response]:
+        """Deliver the head, once per request, and all held chunks."""
+        out: list[Response] = []
+        continued = self.begun and not self.flowing
+        if not self.begun and self._head is not None:
+            self.status, self.headers = self._head.status, self._head.headers
+            out.append(RespondHead(self.request_id, self.status, self.headers))
+            self.begun = True
+        # A continuation opens the answer again; without text behind it, chunks that are not
+        # marked as opening may be its end.
+        skip_empty = continued and not at_end and self.continuable
+        chunks = [
+            chunk
+            for chunk in self._held
+            if not (continued and chunk.opening)
+            and not (skip_empty and not chunk.text and not chunk.tokens)
+        ]
+        for chunk in chunks:
+            out.append(RespondChunk(self.request_id, chunk.data))
+            self._texts.append(chunk.text)
+            self.delivered_tokens += chunk.tokens
+        self._held.clear()
+        self._held_bytes = 0
+        self.flowing = True
+        return out
--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -0,0 +1,476 @@
+"""Slots of an entry node: asking the owner, waiting, reports and local admission."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+from collections.abc import Callable
+
+import xxhash
+from attrs import define, evolve, field, frozen
+
+from goldcrestridge_core.config import Pool, Upstream
+from goldcrestridge_core.types import (
+    Call,
+    GrantEnd,
+    GrantReport,
+    HeldGrant,
+    NodeId,
+    NotOwner,
+    RequestId,
+    Send,
+    ShardId,
+    ShardSummary,
+    SlotCancel,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    UpstreamId,
+    UpstreamLeaving,
+)
+
+MAX_SHARD_UPSTREAMS = 16
+REPORT_INTERVAL_MS = 500.0
+POLL_INTERVAL_MS = 250.0
+# Requests that wait long are repeated less often, to keep within the control traffic budget.
+FIRST_RESEND_MS = 250.0
+MAX_RESEND_MS = 2_000.0
+# The owner answers every grant report with a summary; three missing answers mean unreachable.
+OWNER_SILENCE_MS = 1_500.0
+# Empty reports go on this long, so that the owner reclaims grants whose release was lost.
+REPORT_TAIL_MS = 30_000.0
+AVOID_MS = 10_000.0  # Local admission passes over an upstream that refused or failed.
+MIN_RETRY_AFTER_MS = 1_000.0
+WAIT_SMOOTHING = 0.2
+
+LOCAL_EPOCH = 0  # Leases have fencing numbers from 1.
+
+
+def pool_shards(pool: Pool) -> dict[ShardId, tuple[Upstream, ...]]:
+    """Split the upstreams of a pool into shards of at most 16."""
+    starts = range(0, max(1, len(pool.upstreams)), MAX_SHARD_UPSTREAMS)
+    return {
+        ShardId(f"{pool.name}/{number}"): pool.upstreams[start : start + MAX_SHARD_UPSTREAMS]
+        for number, start in enumerate(starts)
+    }
+
+
+@define
+class Waiting:
+    """A request that waits for a slot; ``tier`` orders local admission."""
+
+    request_id: RequestId
+    attempt: int
+    shard: ShardId
+    call: Call
+    tier: int
+    arrived_ms: float
+    asked_ms: float
+    deadline_ms: float
+    excluded: tuple[UpstreamId, ...]
+    delivered_tokens: int
+    resend_at_ms: float = 0.0
+    resend_after_ms: float = FIRST_RESEND_MS
+
+
+@define
+class Held:
+    """A grant in use."""
+
+    grant: SlotGrant
+    call: Call
+    output_tokens: int = 0
+
+
+@define
+class ShardView:
+    """What this entry knows about one shard."""
+
+    shard: ShardId
+    owner: NodeId | None = None
+    epoch: int = 0
+    heard_ms: float = 0.0
+    active_ms: float = 0.0
+    report_at_ms: float = math.inf  # Infinite while the shard is not in use.
+    summary: ShardSummary | None = None
+    wait_ms: float = 0.0  # Smoothed time from asking to grant.
+
+    def reachable(self, now_ms: float) -> bool:
+        """Return whether an owner is known and was heard recently."""
+        return self.owner is not None and now_ms - self.heard_ms < OWNER_SILENCE_MS
+
+
+@frozen
+class Accepted:
+    """A grant to start work under."""
+
+    grant: SlotGrant
+
+
+@frozen
+class Refused:
+    """A refusal of a request that was waiting."""
+
+    refusal: SlotRefusal
+
+
+@define
+class Slots:
+    """Ask owners for slots, and keep what waits and what is held.
+
+    ``upstreams`` returns the upstreams of a shard, ``live_entries`` the number of live entry
+    nodes including this one.
+    """
+
+    node: NodeId
+    rng: random.Random
+    upstreams: Callable[[ShardId], tuple[Upstream, ...]]
+    live_entries: Callable[[], int]
+    _views: dict[ShardId, ShardView] = field(factory=dict)
+    _waiting: dict[RequestId, Waiting] = field(factory=dict)
+    _held: dict[RequestId, Held] = field(factory=dict)
+    _avoid_until_ms: dict[UpstreamId, float] = field(factory=dict)
+    _local_ids: itertools.count[int] = field(factory=itertools.count)
+    _poll_at_ms: float = math.inf
+
+    def view(self, shard: ShardId) -> ShardView:
+        """Return the view of a shard, made on first use."""
+        if shard not in self._views:
+            self._views[shard] = ShardView(shard)
+        return self._views[shard]
+
+    def pick_shard(self, shards: tuple[ShardId, ...], now_ms: float) -> ShardId:
+        """Choose among the shards of a pool: the better of two random ones."""
+        if len(shards) == 1:
+            return shards[0]
+        return max(self.rng.sample(shards, 2), key=lambda shard: self._room(shard, now_ms))
+
+    def _room(self, shard: ShardId, now_ms: float) -> tuple[bool, int]:
+        """Rate a shard: an owner in reach first, then free slots less waiting requests."""
+        view = self.view(shard)
+        summary = view.summary
+        room = summary.free_slots - sum(summary.waiting) if summary is not None else 0
+        return view.reachable(now_ms), room
+
+    # Asking, waiting and giving back.
+
+    def ask(self, waiting: Waiting, now_ms: float) -> list[Send]:
+        """Queue a request for a slot and send it to the owner."""
+        view = self.view(waiting.shard)
+        self._activate(view, now_ms)
+        if not self._waiting:
+            self._poll_at_ms = now_ms + POLL_INTERVAL_MS
+        self._waiting[waiting.request_id] = waiting
+        return self._send_request(view, waiting, now_ms)
+
+    def withdraw(self, request_id: RequestId, now_ms: float) -> list[Send]:
+        """Cancel a request that waits for a slot."""
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is None:
+            return []
+        view = self.view(waiting.shard)
+        view.active_ms = now_ms
+        cancel = SlotCancel(request_id, waiting.attempt, self.node, waiting.shard)
+        return _to_owner(view, cancel)
+
+    def release(
+        self,
+        request_id: RequestId,
+        end: GrantEnd,
+        now_ms: float,
+        first_token_ms: float = -1.0,
+        inter_token_ms: float = -1.0,
+    ) -> list[Send]:
+        """Give back the slot that a request holds."""
+        held = self._held.pop(request_id, None)
+        if held is None:
+            return []
+        view = self.view(held.grant.shard)
+        view.active_ms = now_ms
+        upstream = held.grant.upstream
+        if end in (GrantEnd.CONNECT_FAILED, GrantEnd.LEAVING):
+            self._avoid_until_ms[upstream] = now_ms + AVOID_MS
+        release = evolve(
+            _release_of(held.grant, self.node, end),
+            output_tokens=held.output_tokens,
+            first_token_ms=first_token_ms,
+            inter_token_ms=inter_token_ms,
+        )
+        leaving = UpstreamLeaving(upstream, str(self.node))
+        notices = _to_owner(view, leaving) if end is GrantEnd.LEAVING else []
+        return [*_to_owner(view, release), *notices]
+
+    def progress(self, request_id: RequestId, output_tokens: int) -> None:
+        """Note the tokens of a running attempt for the next grant report."""
+        held = self._held.get(request_id)
+        if held is not None:
+            held.output_tokens = output_tokens
+
+    def retry_after_ms(self, shard: ShardId) -> float:
+        """Return the smoothed wait for a slot of the shard, at least one second."""
+        return max(MIN_RETRY_AFTER_MS, self.view(shard).wait_ms)
+
+    def leaving(self, upstream: UpstreamId, now_ms: float) -> None:
+        """Keep local admission from an upstream that is leaving."""
+        self._avoid_until_ms[upstream] = now_ms + AVOID_MS
+
+    # Messages of owners.
+
+    def grant(
+        self, sender: NodeId, grant: SlotGrant, now_ms: float
+    ) -> tuple[list[Send], Accepted | None]:
+        """Accept a grant that a request waits for; release any other one unused."""
+        sends = self._heard(grant.shard, sender, grant.epoch, now_ms)
+        view = self.view(grant.shard)
+        held = self._held.get(grant.request_id)
+        if held is not None and _same_grant(held.grant, grant):
+            return sends, None  # A repeated message.
+        waiting = self._waiting.get(grant.request_id)
+        wanted = waiting is not None and waiting.attempt == grant.attempt
+        if waiting is None or not wanted or waiting.shard != grant.shard:
+            return [*sends, self._unused(sender, grant)], None
+        if grant.epoch < view.epoch:
+            return [*sends, self._unused(sender, grant)], None
+        wait_ms = now_ms - waiting.asked_ms
+        view.wait_ms += WAIT_SMOOTHING * (wait_ms - view.wait_ms)
+        return sends, self._accept(waiting, grant)
+
+    def refusal(
+        self, sender: NodeId, refusal: SlotRefusal, now_ms: float
+    ) -> tuple[list[Send], Refused | None]:
+        """Accept the refusal of a waiting request from the newest owner."""
+        sends = self._heard(refusal.shard, sender, refusal.epoch, now_ms)
+        waiting = self._waiting.get(refusal.request_id)
+        current = refusal.epoch >= self.view(refusal.shard).epoch
+        if waiting is None or waiting.attempt != refusal.attempt or not current:
+            return sends, None
+        if waiting.shard != refusal.shard:
+            return sends, None
+        del self._waiting[refusal.request_id]
+        return sends, Refused(refusal)
+
+    def summary(self, sender: NodeId, summary: ShardSummary, now_ms: float) -> list[Send]:
+        """Keep the newest summary of a shard."""
+        sends = self._heard(summary.shard, summary.owner, summary.epoch, now_ms)
+        view = self.view(summary.shard)
+        if summary.epoch == view.epoch and sender == view.owner:
+            view.summary = summary
+        return sends
+
+    def not_owner(self, sender: NodeId, answer: NotOwner, now_ms: float) -> list[Send]:
+        """Follow a pointer to a newer owner; forget an owner that gave up its lease."""
+        view = self.view(answer.shard)
+        if answer.owner == sender:
+            return []
+        if answer.owner is not None and answer.epoch > view.epoch:
+            return self.owner_changed(answer.shard, answer.owner, answer.epoch, now_ms)
+        if sender == view.owner and answer.epoch >= view.epoch:
+            view.owner = None
+        return []
+
+    def owner_changed(
+        self, shard: ShardId, owner: NodeId | None, epoch: int, now_ms: float
+    ) -> list[Send]:
+        """Take a new owner into account and tell it at once what is held and what waits."""
+        view = self.view(shard)
+        if epoch < view.epoch or (epoch == view.epoch and owner == view.owner):
+            return []
+        if epoch == view.epoch and None not in (owner, view.owner):
+            return []
+        view.owner, view.epoch, view.summary = owner, epoch, None
+        view.heard_ms = now_ms
+        if owner is None:
+            return []
+        waiting = [item for item in self._waiting.values() if item.shard == shard]
+        resent = [self._send_request(view, item, now_ms) for item in waiting]
+        return [*self._report(view, now_ms), *itertools.chain.from_iterable(resent)]
+
+    # Time.
+
+    def tick(self, now_ms: float) -> list[Send]:
+        """Send the reports and repetitions that are due."""
+        due = [view for view in self._views.values() if now_ms >= view.report_at_ms]
+        reports = [self._report(view, now_ms) for view in due]
+        if now_ms < self._poll_at_ms:
+            return list(itertools.chain.from_iterable(reports))
+        self._poll_at_ms = now_ms + POLL_INTERVAL_MS
+        late = [item for item in self._waiting.values() if now_ms >= item.resend_at_ms]
+        resent = [self._send_request(self.view(item.shard), item, now_ms) for item in late]
+        return list(itertools.chain.from_iterable([*reports, *resent]))
+
+    def next_deadline_ms(self) -> float:
+        """Return when ``tick`` and ``admit`` should run next, or infinity."""
+        poll_at_ms = self._poll_at_ms if self._waiting else math.inf
+        return min([poll_at_ms, *(view.report_at_ms for view in self._views.values())])
+
+    def admit(self, now_ms: float) -> list[Accepted]:
+        """Admit waiting requests of shards without a reachable owner, up to the local share."""
+        lost = [view.shard for view in self._views.values() if not view.reachable(now_ms)]
+        return [item for shard in lost for item in self._admit_shard(shard, now_ms)]
+
+    def _admit_shard(self, shard: ShardId, now_ms: float) -> list[Accepted]:
+        """Admit by tier, then by arrival, while the share has room."""
+        queue = [item for item in self._waiting.values() if item.shard == shard]
+        if not queue:
+            return []
+        queue.sort(key=lambda item: (item.tier, item.arrived_ms, item.request_id))
+        upstreams = self.upstreams(shard)
+        slots = sum(upstream.slots for upstream in upstreams)
+        share = max(1, slots // max(1, self.live_entries()))
+        used = {upstream.name: 0 for upstream in upstreams}
+        held = [item.grant for item in self._held.values() if item.grant.shard == shard]
+        for grant in held:
+            used[grant.upstream] = used.get(grant.upstream, 0) + 1
+        accepted: list[Accepted] = []
+        for waiting in queue:
+            if len(held) + len(accepted) >= share:
+                break
+            upstream = self._pick_upstream(upstreams, used, waiting, now_ms)
+            if upstream is None:
+                continue
+            used[upstream] += 1
+            accepted.append(self._accept(waiting, self._local_grant(waiting, upstream)))
+        return accepted
+
+    def _pick_upstream(
+        self,
+        upstreams: tuple[Upstream, ...],
+        used: dict[UpstreamId, int],
+        waiting: Waiting,
+        now_ms: float,
+    ) -> UpstreamId | None:
+        """Return the usable upstream with the smallest share of its slots in use here."""
+        usable = [
+            upstream
+            for upstream in upstreams
+            if upstream.name not in waiting.excluded
+            and self._avoid_until_ms.get(upstream.name, now_ms) <= now_ms
+            and used[upstream.name] < upstream.slots
+        ]
+        if not usable:
+            return None
+        self.rng.shuffle(usable)
+        return min(usable, key=lambda item: used[item.name] / item.slots).name
+
+    def _local_grant(self, waiting: Waiting, upstream: UpstreamId) -> SlotGrant:
+        """Return a grant of this entry's own, with an id that no other entry uses."""
+        prefix = xxhash.xxh32_intdigest(self.node.encode()) >> 1
+        return SlotGrant(
+            request_id=waiting.request_id,
+            attempt=waiting.attempt,
+            shard=waiting.shard,
+            epoch=LOCAL_EPOCH,
+            grant_id=(prefix << 32) | next(self._local_ids),
+            upstream=upstream,
+            priority=waiting.tier,
+        )
+
+    def _accept(self, waiting: Waiting, grant: SlotGrant) -> Accepted:
+        """Move a request from waiting to holding a grant."""
+        del self._waiting[waiting.request_id]
+        self._held[waiting.request_id] = Held(grant, waiting.call)
+        return Accepted(grant)
+
+    def _heard(self, shard: ShardId, owner: NodeId, epoch: int, now_ms: float) -> list[Send]:
+        """Note a sign of life of an owner and follow it if it is newer."""
+        sends = self.owner_changed(shard, owner, epoch, now_ms)
+        view = self.view(shard)
+        if epoch == view.epoch and owner == view.owner:
+            view.heard_ms = now_ms
+        return sends
+
+    def _activate(self, view: ShardView, now_ms: float) -> None:
+        """Start the silence clock and the reports of a shard that was not in use."""
+        if math.isinf(view.report_at_ms):
+            view.heard_ms = now_ms
+            view.report_at_ms = now_ms + REPORT_INTERVAL_MS
+        view.active_ms = now_ms
+
+    def _send_request(self, view: ShardView, waiting: Waiting, now_ms: float) -> list[Send]:
+        """Send the slot request to the known owner and schedule its repetition."""
+        waiting.resend_at_ms = now_ms + waiting.resend_after_ms
+        waiting.resend_after_ms = min(MAX_RESEND_MS, 2.0 * waiting.resend_after_ms)
+        call = waiting.call
+        request = SlotRequest(
+            request_id=waiting.request_id,
+            attempt=waiting.attempt,
+            entry=self.node,
+            shard=waiting.shard,
+            workspace=call.workspace,
+            site=call.site,
+            class_name=call.class_name,
+            model=call.model,
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=call.max_tokens,
+            prefix=call.prefix,
+            waited_ms=now_ms - waiting.arrived_ms,
+            deadline_in_ms=waiting.deadline_ms - now_ms,
+            excluded=waiting.excluded,
+            delivered_tokens=waiting.delivered_tokens,
+        )
+        return _to_owner(view, request)
+
+    def _report(self, view: ShardView, now_ms: float) -> list[Send]:
+        """Report the grants held and the requests waiting in one shard."""
+        view.report_at_ms = now_ms + REPORT_INTERVAL_MS
+        held = tuple(
+            _held_grant(item) for item in self._held.values() if item.grant.shard == view.shard
+        )
+        waiting = tuple(
+            (item.request_id, item.attempt)
+            for item in self._waiting.values()
+            if item.shard == view.shard
+        )
+        if held or waiting:
+            view.active_ms = now_ms
+        if now_ms - view.active_ms >= REPORT_TAIL_MS:
+            view.report_at_ms = math.inf
+        return _to_owner(view, GrantReport(self.node, view.shard, held, waiting))
+
+    def _unused(self, sender: NodeId, grant: SlotGrant) -> Send:
+        """Answer a stale or late grant."""
+        return Send(sender, _release_of(grant, self.node, GrantEnd.UNUSED))
+
+
+def _to_owner(view: ShardView, message: object) -> list[Send]:
+    """Send to the known owner, if any."""
+    return [Send(view.owner, message)] if view.owner is not None else []
+
+
+def _same_grant(left: SlotGrant, right: SlotGrant) -> bool:
+    """Return whether two messages carry the same grant."""
+    return (left.shard, left.epoch, left.grant_id) == (right.shard, right.epoch, right.grant_id)
+
+
+def _release_of(grant: SlotGrant, node: NodeId, end: GrantEnd) -> SlotRelease:
+    """Return the release of a grant without measurements."""
+    return SlotRelease(
+        request_id=grant.request_id,
+        attempt=grant.attempt,
+        entry=node,
+        shard=grant.shard,
+        epoch=grant.epoch,
+        grant_id=grant.grant_id,
+        upstream=grant.upstream,
+        end=end,
+    )
+
+
+def _held_grant(held: Held) -> HeldGrant:
+    """Return the report of one held grant."""
+    grant, call = held.grant, held.call
+    return HeldGrant(
+        request_id=grant.request_id,
+        attempt=grant.attempt,
+        epoch=grant.epoch,
+        grant_id=grant.grant_id,
+        upstream=grant.upstream,
+        workspace=call.workspace,
+        site=call.site,
+        class_name=call.class_name,
+        model=call.model,
+        prompt_tokens=call.prompt_tokens,
+        output_tokens=held.output_tokens,
+    )
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -337,10 +337,11 @@
 
 @frozen
 class CallerRequest:
-    """Event: a caller's request arrived."""
+    """Event: a caller's request arrived; ``wall_ms`` is the wall time of its arrival."""
 
     request_id: RequestId
     call: Call
+    wall_ms: float = 0.0
 
 
 @frozen
@@ -366,6 +367,8 @@
 
     For a stream ``data`` is one server-sent event with its blank line, ``text`` its plain text
     and ``tokens`` the tokens in it; for other answers ``data`` is a piece of the body.
+    ``opening`` marks an event that only opens the answer (the role of the assistant); it is
+    not delivered a second time when another engine continues the stream.
     """
 
     request_id: RequestId
@@ -373,6 +376,7 @@
     data: bytes
     text: str = ""
     tokens: int = 0
+    opening: bool = False
 
 
 @frozen
@@ -463,6 +467,39 @@
     retry_after_ms: float = -1.0
 
 
+# Ownership and drain, at the entry.
+
+
+@frozen
+class OwnerChanged:
+    """Event: the owner of a shard as the node knows it; None while there is none.
+
+    ``epoch`` is the fencing number of the owner's lease, or of the lease that ended.
+    """
+
+    shard: ShardId
+    owner: NodeId | None
+    epoch: int
+
+
+@frozen
+class StartDrain:
+    """Event: accept no new request; those in flight go on to their end."""
+
+
+@frozen
+class EndDrain:
+    """Event: give every request that is still in flight its final outcome now."""
+
+
+@frozen
+class DrainEnded:
+    """Effect: the requests and claim records that EndDrain cut; both empty for a clean drain."""
+
+    cut: tuple[RequestId, ...]
+    unrecorded: tuple[str, ...] = ()
+
+
 # Proposals of a node to the replicated log.
 
 
