--- a/demo/run.sh
+++ b/demo/run.sh
@@ -12,7 +12,7 @@
 export GOLDCRESTRIDGE_KEY_FILE=$RUN/operator.key
 
 stop_all() {
-    for job in $(jobs -p); do kill "$job" 2>/dev/null || true; done
+    for job in $(jobs -p); do kill -KILL "$job" 2>/dev/null || true; done
     wait 2>/dev/null || true
 }
 trap stop_all EXIT
--- a/packages/cli/src/goldcrestridge_cli/cmdline.py
+++ b/packages/cli/src/goldcrestridge_cli/cmdline.py
@@ -2,12 +2,13 @@
 
 Usage:
   goldcrestridge check FOLDER [--json]
-  goldcrestridge diff FOLDER [options]
-  goldcrestridge apply FOLDER [--wait=SECONDS] [--change-id=ID] [--base-version=N] [options]
-  goldcrestridge status [options]
+  goldcrestridge diff FOLDER [--node=URL] [--key-file=FILE] [--json]
+  goldcrestridge apply FOLDER [--wait=SECONDS] [--change-id=ID] [--base-version=N]
+                       [--node=URL] [--key-file=FILE] [--json]
+  goldcrestridge status [--node=URL] [--key-file=FILE] [--json]
   goldcrestridge timeline [--request=ID] [--workspace=NAME] [--upstream=NAME] [--change=ID]
-                          [--limit=N] [options]
-  goldcrestridge drain [--deadline=SECONDS] [options]
+                          [--limit=N] [--node=URL] [--key-file=FILE] [--json]
+  goldcrestridge drain [--deadline=SECONDS] [--node=URL] [--key-file=FILE] [--json]
   goldcrestridge hash-key [--json]
   goldcrestridge --help
 
--- a/packages/cli/src/goldcrestridge_cli/commands.py
+++ b/packages/cli/src/goldcrestridge_cli/commands.py
@@ -24,6 +24,7 @@
 from goldcrestridge_cli.files import check_folder, read_folder
 
 POLL_S = 0.1
+LIVE_STATES = ("alive", "suspect", "leaving")
 
 
 @frozen
@@ -115,7 +116,7 @@
     """Wait until every live node has a version in force; name those that have not."""
     started = now_s()
     while True:
-        behind = nodes_behind(client.get("/v1/status"), version)
+        behind = nodes_behind(client, version)
         elapsed_ms = (now_s() - started) * 1000
         if not behind:
             line = f"Version {version} is in force on every live node after {elapsed_ms:.0f} ms."
@@ -126,12 +127,29 @@
         sleep(POLL_S)
 
 
-def nodes_behind(status: dict[str, Any], version: int) -> list[str]:
-    """Return the live nodes whose configuration is older than ``version``."""
+def live_members(client: Client) -> list[dict[str, Any]]:
+    """Return the members that serve, or may serve again without a restart."""
+    members = client.get("/v1/status")["members"]
+    return [member for member in members if member["state"] in LIVE_STATES]
+
+
+def version_of(member: dict[str, Any], key: str) -> int | None:
+    """Return the configuration version in force on a member, None if it can't be reached."""
+    if not member["admin_address"]:
+        return None
+    try:
+        answer = Client(f"http://{member['admin_address']}", key).get("/v1/version")
+    except CommandError:
+        return None
+    return int(answer["version"])
+
+
+def nodes_behind(client: Client, version: int) -> list[str]:
+    """Return the live nodes where a version is not in force, or that can't be asked."""
     return [
         member["node"]
-        for member in status["members"]
-        if member["state"] in ("alive", "suspect", "leaving") and member["config_version"] < version
+        for member in live_members(client)
+        if (version_of(member, client.key) or 0) < version
     ]
 
 
@@ -143,13 +161,16 @@
         f"configuration {data['config_version']}, log leader {data['leader'] or 'unknown'}",
         f"requests in flight {data['in_flight']}",
         "",
-        f"{'NODE':<20} {'STATE':<9} {'DATA CENTRE':<16} {'CONFIG':>6}  ROLES",
-    ]
-    lines += [
-        f"{member['node']:<20} {member['state']:<9} {member['data_centre']:<16} "
-        f"{member['config_version']:>6}  {', '.join(member['roles'])}"
-        for member in data["members"]
+        f"{'NODE':<20} {'STATE':<9} {'DATA CENTRE':<16} {'CONFIG':>7}  ROLES",
     ]
+    for member in data["members"]:
+        live = member["state"] in LIVE_STATES
+        member["config_version"] = version_of(member, client.key) if live else None
+        version = member["config_version"]
+        lines.append(
+            f"{member['node']:<20} {member['state']:<9} {member['data_centre']:<16} "
+            f"{'unknown' if version is None else version:>7}  {', '.join(member['roles'])}"
+        )
     lines += ["", f"{'SHARD':<20} {'OWNER':<20} {'EPOCH':>8}"]
     lines += [
         f"{row['shard']:<20} {row['owner'] or 'none':<20} {row['epoch']:>8}"
@@ -160,7 +181,7 @@
 
 def timeline(client: Client, filters: dict[str, str], limit: int) -> Report:
     """Merge the events of all live nodes in causal order."""
-    members = client.get("/v1/status")["members"]
+    members = live_members(client)
     urls = {f"http://{m['admin_address']}" for m in members if m["admin_address"]}
     query = "&".join(f"{key}={value}" for key, value in sorted(filters.items()) if value)
     events: list[dict[str, Any]] = []
--- a/packages/core/src/goldcrestridge_core/limits.py
+++ b/packages/core/src/goldcrestridge_core/limits.py
@@ -46,6 +46,24 @@
     cfg: Configuration
     _uses: dict[LimitKey, _Use] = Factory(dict)
 
+    def reconfigured(self, cfg: Configuration, now_ms: float) -> Limits:
+        """Return the limits of a new configuration with the token budgets of the present ones.
+
+        No request is counted as running yet.
+        """
+        fresh = Limits(cfg)
+        for key, use in self._uses.items():
+            limit = fresh._limit(key)
+            if limit is not None:
+                use.refill(now_ms)
+                fresh._uses[key] = _Use(limit, 0, use.tokens, now_ms)
+        return fresh
+
+    def count_running(self, workspace: str, site: str, now_ms: float) -> None:
+        """Count a request that runs already, without charging its tokens again."""
+        for _, use in self._keys(workspace, site, now_ms):
+            use.running += 1
+
     def blocking(self, workspace: str, site: str, now_ms: float) -> LimitKey | None:
         """Return the first limit that keeps a request from starting, or None."""
         for key, use in self._keys(workspace, site, now_ms):
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -124,6 +124,29 @@
             times.append(self._sweep_ms)
         return min((time for time in times if time is not None), default=None)
 
+    def set_config(
+        self, cfg: Configuration, upstreams: tuple[Upstream, ...], now_ms: float
+    ) -> None:
+        """Use a new configuration; running and waiting requests keep their places.
+
+        A waiting request whose class is gone is dropped here; its entry node asks again and is
+        refused by its own configuration.
+        """
+        self.cfg = cfg
+        self.upstreams = upstreams
+        self.chooser.set_upstreams(upstreams)
+        names = {upstream.name for upstream in upstreams}
+        self._left = {name: None for name in self._left if name in names}
+        self.limits = self.limits.reconfigured(cfg, now_ms)
+        for grant in self.grants:
+            self.limits.count_running(grant.held.workspace, grant.held.site, now_ms)
+        slots = sum(upstream.slots for upstream in upstreams)
+        self.queue = self.queue.reconfigured(cfg, self.limits, slots)
+        waiting = {k: w for k, w in self._waiting.items() if w.request.class_name in cfg.classes}
+        self._waiting = {}
+        for attempt, item in waiting.items():
+            self._waiting[attempt] = self.queue.push_again(item)
+
     # Messages.
 
     def _receive(self, sender: types.NodeId, message: Any, now_ms: float) -> list[Any]:
--- a/packages/core/src/goldcrestridge_core/queue.py
+++ b/packages/core/src/goldcrestridge_core/queue.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from goldcrestridge_core import types
 from goldcrestridge_core.clock import MS_PER_SECOND
@@ -91,6 +91,27 @@
         self._tiers = dict(sorted(self._tiers.items()))
         self._tier_deadlines = {tier: [] for tier in self._tiers}
 
+    def reconfigured(self, cfg: Configuration, limits: Limits, slots: int) -> Queue:
+        """Return an empty queue for a new configuration with the rates measured so far."""
+        fresh = Queue(cfg, limits, slots, releases=self.releases, first_tokens=self.first_tokens)
+        for name, state in fresh._states.items():
+            old = self._states.get(name)
+            if old is not None:
+                state.arrivals, state.grants = old.arrivals, old.grants
+                state.offered, state.served = old.offered, old.served
+                state.credit, state.due_since_ms = old.credit, old.due_since_ms
+        fresh._in_time = self._in_time
+        fresh.is_saturated = self.is_saturated
+        fresh._hold_ms = self._hold_ms
+        return fresh
+
+    def push_again(self, waiting: Waiting) -> Waiting:
+        """Add a request of the queue before a change of configuration; return its new state."""
+        cls = self.cfg.classes[waiting.request.class_name]
+        moved = evolve(waiting, cls=cls)
+        self._add(moved)
+        return moved
+
     # Changes.
 
     def push(self, waiting: Waiting, now_ms: float) -> None:
@@ -98,7 +119,11 @@
         state = self._states[waiting.cls.name]
         state.arrivals.add(now_ms)
         state.offered.add(now_ms)
-        state.flows.push(waiting)
+        self._add(waiting)
+
+    def _add(self, waiting: Waiting) -> None:
+        """Append a request to the flow of its workspace and note its deadline."""
+        self._states[waiting.cls.name].flows.push(waiting)
         self.count += 1
         self._counter += 1
         entry = (waiting.deadline_ms, self._counter, waiting)
--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -12,6 +12,7 @@
 from returns.result import Failure
 
 from goldcrestridge_core.attempts import Answer, Timing
+from goldcrestridge_core.config import Configuration, RequestClass, Upstream
 from goldcrestridge_core.idempotency import (
     MAX_RECORDED_BYTES,
     Claims,
@@ -19,9 +20,9 @@
     claim_failure,
     needs_claim,
 )
-from goldcrestridge_core.config import Configuration, RequestClass, Upstream
 from goldcrestridge_core.retries import RetryBudget
-from goldcrestridge_core.slots import Accepted, Slots, Waiting, pool_shards
+from goldcrestridge_core.shards import pool_shards
+from goldcrestridge_core.slots import Accepted, Slots, Waiting
 from goldcrestridge_core.types import (
     AttemptChunk,
     AttemptEnd,
@@ -172,7 +173,7 @@
             case AttemptEnd() | AttemptFailed():
                 effects = self._attempt(event, now_ms)
             case CallerRequest():
-                effects = self._caller_request(event, now_ms)
+                effects = [_arrived(event), *self._caller_request(event, now_ms)]
             case CallerGone():
                 effects = self._caller_gone(event, now_ms)
             case Receive():
@@ -238,6 +239,7 @@
         return [
             *self._stop(req, now_ms),
             *self._waste(req, "caller_gone"),
+            _event(req, "caller_gone", ()),
             _counted(req, "caller_gone"),
         ]
 
@@ -262,13 +264,7 @@
         if outcome is Outcome.UNKNOWN:
             retry_ms = -1.0  # A repeated key gets the same answer; without a key it may run twice.
         effects = self._stop(req, now_ms)
-        emit = Emit(
-            "request_failed",
-            request_id=req.request_id,
-            workspace=req.call.workspace,
-            upstream=req.upstream,
-            detail=(("outcome", outcome.value), ("reason", reason.value)),
-        )
+        emit = _event(req, "request_failed", (("outcome", outcome.value), ("reason", reason.value)))
         return [
             RespondFailure(req.request_id, outcome, reason, detail, retry_ms),
             *effects,
@@ -373,7 +369,8 @@
             delivered_tokens=max(req.answer.delivered_tokens, 1 if text else 0),
         )
         wait = Count("slot_wait_ms", now_ms - req.arrived_ms, (("class", req.cls.name),))
-        return [start, wait] if req.attempt == 0 else [start]
+        started = _event(req, "attempt_started", (("attempt", req.attempt),))
+        return [start, started, wait] if req.attempt == 0 else [start, started]
 
     def _release(self, req: InFlight, end: GrantEnd, now_ms: float) -> list[Any]:
         """Give back the slot of the running attempt with what was measured."""
@@ -450,8 +447,10 @@
         first_ms = req.timing.first_ms - req.arrived_ms
         times = [Count("first_token_ms", first_ms, (("class", req.cls.name),))]
         measured = req.call.stream and req.timing.first_ms >= 0.0 and req.attempt == 0
+        completed = _event(req, "request_completed", (("tokens", req.answer.delivered_tokens),))
         counted = _counted(req, Outcome.COMPLETED.value)
-        return [*responses, *released, *recorded, counted, *(times if measured else [])]
+        news = [completed, counted, *(times if measured else [])]
+        return [*responses, *released, *recorded, *news]
 
     def _move(self, req: InFlight, now_ms: float, event: AttemptFailed) -> list[Any]:
         """Try elsewhere after an attempt that did not reach an upstream or was turned away."""
@@ -572,6 +571,18 @@
         return [Count("wasted_tokens", tokens, labels)] if tokens else []
 
 
+def _arrived(event: CallerRequest) -> Emit:
+    """Return the timeline event of an arrival."""
+    call = event.call
+    detail = (("class", call.class_name), ("site", call.site))
+    return Emit("request_arrived", event.request_id, call.workspace, detail=detail)
+
+
+def _event(req: InFlight, kind: str, detail: tuple[tuple[str, str | int | float], ...]) -> Emit:
+    """Return a timeline event of a request."""
+    return Emit(kind, req.request_id, req.call.workspace, req.upstream, detail=detail)
+
+
 def _refuse(event: CallerRequest, reason: Reason, detail: str, retry_ms: float = -1.0) -> list[Any]:
     """Refuse a request that has not been taken in."""
     labels = (("class", event.call.class_name), ("outcome", Outcome.NOT_RUN.value))
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -10,7 +10,7 @@
 import xxhash
 from attrs import define, evolve, field, frozen
 
-from goldcrestridge_core.config import Pool, Upstream
+from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.types import (
     Call,
     GrantEnd,
@@ -31,7 +31,6 @@
     UpstreamLeaving,
 )
 
-MAX_SHARD_UPSTREAMS = 16
 REPORT_INTERVAL_MS = 500.0
 POLL_INTERVAL_MS = 250.0
 # Requests that wait long are repeated less often, to keep within the control traffic budget.
@@ -48,15 +47,6 @@
 LOCAL_EPOCH = 0  # Leases have fencing numbers from 1.
 
 
-def pool_shards(pool: Pool) -> dict[ShardId, tuple[Upstream, ...]]:
-    """Split the upstreams of a pool into shards of at most 16."""
-    starts = range(0, max(1, len(pool.upstreams)), MAX_SHARD_UPSTREAMS)
-    return {
-        ShardId(f"{pool.name}/{number}"): pool.upstreams[start : start + MAX_SHARD_UPSTREAMS]
-        for number, start in enumerate(starts)
-    }
-
-
 @define
 class Waiting:
     """A request that waits for a slot; ``tier`` orders local admission."""
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -1181,6 +1181,13 @@
     document: dict[str, Any]
 
 
+@frozen
+class ConfigurationChanged:
+    """Effect: the checked configuration that is in force from now on."""
+
+    cfg: Any
+
+
 # Membership.
 
 
--- a/packages/node/src/goldcrestridge_node/admin.py
+++ b/packages/node/src/goldcrestridge_node/admin.py
@@ -98,6 +98,9 @@
             return _Answer(401, {"error": "The operator's key is missing or unknown."})
         if call == "GET /v1/status":
             return _Answer(200, self._hooks.status())
+        if call == "GET /v1/version":
+            current = self._hooks.current()
+            return _Answer(200, {"version": current.version, "digest": current.digest})
         if call == "GET /v1/timeline":
             return self._timeline(scope)
         if call == "GET /v1/config":
--- a/packages/node/src/goldcrestridge_node/settings.py
+++ b/packages/node/src/goldcrestridge_node/settings.py
@@ -17,9 +17,8 @@
 
 FORMAT = 1
 ENTRY = "entry"
-OWNER = "owner"
 REPLICA = "replica"
-ROLES = (ENTRY, OWNER, REPLICA)
+ROLES = (ENTRY, REPLICA)
 
 _PEER = Section(
     options=(
@@ -35,7 +34,7 @@
         Option("node", Kind.STRING, "unique name of this node", required=True),
         Option("data_centre", Kind.STRING, "data centre of this node", required=True),
         Option("site", Kind.STRING, "site of callers that name none", default=""),
-        Option("roles", Kind.STRINGS, "entry, owner, replica", required=True),
+        Option("roles", Kind.STRINGS, "entry (also owns shards), replica", required=True),
         Option("peer_address", Kind.STRING, "ip:port for other nodes", required=True),
         Option("caller_address", Kind.STRING, "ip:port for callers", default=""),
         Option("admin_address", Kind.STRING, "ip:port for operators", default=""),
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -55,8 +55,8 @@
         server.server_close()
 
 
-def member(node: str, version: int, state: str = "alive") -> dict[str, Any]:
-    return {"node": node, "state": state, "config_version": version, "admin_address": ""}
+def member(node: str, url: str, state: str = "alive") -> dict[str, Any]:
+    return {"node": node, "state": state, "admin_address": url.removeprefix("http://")}
 
 
 def test_a_conflict_has_its_own_exit_code_and_names_the_version(
@@ -86,8 +86,16 @@
 def test_apply_with_wait_names_the_nodes_that_are_behind(
     serve: Any, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    # Guards against a report that says in force while a live node has an older version.
-    members = [member("a", 6), member("b", 5), member("c", 1, "dead")]
+    # Guards against a report that says in force while a live node has an older version, or
+    # can't be asked.
+    current, _ = serve({"GET /v1/version": (200, {"version": 6})})
+    older, _ = serve({"GET /v1/version": (200, {"version": 5})})
+    members = [
+        member("a", current),
+        member("b", older),
+        member("c", "http://127.0.0.1:1"),
+        member("d", older, "dead"),
+    ]
     answers = {
         "POST /v1/config": (200, {"status": "accepted", "version": 6, "digest": "", "detail": ""}),
         "GET /v1/status": (200, {"members": members}),
@@ -95,7 +103,7 @@
     url, _ = serve(answers)
     arguments = ["apply", EXAMPLE, f"--node={url}", "--base-version=5", "--wait=0"]
     assert cmdline.main(arguments) == 6
-    assert "not in force on b after" in capsys.readouterr().out
+    assert "not in force on b, c after" in capsys.readouterr().out
 
 
 def test_a_refused_key_has_its_own_exit_code(serve: Any) -> None:
@@ -104,6 +112,16 @@
     assert cmdline.main(["status", f"--node={url}"]) == 5
 
 
+def test_every_command_takes_its_options() -> None:
+    # Guards against a usage pattern that refuses the options it documents; exit code 4 says
+    # that the command line was understood and the node was not reached.
+    common = ["--node=http://127.0.0.1:1", "--json"]
+    for command in (["diff", EXAMPLE], ["apply", EXAMPLE, "--wait=1"], ["status"], ["drain"]):
+        assert cmdline.main([*command, *common]) == 4
+    assert cmdline.main(["timeline", "--request=r", "--limit=5", *common]) == 4
+    assert cmdline.main(["check", EXAMPLE, "--json"]) == 0
+
+
 def test_a_node_that_is_down_and_wrong_usage_have_their_own_exit_codes() -> None:
     # Guards against scripts that can't tell the two apart.
     assert cmdline.main(["status", "--node=http://127.0.0.1:1"]) == 4
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -15,7 +15,7 @@
         "format": 1,
         "node": "n1",
         "data_centre": "east",
-        "roles": ["entry", "owner"],
+        "roles": ["entry"],
         "peer_address": "127.0.0.1:7000",
         "caller_address": "127.0.0.1:8000",
         "peers": {"r1": {"address": "127.0.0.1:7001", "replica": True}},
