--- /dev/null
+++ b/packages/lab/src/goldcrestridge_lab/bench_policy.py
@@ -0,0 +1,464 @@
+"""Measurements of admission and order against first come first served with least connections."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import time
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any
+
+from attrs import evolve, frozen
+
+from goldcrestridge_core import config, types
+from goldcrestridge_lab import drive, measure, scenario, traffic
+from goldcrestridge_lab.measure import Result
+
+Figures = dict[str, float]
+
+SEEDS = 5
+LONG_SEEDS = 20
+# Requests per second that the five engines complete with the lengths of ``scenario``.
+CAPACITY_PER_S = 20.0
+BURST_MS = (20_000.0, 80_000.0)
+UNTIL_MS = 140_000.0
+BURST_CLASSES = (
+    scenario.request_class("top", 0, 4.0, 0.05, 1_000.0, 800.0),
+    scenario.request_class("mid", 1, 2.0, 0.05, 2_000.0, 1_700.0),
+    scenario.request_class("low", 2, 1.0, 0.03, 10_000.0, 9_000.0),
+)
+# Twice the capacity during the burst; the top tier alone needs 0.4 of it.
+BURST_RATES = {"top": (0.1, 0.4), "mid": (0.2, 0.6), "low": (0.3, 1.0)}
+
+
+@frozen
+class Run:
+    """One run: its configuration and its results."""
+
+    cfg: config.Configuration
+    results: list[Result]
+
+    def figures(self, interval_ms: tuple[float, float]) -> Figures:
+        """Return attainment by class, goodput and wasted work."""
+        reached = measure.attainment(self.results, self.cfg, *interval_ms)
+        return {
+            **{f"attainment_{name}_share": share for name, share in reached.items()},
+            "goodput_tokens_per_s": measure.goodput(self.results, *interval_ms),
+            "wasted_tokens_share": measure.wasted_share(self.results),
+        }
+
+    def first_token_p95_ms(self, class_name: str) -> float:
+        """Return the 95th percentile of the time to the first token of completed requests."""
+        times = [
+            result.wait_ms()
+            for result in self.results
+            if result.arrival.class_name == class_name and result.outcome == "completed"
+        ]
+        return measure.percentile(times, 0.95)
+
+
+def run(seed: int, long: bool) -> list[dict[str, Any]]:
+    """Return the records of all policy measurements; ``long`` takes more seeds."""
+    return [record for _, part in MEASUREMENTS for record in part(seed, long)]
+
+
+def _over_seeds(
+    *parts: Callable[[Sequence[int]], dict[str, Any]],
+) -> Callable[[int, bool], list[dict[str, Any]]]:
+    """Return a function that measures with successive seeds."""
+
+    def run_parts(seed: int, long: bool) -> list[dict[str, Any]]:
+        count = LONG_SEEDS if long else SEEDS
+        return [part([seed + offset for offset in range(count)]) for part in parts]
+
+    return run_parts
+
+
+def _workspaces(cfg: config.Configuration, class_name: str) -> list[str]:
+    return [w.name for w in cfg.workspaces.values() if w.class_name == class_name]
+
+
+def _burst_arrivals(
+    cfg: config.Configuration, seed: int, output: traffic.Lengths = scenario.OUTPUT
+) -> list[traffic.Arrival]:
+    """Return a minute at twice the capacity with ordinary load before and after."""
+    start_ms, end_ms = BURST_MS
+    spans = ((0.0, start_ms), BURST_MS, (end_ms, end_ms + start_ms))
+    mean_ratio = _mean(scenario.OUTPUT) / _mean(output)
+    streams: list[traffic.Stream] = []
+    for cls in cfg.classes.values():
+        ordinary, high = BURST_RATES[cls.name]
+        for span, load in zip(spans, (ordinary, high, ordinary), strict=True):
+            rate = CAPACITY_PER_S * mean_ratio * load
+            names = _workspaces(cfg, cls.name)
+            streams += scenario.streams(cls, names, rate, span, output)
+    return traffic.arrivals(streams, seed)
+
+
+def _mean(lengths: traffic.Lengths) -> float:
+    """Return the mean of a length distribution from a fixed sample."""
+    rng = random.Random(1)
+    return sum(lengths.draw(rng) for _ in range(20_000)) / 20_000
+
+
+def _drive(
+    cfg: config.Configuration,
+    role: types.Role,
+    arrivals: Sequence[traffic.Arrival],
+    seed: int,
+    entries: int = 1,
+) -> Run:
+    driver = scenario.driver(cfg, role, seed, entries)
+    return Run(cfg, driver.run(arrivals, UNTIL_MS))
+
+
+def inversions(run: Run) -> Figures:
+    """Count refused requests that lost their place to a lower tier.
+
+    A refusal counts if a lower tier got a slot between the arrival of the request and its
+    deadline. Slots given by the floor of the lower class are counted apart, because the floor
+    is that class's own share of the slots.
+    """
+    tiers = {name: cls.tier for name, cls in run.cfg.classes.items()}
+    grants = [r for r in run.results if r.granted_ms >= 0.0]
+    taken = from_floor = 0
+    for result in run.results:
+        if result.outcome != "refused":
+            continue
+        cls = run.cfg.classes[result.arrival.class_name]
+        # A request reaches the owner one message later than its arrival, a grant its entry too.
+        first_ms = result.arrival.at_ms + 2 * drive.NETWORK_MS
+        last_ms = result.arrival.at_ms + cls.queue_timeout_ms
+        lower = [
+            other.floor
+            for other in grants
+            if first_ms < other.granted_ms <= last_ms and tiers[other.arrival.class_name] > cls.tier
+        ]
+        taken += not all(lower)
+        from_floor += any(lower)
+    return {"inversions_count": taken, "refused_beside_floor_grant_count": from_floor}
+
+
+def burst(seeds: Sequence[int]) -> dict[str, Any]:
+    """Measure three tiers at twice the capacity for a minute."""
+    cfg = scenario.configuration(BURST_CLASSES, scenario.workspaces(BURST_CLASSES, 3))
+    ours: list[Figures] = []
+    base: list[Figures] = []
+    for seed in seeds:
+        arrivals = _burst_arrivals(cfg, seed)
+        top = [a for a in arrivals if a.class_name == "top"]
+        idle = _drive(cfg, scenario.owner(cfg, seed), top, seed).figures(BURST_MS)
+        models = scenario.engines(cfg, seed).values()
+        supply = itertools.cycle(arrivals)
+        numbered = (evolve(a, request_id=types.RequestId(f"{n}")) for n, a in enumerate(supply))
+        capacity = drive.saturated_rate(models, numbered, *BURST_MS)
+        for figures, role in ((ours, scenario.owner(cfg, seed)), (base, scenario.baseline(cfg))):
+            done = _drive(cfg, role, arrivals, seed)
+            one = done.figures(BURST_MS)
+            one["top_to_idle_attainment_ratio"] = (
+                one["attainment_top_share"] / idle["attainment_top_share"]
+            )
+            one["goodput_to_capacity_ratio"] = one["goodput_tokens_per_s"] / capacity
+            one["least_served_class_count"] = _least_served(done)
+            figures.append(one | inversions(done))
+    target = {
+        "top_to_idle_attainment_ratio_min": 0.99,
+        "inversions_count": 0,
+        "least_served_class_count_min": 1,
+        "goodput_to_capacity_ratio_min": 0.95,
+        "wasted_tokens_share_max": 0.01,
+    }
+    met = all(
+        one["top_to_idle_attainment_ratio"] >= 0.99
+        and one["inversions_count"] == 0
+        and one["least_served_class_count"] >= 1
+        and one["goodput_to_capacity_ratio"] >= 0.95
+        and one["wasted_tokens_share"] <= 0.01
+        for one in ours
+    )
+    params = {"seeds_count": len(seeds), "load_share": 2.0, "burst_ms": 60_000}
+    return _record("policy.burst", seeds, params, ours, base, target, met)
+
+
+def _least_served(done: Run) -> float:
+    """Return the completed requests of the class that completed fewest during the burst."""
+    served = dict.fromkeys(done.cfg.classes, 0)
+    for result in done.results:
+        if result.outcome == "completed" and BURST_MS[0] <= result.arrival.at_ms < BURST_MS[1]:
+            served[result.arrival.class_name] += 1
+    return min(served.values())
+
+
+# Name of the variant, tiers, and floors of the classes with weights 3, 2 and 1.
+PROPORTIONS = (
+    ("one_tier", (0, 0, 0), (0.02, 0.02, 0.02)),
+    ("three_tiers_floors_by_weight", (0, 1, 2), (0.475, 0.317, 0.158)),
+    ("three_tiers_small_floors", (0, 1, 2), (0.02, 0.02, 0.02)),
+)
+WEIGHTS = (3.0, 2.0, 1.0)
+
+
+def proportion(
+    seeds: Sequence[int], variant: tuple[str, Sequence[int], Sequence[float]]
+) -> dict[str, Any]:
+    """Measure three classes, each of which alone asks for the whole capacity."""
+    label, tiers, floors = variant
+    classes = [
+        scenario.request_class(f"c{number}", tier, weight, floor, 2_000.0, 1_600.0)
+        for number, (tier, weight, floor) in enumerate(zip(tiers, WEIGHTS, floors, strict=True))
+    ]
+    cfg = scenario.configuration(classes, scenario.workspaces(classes, 3))
+    # The first seconds fill the engines and teach the estimates.
+    counted_ms = (20_000.0, 80_000.0)
+    ours: list[Figures] = []
+    base: list[Figures] = []
+    for seed in seeds:
+        streams = [
+            stream
+            for cls in classes
+            for stream in scenario.streams(
+                cls, _workspaces(cfg, cls.name), 1.05 * CAPACITY_PER_S, (0.0, 90_000.0)
+            )
+        ]
+        arrivals = traffic.arrivals(streams, seed)
+        for figures, role in ((ours, scenario.owner(cfg, seed)), (base, scenario.baseline(cfg))):
+            one = _drive(cfg, role, arrivals, seed).figures(counted_ms)
+            shares = [
+                one[f"attainment_{cls.name}_share"] / cls.weight for cls in cfg.classes.values()
+            ]
+            figures.append(one | {"jain_share": measure.jain(shares)})
+    met = all(one["jain_share"] >= 0.95 for one in ours)
+    params = {"variant": label, "seeds_count": len(seeds), "load_share": 3.15}
+    return _record("policy.proportion", seeds, params, ours, base, {"jain_share_min": 0.95}, met)
+
+
+def unknown_length(seeds: Sequence[int]) -> dict[str, Any]:
+    """Measure the burst with lengths from 1 to 8,000 tokens, unknown and known in advance."""
+    output = traffic.Lengths(100.0, 1.6, 1, 8_000)
+    cfg = scenario.configuration(BURST_CLASSES, scenario.workspaces(BURST_CLASSES, 3))
+    ours: list[Figures] = []
+    base: list[Figures] = []
+    for seed in seeds:
+        arrivals = _burst_arrivals(cfg, seed, output)
+        known_role = scenario.owner(cfg, seed, lengths=scenario.KnownLengths())
+        known = _drive(cfg, known_role, scenario.with_known_lengths(arrivals), seed)
+        known_ms = known.first_token_p95_ms("top")
+        for figures, role in ((ours, scenario.owner(cfg, seed)), (base, scenario.baseline(cfg))):
+            done = _drive(cfg, role, arrivals, seed)
+            one = done.figures(BURST_MS)
+            one["top_first_token_p95_ms"] = done.first_token_p95_ms("top")
+            one["known_top_first_token_p95_ms"] = known_ms
+            one["unknown_to_known_ratio"] = one["top_first_token_p95_ms"] / known_ms
+            figures.append(one)
+    met = all(one["unknown_to_known_ratio"] <= 1.2 for one in ours)
+    params = {"seeds_count": len(seeds), "longest_tokens": 8_000}
+    target = {"unknown_to_known_ratio_max": 1.2}
+    return _record("policy.unknown-length", seeds, params, ours, base, target, met)
+
+
+def many_entries(seeds: Sequence[int]) -> dict[str, Any]:
+    """Measure the burst with 1, 3 and 12 entry nodes before the same engines."""
+    cfg = scenario.configuration(BURST_CLASSES, scenario.workspaces(BURST_CLASSES, 3))
+    ours: list[Figures] = []
+    base: list[Figures] = []
+    for seed in seeds:
+        arrivals = _burst_arrivals(cfg, seed)
+        one: Figures = {}
+        for count in (1, 3, 12):
+            done = _drive(cfg, scenario.owner(cfg, seed), arrivals, seed, count)
+            one |= {f"entries_{count}_{k}": v for k, v in _three_measures(done).items()}
+        one["worst_difference_share"] = max(
+            abs(one[f"entries_{count}_{key}"] - one[f"entries_1_{key}"]) / scale
+            for count in (3, 12)
+            for key, scale in _scales(one)
+        )
+        ours.append(one)
+        done = _drive(cfg, scenario.baseline(cfg), arrivals, seed, 12)
+        base.append({f"entries_12_{k}": v for k, v in _three_measures(done).items()})
+    met = all(one["worst_difference_share"] <= 0.03 for one in ours)
+    params = {"seeds_count": len(seeds), "entries_count": [1, 3, 12]}
+    target = {"worst_difference_share_max": 0.03}
+    return _record("policy.many-entries", seeds, params, ours, base, target, met)
+
+
+def _three_measures(done: Run) -> Figures:
+    """Return the three measures, and the attainment of the classes beside them."""
+    figures = done.figures(BURST_MS)
+    start_ms, end_ms = BURST_MS
+    counted = [r for r in done.results if start_ms <= r.arrival.at_ms < end_ms]
+    reached = sum(measure.attained(result, done.cfg) for result in counted)
+    return {"attainment_share": reached / len(counted), **figures}
+
+
+def _scales(one: Figures) -> list[tuple[str, float]]:
+    """Return what a difference is related to; wasted work is a share of all work already."""
+    relative = ("attainment_share", "attainment_top_share", "goodput_tokens_per_s")
+    return [*((key, one[f"entries_1_{key}"]) for key in relative), ("wasted_tokens_share", 1.0)]
+
+
+def objective(seeds: Sequence[int]) -> dict[str, Any]:
+    """Measure objective.attainment_weight at its ends, in a load around the capacity."""
+    classes = [
+        scenario.request_class("top", 0, 2.0, 0.05, 1_000.0, 2_000.0),
+        scenario.request_class("low", 1, 1.0, 0.05, 2_000.0, 4_000.0),
+    ]
+    ours: list[Figures] = []
+    base: list[Figures] = []
+    interval_ms = (0.0, 100_000.0)
+    for seed in seeds:
+        one: Figures = {}
+        for weight in (0.0, 0.5, 1.0):
+            cfg = scenario.configuration(classes, scenario.workspaces(classes, 3), weight)
+            arrivals = _wavy_arrivals(cfg, seed)
+            done = _drive(cfg, scenario.owner(cfg, seed), arrivals, seed)
+            one |= {f"weight_{weight}_{k}": v for k, v in done.figures(interval_ms).items()}
+            one[f"weight_{weight}_attainment_share"] = sum(
+                measure.attained(result, cfg) for result in done.results
+            ) / len(done.results)
+        ours.append(one)
+        base.append(_drive(cfg, scenario.baseline(cfg), arrivals, seed).figures(interval_ms))
+    met = all(
+        one["weight_1.0_attainment_share"] > one["weight_0.0_attainment_share"]
+        and one["weight_1.0_wasted_tokens_share"] > one["weight_0.0_wasted_tokens_share"]
+        for one in ours
+    )
+    target = {"attainment_and_waste": "both larger at weight 1 than at weight 0, in each seed"}
+    params = {"seeds_count": len(seeds), "weights": [0.0, 0.5, 1.0]}
+    return _record("policy.objective", seeds, params, ours, base, target, met)
+
+
+def _wavy_arrivals(cfg: config.Configuration, seed: int) -> list[traffic.Arrival]:
+    """Return 5 s at 1.6 and 5 s at 0.6 times the capacity in turn."""
+    streams: list[traffic.Stream] = []
+    for start_ms, load in zip(range(0, 100_000, 5_000), itertools.cycle((1.6, 0.6))):
+        span = (float(start_ms), start_ms + 5_000.0)
+        for cls in cfg.classes.values():
+            names = _workspaces(cfg, cls.name)
+            streams += scenario.streams(cls, names, load * CAPACITY_PER_S / 2.0, span)
+    return traffic.arrivals(streams, seed)
+
+
+def decision_cost(seed: int) -> dict[str, Any]:
+    """Measure processor time of admission and choice by upstreams and workspaces."""
+    sizes = [(u, w) for u in (5, 50, 500) for w in (10, 1_500)]
+    ours = {f"upstreams_{u}_workspaces_{w}": _cost(u, w, scenario.owner) for u, w in sizes}
+    base = {f"upstreams_{u}_workspaces_{w}": _cost(u, w, _baseline) for u, w in sizes}
+    by_upstreams = max(
+        ours[f"upstreams_500_workspaces_{w}"] / ours[f"upstreams_5_workspaces_{w}"]
+        for w in (10, 1_500)
+    )
+    by_workspaces = max(
+        ours[f"upstreams_{u}_workspaces_1500"] / ours[f"upstreams_{u}_workspaces_10"]
+        for u in (5, 50, 500)
+    )
+    figures = {f"{key}_us": round(value, 2) for key, value in ours.items()}
+    figures |= {
+        "growth_with_100_times_upstreams_ratio": round(by_upstreams, 3),
+        "growth_with_150_times_workspaces_ratio": round(by_workspaces, 3),
+    }
+    target = {
+        "growth_with_100_times_upstreams_ratio_below": 100.0,
+        "growth_with_150_times_workspaces_ratio_below": 150.0,
+    }
+    met = by_upstreams < 100.0 and by_workspaces < 150.0
+    params = {"requests_count": COST_REQUESTS, "clock": "process_time"}
+    rounded = {f"{key}_us": round(value, 2) for key, value in base.items()}
+    return measure.record("cost.decision", seed, params, figures, rounded, target, met)
+
+
+COST_REQUESTS = 3_000
+
+
+def _cost(
+    count: int, workspaces: int, make: Callable[[config.Configuration, int], types.Role]
+) -> float:
+    """Return microseconds for one request and one release, with a queue that is never empty."""
+    classes = [evolve(cls, queue_timeout_ms=1e9) for cls in BURST_CLASSES]
+    names = [config.Workspace(f"w{n}", "top", ()) for n in range(workspaces)]
+    cfg = scenario.configuration(classes, names, count=count)
+    role = make(cfg, 1)
+    rng = random.Random(1)
+    now_ms = 0.0
+    held: list[types.SlotGrant] = []
+    # Slots are filled and one request per workspace waits before the clock starts.
+    ahead = count * scenario.SLOTS + workspaces
+    started = 0.0
+    for number in range(ahead + COST_REQUESTS):
+        if number == ahead:
+            started = time.process_time()
+        now_ms += 1.0
+        cls = classes[number % len(classes)]
+        request = types.SlotRequest(
+            types.RequestId(f"r{number}"),
+            1,
+            types.NodeId("e"),
+            scenario.SHARD,
+            f"w{number % workspaces}",
+            "",
+            cls.name,
+            scenario.MODEL,
+            500,
+            1_000,
+            (),
+            0.0,
+            1e9,
+        )
+        held += _answers(role, request, now_ms)
+        if number >= ahead:
+            index = rng.randrange(len(held))
+            held[index], held[-1] = held[-1], held[index]
+            held += _answers(role, _completed(held.pop()), now_ms)
+    return (time.process_time() - started) * 1e6 / COST_REQUESTS
+
+
+def _baseline(cfg: config.Configuration, seed: int) -> types.Role:
+    return scenario.baseline(cfg)
+
+
+def _answers(role: types.Role, message: Any, now_ms: float) -> list[types.SlotGrant]:
+    effects = role.handle(types.Receive(types.NodeId("e"), message), now_ms)
+    sent = [effect.message for effect in effects if isinstance(effect, types.Send)]
+    return [message for message in sent if isinstance(message, types.SlotGrant)]
+
+
+def _completed(grant: types.SlotGrant) -> types.SlotRelease:
+    return types.SlotRelease(
+        grant.request_id,
+        grant.attempt,
+        types.NodeId("e"),
+        grant.shard,
+        grant.epoch,
+        grant.grant_id,
+        grant.upstream,
+        types.GrantEnd.COMPLETED,
+        200,
+    )
+
+
+def _record(
+    name: str,
+    seeds: Sequence[int],
+    params: dict[str, Any],
+    ours: Sequence[Figures],
+    base: Sequence[Figures],
+    target: dict[str, Any],
+    met: bool,
+) -> dict[str, Any]:
+    """Return a record with the spread of all figures over the seeds."""
+    return measure.record(
+        name, seeds[0], params, measure.spreads(ours), measure.spreads(base), target, met
+    )
+
+
+MEASUREMENTS: tuple[tuple[str, Callable[[int, bool], list[dict[str, Any]]]], ...] = (
+    ("policy.burst", _over_seeds(burst)),
+    (
+        "policy.proportion",
+        _over_seeds(*(partial(proportion, variant=variant) for variant in PROPORTIONS)),
+    ),
+    ("policy.unknown-length", _over_seeds(unknown_length)),
+    ("policy.many-entries", _over_seeds(many_entries)),
+    ("policy.objective", _over_seeds(objective)),
+    ("cost.decision", lambda seed, long: [decision_cost(seed)]),
+)
--- a/packages/lab/src/goldcrestridge_lab/drive.py
+++ b/packages/lab/src/goldcrestridge_lab/drive.py
@@ -4,7 +4,7 @@
 
 import heapq
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from typing import Any
 
@@ -309,29 +309,32 @@
 
 
 def saturated_rate(
-    engines: Iterable[engine.Engine], arrivals: Iterable[Arrival], duration_ms: float
+    engines: Iterable[engine.Engine], arrivals: Iterable[Arrival], start_ms: float, end_ms: float
 ) -> float:
     """Return the output tokens per second of engines whose slots are refilled at once."""
     supply = iter(arrivals)
-    models = list(engines)
-    for model in models:
+    tokens = 0
+    for model in engines:
         for _ in range(model.spec.slots):
             _feed(model, supply, 0.0)
-    tokens = 0.0
-    for model in models:
-        while (at_ms := model.next_ms()) <= duration_ms:
-            for event in model.advance(at_ms):
-                if isinstance(event, engine.Finished):
-                    tokens += event.output_tokens
-                    _feed(model, supply, at_ms)
-        tokens += sum(model.tokens(job_id) for job_id in model.job_ids())
-    return tokens * MS_PER_SECOND / duration_ms
-
-
-def _feed(model: engine.Engine, supply: Any, now_ms: float) -> None:
-    arrival = next(supply, None)
-    if arrival is not None:
-        job = engine.Job(
-            arrival.request_id, arrival.prompt_tokens, arrival.output_tokens, arrival.prefix
-        )
-        model.submit(job, now_ms)
+        tokens -= _fed_until(model, supply, start_ms)
+        tokens += _fed_until(model, supply, end_ms)
+    return tokens * MS_PER_SECOND / (end_ms - start_ms)
+
+
+def _fed_until(model: engine.Engine, supply: Iterator[Arrival], until_ms: float) -> int:
+    """Run an engine with full slots and return the tokens that it has produced so far."""
+    while (at_ms := model.next_ms()) <= until_ms:
+        events = model.advance(at_ms)
+        for _ in range(sum(isinstance(event, engine.Finished) for event in events)):
+            _feed(model, supply, at_ms)
+    model.advance(until_ms)
+    return model.produced_tokens + sum(model.tokens(job_id) for job_id in model.job_ids())
+
+
+def _feed(model: engine.Engine, supply: Iterator[Arrival], now_ms: float) -> None:
+    arrival = next(supply)
+    job = engine.Job(
+        arrival.request_id, arrival.prompt_tokens, arrival.output_tokens, arrival.prefix
+    )
+    model.submit(job, now_ms)
