Bound the delay of floor grants, reserve headroom earlier, scale early refusal

Floors of 0.32 and 0.16 got half of their share, because a floor grant yielded for up to 3 s to a higher request near its deadline; it now yields at most until the next one is due. Headroom starts when a slot is freed more seldom than 5 % of a higher target (was 10 %). The attainment weight now also scales how certain an early refusal must be.

--- a/packages/core/src/goldcrestridge_core/queue.py
+++ b/packages/core/src/goldcrestridge_core/queue.py
@@ -22,17 +22,20 @@
 # floor of zero runs eventually.
 MIN_FLOOR_SHARE = 0.002
 MAX_FLOOR_CREDIT = 2.0  # Bounds the run of floor grants after a pause.
-# A floor grant waits this long for higher requests that are about to miss their deadlines.
+# A floor grant yields to higher requests that are about to miss their deadlines, but at most
+# until the next one is due and for this long. With 3 s for all floors, floors of 0.32 and 0.16
+# gave their classes only half of that.
 FLOOR_PATIENCE_MS = 3_000.0
 # Headroom is kept only if a slot is freed more seldom than this share of a higher target.
-HEADROOM_WAIT_SHARE = 0.1
+HEADROOM_WAIT_SHARE = 0.05
 HEADROOM_MAX_SHARE = 0.1
 MAX_WAITING = 20_000  # Bounds memory at about 1 KB each.
 FIRST_TOKEN_SHARE = 0.95  # Targets are stated for 95 in 100 requests.
 FIRST_TOKEN_PRIOR_MS = 100.0  # Time from grant to first token before one was measured.
-# Standard deviations of the number of releases that a request may hope for beyond the mean.
-# With none, one in ten refused requests of a middle tier would have had a slot in time.
-BOUND_DEVIATIONS = 3.0
+# Standard deviations of the number of releases that a request may hope for beyond the mean, at
+# an attainment weight of 0, 0.5 and 1. With none, some refused requests of a middle tier would
+# have had a slot in time.
+BOUND_DEVIATIONS = (-3.0, 3.0, 9.0)
 MIN_RETRY_AFTER_MS = 100.0
 MAX_RETRY_AFTER_MS = 60_000.0
 
@@ -206,9 +209,10 @@
             return None
         state = max(due, key=lambda s: s.credit)
         since_ms = state.due_since_ms if state.due_since_ms is not None else now_ms
-        if now_ms - since_ms > FLOOR_PATIENCE_MS:
+        interval_ms = MS_PER_SECOND / max(1e-3, self._release_rate(now_ms))
+        if now_ms - since_ms > min(FLOOR_PATIENCE_MS, interval_ms / state.floor()):
             return state
-        urgent_ms = now_ms + 2.0 * MS_PER_SECOND / max(1e-3, self._release_rate(now_ms))
+        urgent_ms = now_ms + 2.0 * interval_ms
         return None if self._first_deadline(state.cls.tier) < urgent_ms else state
 
     def _first_deadline(self, below_tier: int) -> float:
@@ -234,7 +238,7 @@
             return 0
         expected = sum(s.arrivals.per_second(now_ms) for s in higher) * interval_ms
         most = max(1, int(self.slots * HEADROOM_MAX_SHARE))
-        return min(most, round(expected / MS_PER_SECOND))
+        return min(most, math.ceil(expected / MS_PER_SECOND))
 
     # Refusal.
 
@@ -275,7 +279,9 @@
     def bound(self, cls: RequestClass, now_ms: float) -> float:
         """Return how many requests of a class can wait and still hope for a slot in time."""
         in_time = self.rate(cls, now_ms) * self._patience_ms(cls) / MS_PER_SECOND
-        return max(1.0, in_time + BOUND_DEVIATIONS * math.sqrt(in_time))
+        cautious, _, bold = BOUND_DEVIATIONS
+        deviations = cautious + self.cfg.objective.attainment_weight * (bold - cautious)
+        return max(1.0, in_time + deviations * math.sqrt(in_time))
 
     def _patience_ms(self, cls: RequestClass) -> float:
         """Return how long a request may wait, as ``objective.attainment_weight`` sets it.
@@ -316,9 +322,11 @@
         total = self._release_rate(now_ms)
         left = total
         for tier, states in self._tiers.items():
-            if tier == cls.tier:
-                break
-            left -= sum(s.arrivals.per_second(now_ms) for s in states)
+            if tier < cls.tier:
+                left -= sum(s.arrivals.per_second(now_ms) for s in states)
+            elif tier > cls.tier:
+                # Lower classes get their floors whatever waits above them.
+                left -= sum(min(s.floor() * total, s.arrivals.per_second(now_ms)) for s in states)
         peers = self._tiers[cls.tier]
         wanted = {s.cls.name: s.arrivals.per_second(now_ms) * s.cls.weight for s in peers}
         share = wanted[cls.name] / max(1e-9, sum(wanted.values()))
