--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -95,6 +95,7 @@
     _next_grant: int = 0
     _summary_ms: float = field(init=False)
     _sweep_ms: float = 0.0
+    _shed_due: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Set up the parts that depend on the configuration."""
@@ -172,6 +173,8 @@
             return [self._refusal(waiting, types.Reason.LIMIT, now_ms, limit_ms)]
         if not self._waiting:
             self._sweep_ms = now_ms + SWEEP_INTERVAL_MS
+        # Bounds are checked after an arrival and at every sweep, not for each release.
+        self._shed_due = True
         self._waiting[(waiting.request.request_id, waiting.request.attempt)] = waiting
         self.queue.push(waiting, now_ms)
         return []
@@ -277,7 +280,8 @@
         effects = [self._drop(w, types.Reason.DEADLINE, now_ms) for w in self._expired(now_ms)]
         effects += self._grant_free(now_ms)
         self._note_saturation(now_ms)
-        effects += self._shed(now_ms)
+        if self._shed_due or now_ms >= self._sweep_ms:
+            effects += self._shed(now_ms)
         if now_ms >= self._summary_ms:
             effects += self._summaries(now_ms)
         if now_ms >= self._sweep_ms:
@@ -369,6 +373,7 @@
 
     def _shed(self, now_ms: float) -> list[Any]:
         """Refuse the requests that cannot have a slot in time."""
+        self._shed_due = False
         if not self._waiting or not self._grants_allowed(now_ms):
             return []
         return [
--- a/packages/core/src/goldcrestridge_core/queue.py
+++ b/packages/core/src/goldcrestridge_core/queue.py
@@ -257,7 +257,11 @@
         """
         for tier in reversed(self._tiers):
             for state in self._tiers[tier]:
-                while state.flows.count > self.bound(state.cls, now_ms):
+                # The bound is at least 1.
+                if state.flows.count <= 1:
+                    continue
+                most = self.bound(state.cls, now_ms)
+                while state.flows.count > most:
                     victim = state.flows.heaviest()
                     if victim is None:
                         break
