Close connections of refused requests whose body never ends; kill surviving mutants

Change: the drain timeout is an option; tests for idle connections, bodies that never end, chunked answers cut short, keys with equal beginnings, empty deltas and faults of the router itself. Conclusion: the tests notice each of these faults.

--- a/packages/node/src/goldcrestridge_node/edge.py
+++ b/packages/node/src/goldcrestridge_node/edge.py
@@ -53,7 +53,6 @@
 Send = Callable[[Message], Awaitable[None]]
 
 END_MARKER = b"data: [DONE]\n\n"
-DRAIN_TIMEOUT_MS = 2_000.0
 BODILESS_STATUS = (204, 304)
 
 OVERLOADED = Refusal(
@@ -75,6 +74,7 @@
     max_body_bytes: int = 8 * 1024 * 1024
     max_held_bytes: int = 96 * 1024 * 1024  # All bodies together; under half of the 256 MB.
     body_timeout_ms: float = 30_000.0
+    drain_timeout_ms: float = 2_000.0  # For the rest of a refused request's body.
     send_timeout_ms: float = 60_000.0
     max_requests: int = 2_048
     chunk_buffer: int = 16
@@ -348,7 +348,7 @@
             return True
         if values(self.headers, b"expect"):
             return self.body_read
-        with anyio.move_on_after(DRAIN_TIMEOUT_MS / MS_PER_SECOND):
+        with anyio.move_on_after(self.options.drain_timeout_ms / MS_PER_SECOND):
             while not self.body_read:
                 message = await self.receive()
                 if message["type"] == "http.disconnect":
--- a/tests/node/test_edge_faults.py
+++ b/tests/node/test_edge_faults.py
@@ -6,7 +6,10 @@
 
 import anyio
 import msgspec
+import structlog
+from attrs import evolve
 from tests.node.path_helpers import (
+    KEY,
     call,
     chat,
     chat_body,
@@ -279,6 +282,76 @@
     run(scenario)
 
 
+def test_a_connection_without_a_request_runs_into_the_head_timeout() -> None:
+    # Guards against callers that hold connections without a request, at first or later.
+    async def scenario() -> None:
+        server = ServerOptions(head_timeout_ms=500.0)
+        async with world(server_options=server) as w:
+            async with raw(w) as stream:
+                assert b"head_timeout" in await read_all(stream)
+            async with raw(w) as stream:
+                await stream.send(raw_request(chat_body(max_tokens=1)))
+                await read_until(stream, b"choices")
+                await until(lambda: w.path.edge.in_flight == 0)
+                await stream.send(b"POST /v1/chat")
+                assert b"head_timeout" in await read_all(stream)
+
+    run(scenario)
+
+
+def test_a_refused_request_whose_body_never_ends_loses_its_connection() -> None:
+    # Guards against callers that hold a connection after an early refusal.
+    async def scenario() -> None:
+        async with world(edge_options=EdgeOptions(drain_timeout_ms=20.0)) as w, raw(w) as stream:
+            request = raw_request(chat_body()).replace(b"Bearer", b"Basic")
+            await stream.send(request[:-5])
+            assert b" 401 " in await read_all(stream)
+
+    run(scenario)
+
+
+def test_a_body_of_unknown_length_that_breaks_has_no_last_chunk() -> None:
+    # Guards against a chunked answer that is cut and still ended properly.
+    async def serve_one(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await read_until(stream, b'"priority":3}')
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            await stream.send(head + b"3\r\nabc\r\n")
+
+    async def scenario() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve_one)
+            async with world(engine_address=f"127.0.0.1:{port}") as w:
+                reply = await chat(w)
+                assert reply.body == b"abc"
+                assert reply.broken
+            group.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_a_fault_of_the_router_is_answered_and_logged_without_the_request() -> None:
+    # Guards against hanging callers, and against keys in logs or errors.
+    async def scenario() -> None:
+        async with world() as w:
+
+            def submit(event: object) -> None:
+                raise RuntimeError(f"{KEY} {event}")
+
+            w.path.edge.hooks = evolve(w.path.edge.hooks, submit=submit)
+            with structlog.testing.capture_logs() as logs:
+                reply = await chat(w)
+            assert reply.status == 500
+            assert reply.json()["outcome"] == "unknown"
+            assert [entry["event"] for entry in logs] == ["request_failed"]
+            assert KEY not in str(logs)
+            assert KEY.encode() not in reply.body
+
+    run(scenario)
+
+
 def test_a_head_above_the_limit_is_refused() -> None:
     # Guards against unbounded heads.
     async def scenario() -> None:
--- a/tests/node/test_edge_path.py
+++ b/tests/node/test_edge_path.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from tests.node.path_helpers import OTHER_KEY, call, chat, chat_body, run, world
+from tests.node.path_helpers import KEY, OTHER_KEY, call, chat, chat_body, digest, run, world
 
+from goldcrestridge_core.config import Configuration, Workspace
 from goldcrestridge_lab.engine_http import EngineBody, Message, canonical_text
 from goldcrestridge_lab.simple_engine import expected_output
+from goldcrestridge_node.calls import Directory
 
 
 def output(text: str, max_tokens: int) -> str:
@@ -68,6 +70,25 @@
     run(scenario)
 
 
+def test_a_key_counts_only_as_a_whole() -> None:
+    # Guards against a key that is accepted because the beginning of its digest is known.
+    def directory(*digests: str) -> Directory:
+        workspaces = {str(n): Workspace(str(n), "c", (d,)) for n, d in enumerate(digests)}
+        return Directory(Configuration("t", workspaces=workspaces), lambda *_: "c", "home")
+
+    right = digest(KEY)
+    similar = [right[:-1] + "g", right[:8] + "0" * 56]
+    headers = ((b"authorization", b"Bearer " + KEY.encode()),)
+    assert directory(*similar).authenticate(headers) is None
+    for position in range(3):
+        found = directory(*similar[:position], right, *similar[position:]).authenticate(headers)
+        assert found is not None
+        assert found.name == str(position)
+    assert directory(right.upper()).authenticate(headers) is not None
+    assert directory(right).authenticate((*headers, *headers)) is None
+    assert directory(right).authenticate(((b"authorization", KEY.encode()),)) is None
+
+
 def test_a_workspace_sees_only_its_own_models_and_services() -> None:
     # Guards against one customer reading or using what belongs to another.
     async def scenario() -> None:
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -30,6 +30,8 @@
     assert len({(chunk["id"], chunk["created"]) for chunk in chunks}) == 1
     roles = [c for chunk in chunks for c in chunk["choices"] if "role" in c["delta"]]
     assert len(roles) == 1
+    for chunk in chunks[1:]:
+        assert any(c["delta"].get("content") or c["finish_reason"] for c in chunk["choices"])
     assert reply.events()[-1] == b"[DONE]"
 
 
