Keep chunks that wait when an answer ends, and wake their reader

Cause: closing the memory stream's sender withdraws the chunks that wait in it, so that an end from another task lost a chunk; a chunk that entered the buffer while its reader had just begun to wait did not wake it, so that the stream stalled until the next chunk. Change: the end is a field and takes effect once all chunks offered before it are taken; a chunk that had to wait wakes the reader. Conclusion: the order and completeness of an answer no longer depend on which task ends it.

--- a/packages/node/src/goldcrestridge_node/answers.py
+++ b/packages/node/src/goldcrestridge_node/answers.py
@@ -17,8 +17,8 @@
 class Answer:
     """The effects of one request on their way to its caller.
 
-    The head and the chunks pass through a bounded stream. The end never waits: it closes the
-    stream, and the chunks in it are still sent before the end takes effect.
+    The head and the chunks pass through a bounded stream. The end never waits, and takes effect
+    once all chunks that were offered before it are sent.
     """
 
     capacity: int
@@ -26,6 +26,7 @@
     _sender: MemoryObjectSendStream[Item] = field(init=False)
     _receiver: MemoryObjectReceiveStream[Item] = field(init=False)
     _wake: anyio.Event = field(init=False, factory=anyio.Event)
+    _waiting: int = field(init=False, default=0)  # Chunks in ``put``.
 
     def __attrs_post_init__(self) -> None:
         """Open the stream."""
@@ -33,9 +34,10 @@
 
     def offer(self, effect: Effect) -> bool:
         """Take an effect without waiting; return False if the stream is full."""
+        if self.end is not None:
+            return True
         if isinstance(effect, (RespondEnd, RespondFailure)):
-            self.end = self.end or effect
-            self._sender.close()
+            self.end = effect
             self._wake.set()
             return True
         try:
@@ -43,7 +45,7 @@
         except anyio.WouldBlock:
             return False
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            return True  # The caller has gone or the answer has ended.
+            return True  # The caller has gone.
         self._wake.set()
         return True
 
@@ -52,10 +54,14 @@
         if self.offer(effect):
             return
         assert isinstance(effect, (RespondHead, RespondChunk))
+        self._waiting += 1
         try:
             await self._sender.send(effect)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             return
+        finally:
+            self._waiting -= 1
+            self._wake.set()
 
     async def take(self) -> list[Item]:
         """Return the waiting items, at least one; return none after the end or ``close``.
@@ -70,7 +76,7 @@
                     items.append(self._receiver.receive_nowait())
                 return items
             except anyio.WouldBlock:
-                if items:
+                if items or (self.end is not None and not self._waiting):
                     return items
             except (anyio.EndOfStream, anyio.ClosedResourceError):
                 return items
--- a/tests/node/test_edge_path.py
+++ b/tests/node/test_edge_path.py
@@ -227,6 +227,19 @@
     run(scenario)
 
 
+def test_a_head_request_passes_with_the_length_and_without_a_body() -> None:
+    # Guards against a connection that waits for a body that never comes.
+    async def scenario() -> None:
+        async with world() as w:
+            head = await call(w, "HEAD", "/services/bookings/status/1")
+            assert head.status == 200
+            assert int(head.headers["content-length"]) > 0
+            assert head.body == b""
+            assert not head.broken
+
+    run(scenario)
+
+
 def test_a_path_with_dot_segments_never_passes_for_a_repeatable_call() -> None:
     # Guards against a booking that matches the rule for status lookups and is then repeated.
     async def scenario() -> None:
