Test the connection limit and interim answers of the edge

Cause: two limits of the server had no test. Change: tests for too many connections and for Expect: 100-continue. Conclusion: both behave as specified; the code is unchanged.

--- a/tests/node/test_edge_faults.py
+++ b/tests/node/test_edge_faults.py
@@ -296,6 +296,35 @@
     run(scenario)
 
 
+def test_too_many_connections_are_refused_with_an_error() -> None:
+    # Guards against unbounded connections, each with its own buffers.
+    async def scenario() -> None:
+        server = ServerOptions(max_connections=1)
+        async with world(server_options=server) as w:
+            async with raw(w) as first:
+                await first.send(raw_request(chat_body(max_tokens=1)))
+                await read_until(first, b"choices")
+                async with raw(w) as second:
+                    assert b" 503 " in await read_all(second)
+            assert w.engines[0].stats.started == 1
+
+    run(scenario)
+
+
+def test_a_caller_that_asks_before_it_sends_its_body_is_told_to_go_on() -> None:
+    # Guards against callers with large bodies that wait for the interim answer.
+    async def scenario() -> None:
+        async with world() as w, raw(w) as stream:
+            body = chat_body(max_tokens=1)
+            request = raw_request(body, extra="Expect: 100-continue\r\n")
+            await stream.send(request.removesuffix(body))
+            assert b" 100 " in await read_until(stream, b"\r\n\r\n")
+            await stream.send(body)
+            assert b" 200 " in await read_until(stream, b"choices")
+
+    run(scenario)
+
+
 def test_a_refused_request_whose_body_never_ends_loses_its_connection() -> None:
     # Guards against callers that hold a connection after an early refusal.
     async def scenario() -> None:
