Forget a refusal when its request is withdrawn

Cause: a cancel that came after a refusal left the refusal in the owner's memory, so a late copy of the request was refused again after its entry had given it up. Change: a cancel replaces the remembered refusal; tests of it and of changes of configuration at an owner.

--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -211,7 +211,8 @@
             self.queue.remove(waiting)
         if grant is not None:
             self._end(grant, _unused(grant, self.shard), now_ms)
-        elif not self.grants.answered(attempt):
+        else:
+            # Also after a refusal: a late copy of the request must get no answer any more.
             self.grants.answer(attempt, None)
 
     def _release(self, release: types.SlotRelease, now_ms: float) -> list[Any]:
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -243,6 +243,47 @@
     assert harness.send(request) == [refusal]
 
 
+def test_a_late_copy_of_a_cancelled_request_gets_no_refusal() -> None:
+    # Guards against an answer to a request whose entry node has withdrawn it after a refusal.
+    harness = Harness()
+    harness.grant()
+    request = harness.request()
+    harness.send(request)
+    harness.wait(900.0)
+    harness.send(cancel(request.request_id))
+    assert harness.send(request) == []
+
+
+def reconfigure(harness: Harness, cfg: config.Configuration, slots: int) -> list[Any]:
+    """Put a configuration in force and return what the owner sends at the next tick."""
+    upstream = config.Upstream(types.UpstreamId("u"), "a", "dc", slots)
+    harness.owner.set_config(cfg, (upstream,), harness.now_ms)
+    return harness.event(types.Tick())
+
+
+def test_a_change_of_configuration_keeps_what_waits_and_what_runs() -> None:
+    # Guards against a queue that is lost, or slots that are granted twice, at each of the
+    # thousands of configuration changes of a day.
+    harness = Harness()
+    harness.grant()
+    waiting = harness.request()
+    harness.send(waiting)
+    assert reconfigure(harness, configuration(), 1) == []
+    (grant,) = reconfigure(harness, configuration(), 2)
+    assert grant.request_id == waiting.request_id
+    assert len(harness.owner.grants) == 2
+
+
+def test_a_new_limit_counts_the_requests_that_run_already() -> None:
+    # Guards against a limit that starts at zero while its workspace holds slots.
+    harness = Harness(slots=3)
+    first = harness.grant()
+    reconfigure(harness, configuration(w=config.Limit(max_concurrent=1)), 3)
+    assert harness.send(harness.request()) == []
+    (grant,) = harness.send(release(first))
+    assert isinstance(grant, types.SlotGrant)
+
+
 def test_the_lowest_class_runs_while_a_higher_tier_always_waits() -> None:
     # Guards against starvation (P2); the floor of 0.05 grants one slot in twenty.
     harness = Harness()
