Fix stuck replacement, false formation and a refused restart

They showed real faults: - a replica added by an entry that was then replaced by another leader was known to nobody and waited for ever; - entries left after the removal of old segments could begin above entries that replaced them, and the folder was refused. A first fix of the former let a replica form a second log with members of the first that merely heard no leader; the state machine found that too.

Change: a replica that hears no leader announces itself, and says whether it is empty; only replicas that are empty within the same 2 s form a log; recovery accepts the replaced suffix.

Conclusion: focused tests carry the named traps; the state machines find combinations that nobody named.

--- a/packages/core/src/goldcrestridge_core/log.py
+++ b/packages/core/src/goldcrestridge_core/log.py
@@ -85,9 +85,7 @@
             return None
         if state.position is Position.LEADER:
             return state.heartbeat_at_ms
-        if log_members.is_fresh(state):
-            return min(state.election_at_ms, state.join_at_ms)
-        return state.election_at_ms
+        return min(state.election_at_ms, state.join_at_ms)
 
 
 def open_log(
@@ -151,7 +149,7 @@
         return
     if now_ms >= state.election_at_ms:
         election.election_due(state, now_ms)
-    if now_ms >= state.join_at_ms and log_members.is_fresh(state):
+    if now_ms >= state.join_at_ms:
         log_members.join_due(state, now_ms)
 
 
--- a/packages/core/src/goldcrestridge_core/log_members.py
+++ b/packages/core/src/goldcrestridge_core/log_members.py
@@ -43,18 +43,25 @@
 
 
 def join_due(state: LogState, now_ms: float) -> None:
-    """Announce this replica while it knows no membership."""
+    """Announce this replica while it holds nothing, or has not heard a leader for a while.
+
+    The membership that names it may have been replaced before it was committed; it is then known
+    to this replica only, and no leader will send anything.
+    """
     state.join_at_ms = now_ms + state.options.join_ms
-    _form(state, state.me)
-    state.out.extend(
-        Send(node, JoinReplica(state.me)) for node in state.initial if node != state.me.node
-    )
+    if is_fresh(state):
+        _form(state, state.me, now_ms)
+    elif now_ms - state.contact_ms < 2 * state.options.election_timeout_ms:
+        return
+    message = JoinReplica(state.me, is_fresh(state))
+    state.out.extend(Send(node, message) for node in state.initial if node != state.me.node)
 
 
 def on_join(state: LogState, sender: NodeId, message: JoinReplica, now_ms: float) -> None:
     """Form the log, hand out its first entry, or start the replacement of a lost replica."""
     if is_fresh(state):
-        _form(state, message.replica)
+        if message.fresh:
+            _form(state, message.replica, now_ms)
         return
     if state.entries.base_index == 0:
         first = state.entries.at(1)
@@ -71,14 +78,20 @@
     return membership.voters + membership.learners
 
 
-def _form(state: LogState, replica: Replica) -> None:
-    """Write the first entry once every initial replica is known to be fresh."""
+def _form(state: LogState, replica: Replica, now_ms: float) -> None:
+    """Write the first entry once all initial replicas are known to be fresh.
+
+    Only what was heard lately counts: over a longer time, replicas that were replaced one after
+    the other were all fresh once, and a second log must not be formed from them.
+    """
     if replica.node not in state.initial or state.me.node not in state.initial:
         return
-    state.joined[replica.node] = replica
-    state.joined[state.me.node] = state.me
-    if set(state.joined) == set(state.initial):
-        state.append(first_entry(list(state.joined.values())))
+    state.joined[state.me.node] = (state.me, now_ms)
+    state.joined[replica.node] = (replica, now_ms)
+    since_ms = now_ms - state.options.join_memory_ms
+    known = [heard for heard, at_ms in state.joined.values() if at_ms >= since_ms]
+    if {heard.node for heard in known} == set(state.initial):
+        state.append(first_entry(known))
 
 
 def on_join_reply(state: LogState, message: JoinReply) -> None:
--- a/packages/core/src/goldcrestridge_core/log_records.py
+++ b/packages/core/src/goldcrestridge_core/log_records.py
@@ -118,6 +118,9 @@
             if not started:
                 entries.reset(record.index - 1, 0)
                 started = True
+            elif record.index <= entries.base_index:
+                # It replaces entries of which the first ones were removed with their segment.
+                entries.reset(record.index - 1, 0)
             entries.append(record)
     return Recovered(hard, snapshot, *_join(snapshot, entries))
 
--- a/packages/core/src/goldcrestridge_core/log_state.py
+++ b/packages/core/src/goldcrestridge_core/log_state.py
@@ -73,6 +73,7 @@
     resend_ms: float = 200.0
     promotion_heartbeats: int = 10  # Commits wait for a learner in at most one of so many.
     join_ms: float = 500.0
+    join_memory_ms: float = 2000.0  # All replicas must be fresh at about the same time.
     snapshot_entries: int = 4096
     snapshot_bytes: int = 8 << 20  # At least; otherwise twice the size of the last snapshot.
     kept_entries: int = 1024
@@ -164,7 +165,7 @@
     owes_ack: bool = False
     heard_sent_ms: float = -math.inf
     wall_offset_ms: float | None = None
-    joined: dict[NodeId, Replica] = Factory(dict)
+    joined: dict[NodeId, tuple[Replica, float]] = Factory(dict)  # Fresh ones, when heard.
     waiting: dict[int, list[tuple[str, NodeId]]] = Factory(dict)
     proposed: dict[str, int] = Factory(dict)
     queries: list[tuple[NodeId, str, bytes, int, float]] = Factory(list)
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -1024,9 +1024,10 @@
 @message
 @frozen
 class JoinReplica:
-    """Announce a replica that knows no membership yet."""
+    """Announce a replica that hears no leader; ``fresh`` if it holds nothing of any log."""
 
     replica: Replica
+    fresh: bool
 
 
 @message
--- a/tests/core/test_log.py
+++ b/tests/core/test_log.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from goldcrestridge_core import codec
 from goldcrestridge_core.exceptions import InvariantError
 from goldcrestridge_core.log import Log, open_log
 from goldcrestridge_core.log_members import first_entry
@@ -22,6 +23,8 @@
     ChangeReplicasReply,
     EntryKind,
     HardState,
+    InstallSnapshot,
+    JoinReplica,
     LogEntry,
     LogFailed,
     LogMembership,
@@ -31,6 +34,8 @@
     PreVote,
     PreVoteReply,
     Propose,
+    Query,
+    QueryReply,
     Receive,
     Replica,
     ReplicaOperation,
@@ -41,6 +46,7 @@
     VoteReply,
     WallTime,
     WriteLog,
+    WriteSnapshot,
 )
 from goldcrestridge_lab.log_group import Group, Member, Register, new_group
 
@@ -220,6 +226,21 @@
     assert lost.log.state.entries.last_index == 0
 
 
+def test_a_log_is_formed_only_by_replicas_that_are_empty_at_the_same_time() -> None:
+    # Guards against a second log formed with members of the first that hear no leader, or that
+    # were empty at different times.
+    nodes = (A.node, B.node, C.node)
+    for last_fresh, at_ms, forms in (
+        (True, 100.0, True),
+        (False, 100.0, False),
+        (True, 9e3, False),
+    ):
+        replica = open_log(A, Recovered(), Register(), Random(1), 0.0, nodes)
+        replica.handle(Receive(B.node, JoinReplica(B, True)), 50.0)
+        replica.handle(Receive(C.node, JoinReplica(C, last_fresh)), at_ms)
+        assert replica.state.entries.last_index == int(forms)
+
+
 def test_a_second_failure_right_after_a_repair_loses_no_committed_entry() -> None:
     # Guards against a repaired replica that counts before it holds everything.
     for size in (3, 5):
@@ -304,10 +325,60 @@
     reply = AppendReply(route(B, A), 2, True, 2, 1103.0)
     replica.handle(Receive(B.node, reply), 1105.0)
     assert replica.state.commit == 0
-    replica.handle(Receive(B.node, AppendReply(route(B, A), 2, True, 3, 1103.0)), 1106.0)
+    # Nor is a read answered, although the leader has its lease: its state may lag behind.
+    assert not sent(replica.handle(Receive(C.node, Query("q", b"")), 1106.0), QueryReply)
+    reply = AppendReply(route(B, A), 2, True, 3, 1103.0)
+    (answer,) = sent(replica.handle(Receive(B.node, reply), 1107.0), QueryReply)
+    assert answer.answered
     assert replica.state.commit == 3
 
 
+def test_votes_of_strangers_and_former_incarnations_do_not_count() -> None:
+    # Guards against a leader elected by replicas that hold nothing.
+    replica = one_replica()
+    replica.handle(Tick(), 1100.0)
+    stranger = Replica(B.node, "b-2")
+    for source in (stranger, Replica(NodeId("d"), "d-1")):
+        replica.handle(Receive(source.node, PreVoteReply(route(source, A), 2, True)), 1101.0)
+    assert replica.state.term == 1
+    effects = replica.handle(Receive(B.node, PreVoteReply(route(B, A), 2, True)), 1102.0)
+    replica.handle(LogSynced(written(effects)[0].token), 1103.0)
+    replica.handle(Receive(B.node, VoteReply(route(stranger, A), 2, True)), 1104.0)
+    assert replica.state.position is Position.CANDIDATE
+
+
+def test_a_received_snapshot_is_acknowledged_only_after_its_sync() -> None:
+    # Guards against a leader that counts on a snapshot which a crash takes back.
+    replica = one_replica()
+    snapshot = Snapshot(9, 1, 0.0, replica.state.membership, Register([7]).snapshot())
+    data = codec.encode(snapshot)
+    message = InstallSnapshot(route(B, A), 1, 9, 0, len(data), data, 5.0)
+    effects = replica.handle(Receive(B.node, message), 5.0)
+    assert not sent(effects, AppendReply)
+    assert replica.state.commit == 0
+    (write,) = [effect for effect in effects if isinstance(effect, WriteSnapshot)]
+    heartbeat = Append(route(B, A), 1, 0, 0, (), 9, 6.0)
+    (reply,) = sent(replica.handle(Receive(B.node, heartbeat), 6.0), AppendReply)
+    assert reply.match < 9
+    (reply,) = sent(replica.handle(LogSynced(write.token), 7.0), AppendReply)
+    assert reply.match == 9
+
+
+def test_a_replica_whose_membership_was_replaced_announces_itself_again() -> None:
+    # Guards against a new replica that waits for ever after the entry that added it was replaced
+    # by another leader; no leader knows it then.
+    stranger = open_log(
+        C,
+        recover(None, [HardState(1, None), first_entry([A, B])]),
+        Register(),
+        Random(1),
+        0.0,
+        (A.node, B.node, C.node),
+    )
+    assert not sent(stranger.handle(Tick(), 900.0), JoinReplica)
+    assert len(sent(stranger.handle(Tick(), 1500.0), JoinReplica)) == 2
+
+
 def test_a_failed_sync_stops_the_replica_for_good() -> None:
     # Guards against a second sync that succeeds after the kernel dropped the pages.
     replica = one_replica()
--- a/tests/core/test_store.py
+++ b/tests/core/test_store.py
@@ -80,6 +80,38 @@
     assert apply.store.changes.version == 3000
 
 
+def test_a_change_id_names_one_change_only() -> None:
+    # Guards against an operator who is told that a change was accepted that never was.
+    apply = Applied()
+    apply(ApplyConfig("c", 0, "ada", b"one"))
+    for other in (
+        ApplyConfig("c", 0, "ada", b"two"),
+        ApplyConfig("c", 1, "ada", b"one"),
+        ApplyConfig("c", 0, "bo", b"one"),
+    ):
+        assert apply(other).status is ApplyStatus.INVALID
+    assert apply.store.changes.document == b"one"
+
+
+def test_store_time_never_goes_back() -> None:
+    # Guards against a timeout or horizon that is undone by a leader with an earlier clock.
+    apply = Applied()
+    apply(begin("x"))
+    apply.stamp_ms += claims.CLAIM_TIMEOUT_MS + 1
+    assert apply(begin("y")).state is ClaimState.UNKNOWN
+    apply.stamp_ms = START_MS
+    assert apply(begin("y")).state is ClaimState.UNKNOWN
+
+
+def test_a_renewal_that_is_committed_before_an_expiry_wins() -> None:
+    # Guards against two holders at once after a race of a renewal with its expiry.
+    apply = Applied()
+    first = apply(AcquireLease("p/0", HOLDER, 1000.0))
+    apply(AcquireLease("p/0", HOLDER, 1000.0, first.fencing))
+    apply(ExpireLease("p/0", first.fencing, 0))
+    assert not apply(AcquireLease("p/0", NodeId("n2"), 1000.0)).granted
+
+
 def test_a_forgotten_change_id_gives_a_conflict(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against a second run of a change whose answer is no longer remembered.
     monkeypatch.setattr(changes, "MAX_ACCEPTED", 10)
--- a/tests/node/test_disk.py
+++ b/tests/node/test_disk.py
@@ -223,6 +223,20 @@
     assert recovered.entries.base_index <= 90
 
 
+def test_a_replaced_suffix_is_read_after_its_first_segment_was_removed(tmp_path: Path) -> None:
+    # Guards against a replica that cannot start because the oldest entries that are left were
+    # replaced by later ones with lower indexes.
+    folder, _ = opened(tmp_path, segment_bytes=1)
+    write(folder, entry(1), entry(2))
+    write(folder, entry(3), entry(4))
+    write(folder, entry(2, b"new"), entry(3, b"new"), entry(4, b"new"))
+    folder.perform(WriteSnapshot(snapshot(3), 2))
+    folder.perform(TruncateLog(3))
+    folder.close()
+    _, recovered = opened(tmp_path)
+    assert recovered.entries.at(4) == entry(4, b"new")
+
+
 def test_the_vote_survives_a_crash_while_a_segment_is_begun(tmp_path: Path) -> None:
     # Guards against a new segment without the vote after the older ones were removed.
     vote = HardState(7, Replica(NODE, "x"))
