--- a/packages/core/src/goldcrestridge_core/grants.py
+++ b/packages/core/src/goldcrestridge_core/grants.py
@@ -31,7 +31,7 @@
     charged: float
     answer: types.SlotGrant | None = None
     output_tokens: int = 0
-    corrected_tokens: int = 0  # Output at the last correction of ``charged``.
+    correct_at_tokens: float = 0.0  # Output from which ``charged`` is estimated anew.
     missing: int = 0
     lost_ms: float | None = None
 
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -23,6 +23,7 @@
 ENTRY_SILENCE_MS = 10_000.0  # An entry node that is silent for longer gets no summaries.
 # Requests that fit no upstream at the moment and are passed over in one round.
 MAX_UNPLACED = 4
+FIRST_CORRECTION_SHARE = 0.5  # Below half of the expected output an estimate hardly changes.
 CORRECTION_GROWTH = 1.25  # An estimate is corrected when the output has grown by a quarter.
 EXPECTED_TOKEN_MS = 20.0  # Used for the hold time of a slot before one was measured.
 RETRY_JITTER_SHARE = 0.1  # Spreads the requests that come back after one burst.
@@ -238,9 +239,10 @@
         """Charge a running request for what it is now expected to use in all."""
         held = grant.held
         grant.output_tokens = max(grant.output_tokens, output_tokens)
-        if output_tokens < CORRECTION_GROWTH * grant.corrected_tokens or not output_tokens:
+        first_at = FIRST_CORRECTION_SHARE * (grant.charged - held.prompt_tokens)
+        if output_tokens < max(grant.correct_at_tokens, first_at):
             return
-        grant.corrected_tokens = output_tokens
+        grant.correct_at_tokens = CORRECTION_GROWTH * output_tokens
         expected = held.prompt_tokens + self.lengths.mean(
             held.class_name, held.model, held.workspace, produced=output_tokens
         )
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -264,6 +264,7 @@
     harness = Harness(slots=4, cfg=configuration(evolve(TOP, queue_timeout_ms=5_000.0)))
     current = [harness.grant(workspace="calm") for _ in range(4)]
     refused: list[types.RequestId] = []
+    reasons: list[types.Reason] = []
     calm: list[types.RequestId] = []
     for step in range(200):
         requests = [harness.request(workspace="flood") for _ in range(10)]
@@ -275,7 +276,10 @@
         sent += harness.send(release(current.pop(0)))
         current += [m for m in sent if isinstance(m, types.SlotGrant)]
         refused += [m.request_id for m in sent if isinstance(m, types.SlotRefusal)]
+        reasons += [m.reason for m in sent if isinstance(m, types.SlotRefusal)]
     assert len(refused) > 1_500
+    # Only refusals before the deadline are early.
+    assert reasons.count(types.Reason.OVERLOADED) > 0.9 * len(reasons)
     assert not set(refused) & set(calm)
 
 
@@ -302,6 +306,24 @@
     assert refusal.reason is types.Reason.NO_UPSTREAM
 
 
+def test_a_notice_that_an_upstream_leaves_takes_its_free_slots_away() -> None:
+    # Guards against a notice that is passed on but not heeded.
+    harness = Harness(slots=4)
+    harness.send(types.UpstreamLeaving(types.UpstreamId("u"), "platform"))
+    assert harness.owner.chooser.free_slots(0.0) == 0
+
+
+def test_a_long_answer_is_charged_to_its_workspace_while_it_runs() -> None:
+    # Guards against estimates that stay as they were when the request was granted.
+    limit = config.Limit(tokens_per_second=400.0)
+    harness = Harness(slots=2, cfg=configuration(w=limit))
+    grant = harness.grant()
+    harness.wait(1_000.0)
+    assert harness.owner.limits.blocking("w", "", harness.now_ms) is None
+    harness.send(types.GrantReport(ENTRY, SHARD, (evolve(held(grant), output_tokens=5_000),)))
+    assert harness.owner.limits.blocking("w", "", harness.now_ms) == ("w", "")
+
+
 def test_lower_tiers_leave_headroom_while_a_higher_tier_shows_demand() -> None:
     # Guards against a pool of long requests that a lower tier fills to the last slot.
     harness = Harness(slots=10)
@@ -320,6 +342,6 @@
     # Guards against limits that count work that never ran.
     limit = config.Limit(max_concurrent=1, tokens_per_second=100.0)
     harness = Harness(slots=2, cfg=configuration(w=limit))
-    grant = harness.grant()
-    harness.send(release(grant, types.GrantEnd.UNUSED))
+    for _ in range(5):
+        harness.send(release(harness.grant(), types.GrantEnd.UNUSED))
     assert isinstance(harness.send(harness.request())[0], types.SlotGrant)
--- /dev/null
+++ b/tests/core/test_queue.py
@@ -0,0 +1,137 @@
+"""Order of waiting requests: tiers, fairness of workspaces and classes, limits, bounds."""
+
+from __future__ import annotations
+
+import random
+
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from goldcrestridge_core import config, types
+from goldcrestridge_core.flows import ClassQueue, Waiting
+from goldcrestridge_core.limits import Limits
+from goldcrestridge_core.queue import MAX_WAITING, Queue
+
+TARGET = config.LatencyTarget(1_000.0, 30.0)
+
+
+def request_class(name: str, tier: int, weight: float = 1.0) -> config.RequestClass:
+    return config.RequestClass(name, tier, weight, 0.0, TARGET, 1_000.0)
+
+
+def waiting(cls: config.RequestClass, number: int, workspace: str, cost: float) -> Waiting:
+    request = types.SlotRequest(
+        types.RequestId(f"r{number}"),
+        1,
+        types.NodeId("e"),
+        types.ShardId("p/0"),
+        workspace,
+        "",
+        cls.name,
+        "m",
+        1,
+        1,
+        (),
+        0.0,
+        1e9,
+    )
+    return Waiting(request, cls, 0.0, 1e9, 1e9, cost)
+
+
+def queue(*classes: config.RequestClass) -> Queue:
+    cfg = config.Configuration("t", classes={cls.name: cls for cls in classes})
+    return Queue(cfg, Limits(cfg), 10)
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(1, 50)), min_size=20, max_size=80))
+def test_backlogged_workspaces_get_equal_work(items: list[tuple[int, int]]) -> None:
+    # Guards against a workspace that gets more than its share by sending more requests.
+    cls = request_class("c", 0)
+    flows = ClassQueue(cls, Limits(config.Configuration("t")), {})
+    left = dict.fromkeys(range(4), 0)
+    for number, (workspace, cost) in enumerate(items):
+        flows.push(waiting(cls, number, str(workspace), float(cost)))
+        left[workspace] += 1
+    served = dict.fromkeys(range(4), 0.0)
+    backlogged = {workspace for workspace, count in left.items() if count}
+    while all(left[workspace] for workspace in backlogged):
+        taken = flows.take(0.0)
+        assert taken is not None
+        workspace = int(taken.request.workspace)
+        flows.charge(str(workspace), taken.cost)
+        served[workspace] += taken.cost
+        left[workspace] -= 1
+        work = [served[other] for other in backlogged]
+        assert max(work) - min(work) <= 50.0
+
+
+@given(st.lists(st.integers(0, 5), max_size=40), st.integers(0, 2**32))
+def test_withdrawn_requests_never_surface_and_the_others_all_do(
+    workspaces: list[int], seed: int
+) -> None:
+    # Guards against requests that are lost in a flow, or served after a cancel.
+    rng = random.Random(seed)
+    line = queue(request_class("c", 0))
+    cls = line.cfg.classes["c"]
+    items = [waiting(cls, n, str(w), rng.uniform(1, 9)) for n, w in enumerate(workspaces)]
+    for item in items:
+        line.push(item, 0.0)
+    withdrawn = [item for item in items if rng.random() < 0.4]
+    for item in withdrawn:
+        line.remove(item)
+    taken = []
+    while (granted := line.take(10, 0.0)) is not None:
+        granted.active = False
+        line.granted(granted, 0.0)
+        line.correct("c", granted.request.workspace, rng.uniform(-granted.cost, granted.cost))
+        taken.append(granted)
+    assert line.count == 0
+    kept = {id(item) for item in items} - {id(item) for item in withdrawn}
+    assert {id(item) for item in taken} == kept
+    assert len(taken) == len(kept)
+
+
+def test_classes_of_a_tier_are_granted_in_proportion_to_their_weights() -> None:
+    # Guards against weights that have no effect under overload.
+    heavy, light = request_class("heavy", 0, 3.0), request_class("light", 0, 1.0)
+    line = queue(heavy, light)
+    granted = {"heavy": 0, "light": 0}
+    for step in range(2_000):
+        for cls in (heavy, light):
+            line.push(waiting(cls, step, "w", 1.0), step * 10.0)
+        item = line.take(1, step * 10.0)
+        assert item is not None
+        item.active = False
+        line.granted(item, step * 10.0)
+        granted[item.cls.name] += 1
+    assert 2.8 < granted["heavy"] / granted["light"] < 3.2
+
+
+def test_a_full_queue_sheds_the_lowest_tier_first() -> None:
+    # Guards against unbounded memory, and against shedding a higher tier for a lower one (P1).
+    high = evolve(request_class("high", 0), queue_timeout_ms=1e9)
+    low = evolve(request_class("low", 1), queue_timeout_ms=1e9)
+    line = queue(high, low)
+    line.saturated(True, 1.0, 0.0)
+    for number in range(MAX_WAITING):
+        line.push(waiting(high if number % 2 else low, number, "w", 1.0), 0.0)
+    for number in range(5):
+        line.push(waiting(high, MAX_WAITING + number, "w", 1.0), 0.0)
+    shed = []
+    for item in line.surplus(0.0):
+        line.remove(item)
+        shed.append(item.cls.name)
+    assert shed == ["low"] * 5
+
+
+def test_a_late_request_yields_to_one_in_time_but_still_runs() -> None:
+    # Guards against slots spent on a missed target while another can still be met.
+    cls = request_class("c", 0)
+    line = queue(cls)
+    late, fresh = waiting(cls, 1, "a", 1.0), waiting(cls, 2, "b", 1.0)
+    late.late_ms = 5.0
+    line.push(late, 0.0)
+    line.push(fresh, 0.0)
+    assert line.take(1, 10.0) is fresh
+    assert line.take(1, 10.0) is late
