Let the slot owner take over a new configuration

A change of configuration must be in force within seconds without losing what waits or runs. The owner rebuilds its limits and queue, counts the held grants against the new limits, keeps the measured rates, and refuses waiting requests whose class is gone. A request of a class that is not in force here gets a refusal instead of silence.

--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -26,6 +26,7 @@
 FIRST_CORRECTION_SHARE = 0.5  # Below half of the expected output an estimate hardly changes.
 CORRECTION_GROWTH = 1.25  # An estimate is corrected when the output has grown by a quarter.
 EXPECTED_TOKEN_MS = 20.0  # Used for the hold time of a slot before one was measured.
+UNKNOWN_CLASS_RETRY_MS = 1_000.0  # A configuration is in force everywhere within seconds.
 RETRY_JITTER_SHARE = 0.1  # Spreads the requests that come back after one burst.
 
 
@@ -126,6 +127,34 @@
             times.append(self._sweep_ms)
         return min((time for time in times if time is not None), default=None)
 
+    def reconfigure(
+        self, cfg: Configuration, upstreams: tuple[Upstream, ...], now_ms: float
+    ) -> list[Any]:
+        """Put another configuration in force and keep what waits, runs and was learned.
+
+        Token budgets start full. Waiting requests of a class that is gone are refused.
+        """
+        before = self.queue
+        self.cfg = cfg
+        self.upstreams = upstreams
+        self._left = {u.name: None for u in upstreams if u.name in self._left}
+        self.chooser.set_upstreams(upstreams)
+        self.limits = Limits(cfg)
+        self.queue = Queue(cfg, self.limits, sum(u.slots for u in upstreams))
+        self.queue.learn_from(before)
+        for grant in self.grants:
+            self.limits.started(grant.held.workspace, grant.held.site, 0.0, now_ms)
+        effects: list[Any] = []
+        for attempt, waiting in list(self._waiting.items()):
+            if waiting.cls.name in cfg.classes:
+                waiting.cls = cfg.classes[waiting.cls.name]
+                self.queue.restore(waiting)
+            else:
+                del self._waiting[attempt]
+                reason = types.Reason.OVERLOADED
+                effects.append(self._refuse(waiting.request, reason, UNKNOWN_CLASS_RETRY_MS))
+        return effects + self._run(now_ms)
+
     # Messages.
 
     def _receive(self, sender: types.NodeId, message: Any, now_ms: float) -> list[Any]:
@@ -158,8 +187,11 @@
         if self.grants.answered(attempt):
             refusal = self.grants.refusal(attempt)
             return [types.Send(request.entry, refusal)] if refusal is not None else []
-        if attempt in self._waiting or request.class_name not in self.cfg.classes:
+        if attempt in self._waiting:
             return []
+        if request.class_name not in self.cfg.classes:
+            # The entry node has another version of the configuration in force.
+            return [self._refuse(request, types.Reason.OVERLOADED, UNKNOWN_CLASS_RETRY_MS)]
         waiting = self.queue.waiting(request, self._cost(request), now_ms)
         return self._admit(waiting, now_ms)
 
@@ -392,10 +424,15 @@
     def _refusal(
         self, waiting: Waiting, reason: types.Reason, now_ms: float, wait_ms: float | None = None
     ) -> types.Send:
-        """Return a refusal and remember it, so that a repeated request gets the same one."""
-        request = waiting.request
+        """Return a refusal with the time in which the backlog is worked off."""
         if wait_ms is None:
-            wait_ms = self.queue.retry_after_ms(request.class_name, now_ms)
+            wait_ms = self.queue.retry_after_ms(waiting.cls.name, now_ms)
+        return self._refuse(waiting.request, reason, wait_ms)
+
+    def _refuse(
+        self, request: types.SlotRequest, reason: types.Reason, wait_ms: float
+    ) -> types.Send:
+        """Return a refusal and remember it, so that a repeated request gets the same one."""
         jitter = 1.0 + RETRY_JITTER_SHARE * self.rng.random()
         refusal = types.SlotRefusal(
             request.request_id,
--- a/packages/core/src/goldcrestridge_core/queue.py
+++ b/packages/core/src/goldcrestridge_core/queue.py
@@ -101,7 +101,11 @@
         state = self._states[waiting.cls.name]
         state.arrivals.add(now_ms)
         state.offered.add(now_ms)
-        state.flows.push(waiting)
+        self.restore(waiting)
+
+    def restore(self, waiting: Waiting) -> None:
+        """Add a request that was counted as offered before."""
+        self._states[waiting.cls.name].flows.push(waiting)
         self.count += 1
         self._counter += 1
         entry = (waiting.deadline_ms, self._counter, waiting)
@@ -110,6 +114,22 @@
         if len(self._deadlines) > 2 * self.count + 64:
             self._compact()
 
+    def learn_from(self, before: Queue) -> None:
+        """Take over the measured rates of a queue that this one replaces."""
+        self.releases = before.releases
+        self.first_tokens = before.first_tokens
+        self.is_saturated = before.is_saturated
+        self._hold_ms = before._hold_ms
+        for name, state in self._states.items():
+            old = before._states.get(name)
+            if old is not None:
+                state.arrivals = old.arrivals
+                state.grants = old.grants
+                state.offered = old.offered
+                state.served = old.served
+                state.credit = old.credit
+                state.due_since_ms = old.due_since_ms
+
     def remove(self, waiting: Waiting) -> None:
         """Withdraw a waiting request."""
         self._states[waiting.cls.name].flows.remove(waiting)
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -345,3 +345,27 @@
     for _ in range(5):
         harness.send(release(harness.grant(), types.GrantEnd.UNUSED))
     assert isinstance(harness.send(harness.request())[0], types.SlotGrant)
+
+
+def test_a_new_configuration_keeps_what_waits_and_counts_what_runs() -> None:
+    # Guards against requests that vanish, and limits that forget what runs, at a change (P8).
+    harness = Harness(slots=1)
+    harness.grant()
+    kept, dropped = harness.request(), harness.request("low")
+    harness.send(kept)
+    harness.send(dropped)
+    cfg = configuration(TOP, w=config.Limit(max_concurrent=2))
+    upstream = config.Upstream(types.UpstreamId("u"), "a", "dc", 3)
+    effects = harness.owner.reconfigure(cfg, (upstream,), harness.now_ms)
+    answers = {e.message.request_id: e.message for e in effects if isinstance(e, types.Send)}
+    assert isinstance(answers[kept.request_id], types.SlotGrant)
+    assert isinstance(answers[dropped.request_id], types.SlotRefusal)
+    assert harness.owner.limits.running("w") == 2
+    assert harness.send(harness.request()) == []
+
+
+def test_a_class_that_is_not_in_force_here_is_refused_at_once() -> None:
+    # Guards against a request that never gets an answer while configurations differ.
+    harness = Harness()
+    (refusal,) = harness.send(evolve(harness.request(), class_name="new"))
+    assert isinstance(refusal, types.SlotRefusal)
