--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -378,9 +378,11 @@
         }
         self.requests.set_config(self.cfg)
         self.drain.set_address_ttl(self.cfg.address_ttl_ms, now_ms)
-        for shard, owner in self.owners.items():
+        for shard, owner in list(self.owners.items()):
             if shard in self._shards:
-                owner.set_config(self.cfg, self._shards[shard], now_ms)
+                for item in owner.reconfigure(self.cfg, self._shards[shard], now_ms):
+                    self._effect(item, now_ms)
+                self._deadlines[shard] = owner.next_deadline_ms()
         self._inbox.append(ShardsChanged(tuple(self._shards)))
         self._out.append(ConfigurationChanged(self.cfg))
 
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -23,8 +23,10 @@
 ENTRY_SILENCE_MS = 10_000.0  # An entry node that is silent for longer gets no summaries.
 # Requests that fit no upstream at the moment and are passed over in one round.
 MAX_UNPLACED = 4
+FIRST_CORRECTION_SHARE = 0.5  # Below half of the expected output an estimate hardly changes.
 CORRECTION_GROWTH = 1.25  # An estimate is corrected when the output has grown by a quarter.
 EXPECTED_TOKEN_MS = 20.0  # Used for the hold time of a slot before one was measured.
+UNKNOWN_CLASS_RETRY_MS = 1_000.0  # A configuration is in force everywhere within seconds.
 RETRY_JITTER_SHARE = 0.1  # Spreads the requests that come back after one burst.
 
 
@@ -125,28 +127,33 @@
             times.append(self._sweep_ms)
         return min((time for time in times if time is not None), default=None)
 
-    def set_config(
+    def reconfigure(
         self, cfg: Configuration, upstreams: tuple[Upstream, ...], now_ms: float
-    ) -> None:
-        """Use a new configuration; running and waiting requests keep their places.
+    ) -> list[Any]:
+        """Put another configuration in force and keep what waits, runs and was learned.
 
-        A waiting request whose class is gone is dropped here; its entry node asks again and is
-        refused by its own configuration.
+        Waiting requests of a class that is gone are refused.
         """
+        before = self.queue
         self.cfg = cfg
         self.upstreams = upstreams
+        self._left = {u.name: None for u in upstreams if u.name in self._left}
         self.chooser.set_upstreams(upstreams)
-        names = {upstream.name for upstream in upstreams}
-        self._left = {name: None for name in self._left if name in names}
         self.limits = self.limits.reconfigured(cfg, now_ms)
+        self.queue = Queue(cfg, self.limits, sum(u.slots for u in upstreams))
+        self.queue.learn_from(before)
         for grant in self.grants:
             self.limits.count_running(grant.held.workspace, grant.held.site, now_ms)
-        slots = sum(upstream.slots for upstream in upstreams)
-        self.queue = self.queue.reconfigured(cfg, self.limits, slots)
-        waiting = {k: w for k, w in self._waiting.items() if w.request.class_name in cfg.classes}
-        self._waiting = {}
-        for attempt, item in waiting.items():
-            self._waiting[attempt] = self.queue.push_again(item)
+        effects: list[Any] = []
+        for attempt, waiting in list(self._waiting.items()):
+            if waiting.cls.name in cfg.classes:
+                waiting.cls = cfg.classes[waiting.cls.name]
+                self.queue.restore(waiting)
+            else:
+                del self._waiting[attempt]
+                reason = types.Reason.OVERLOADED
+                effects.append(self._refuse(waiting.request, reason, UNKNOWN_CLASS_RETRY_MS))
+        return effects + self._run(now_ms)
 
     # Messages.
 
@@ -180,8 +187,11 @@
         if self.grants.answered(attempt):
             refusal = self.grants.refusal(attempt)
             return [types.Send(request.entry, refusal)] if refusal is not None else []
-        if attempt in self._waiting or request.class_name not in self.cfg.classes:
+        if attempt in self._waiting:
             return []
+        if request.class_name not in self.cfg.classes:
+            # The entry node has another version of the configuration in force.
+            return [self._refuse(request, types.Reason.OVERLOADED, UNKNOWN_CLASS_RETRY_MS)]
         waiting = self.queue.waiting(request, self._cost(request), now_ms)
         return self._admit(waiting, now_ms)
 
@@ -262,9 +272,10 @@
         """Charge a running request for what it is now expected to use in all."""
         held = grant.held
         grant.output_tokens = max(grant.output_tokens, output_tokens)
-        if output_tokens < CORRECTION_GROWTH * grant.corrected_tokens or not output_tokens:
+        first_at = FIRST_CORRECTION_SHARE * (grant.charged - held.prompt_tokens)
+        if output_tokens < max(grant.correct_at_tokens, first_at):
             return
-        grant.corrected_tokens = output_tokens
+        grant.correct_at_tokens = CORRECTION_GROWTH * output_tokens
         expected = held.prompt_tokens + self.lengths.mean(
             held.class_name, held.model, held.workspace, produced=output_tokens
         )
@@ -414,10 +425,15 @@
     def _refusal(
         self, waiting: Waiting, reason: types.Reason, now_ms: float, wait_ms: float | None = None
     ) -> types.Send:
-        """Return a refusal and remember it, so that a repeated request gets the same one."""
-        request = waiting.request
+        """Return a refusal with the time in which the backlog is worked off."""
         if wait_ms is None:
-            wait_ms = self.queue.retry_after_ms(request.class_name, now_ms)
+            wait_ms = self.queue.retry_after_ms(waiting.cls.name, now_ms)
+        return self._refuse(waiting.request, reason, wait_ms)
+
+    def _refuse(
+        self, request: types.SlotRequest, reason: types.Reason, wait_ms: float
+    ) -> types.Send:
+        """Return a refusal and remember it, so that a repeated request gets the same one."""
         jitter = 1.0 + RETRY_JITTER_SHARE * self.rng.random()
         refusal = types.SlotRefusal(
             request.request_id,
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -257,8 +257,8 @@
 def reconfigure(harness: Harness, cfg: config.Configuration, slots: int) -> list[Any]:
     """Put a configuration in force and return what the owner sends at the next tick."""
     upstream = config.Upstream(types.UpstreamId("u"), "a", "dc", slots)
-    harness.owner.set_config(cfg, (upstream,), harness.now_ms)
-    return harness.event(types.Tick())
+    effects = harness.owner.reconfigure(cfg, (upstream,), harness.now_ms)
+    return [effect.message for effect in effects if isinstance(effect, types.Send)]
 
 
 def test_a_change_of_configuration_keeps_what_waits_and_what_runs() -> None:
@@ -305,6 +305,7 @@
     harness = Harness(slots=4, cfg=configuration(evolve(TOP, queue_timeout_ms=5_000.0)))
     current = [harness.grant(workspace="calm") for _ in range(4)]
     refused: list[types.RequestId] = []
+    reasons: list[types.Reason] = []
     calm: list[types.RequestId] = []
     for step in range(200):
         requests = [harness.request(workspace="flood") for _ in range(10)]
@@ -316,7 +317,10 @@
         sent += harness.send(release(current.pop(0)))
         current += [m for m in sent if isinstance(m, types.SlotGrant)]
         refused += [m.request_id for m in sent if isinstance(m, types.SlotRefusal)]
+        reasons += [m.reason for m in sent if isinstance(m, types.SlotRefusal)]
     assert len(refused) > 1_500
+    # Only refusals before the deadline are early.
+    assert reasons.count(types.Reason.OVERLOADED) > 0.9 * len(reasons)
     assert not set(refused) & set(calm)
 
 
@@ -343,6 +347,24 @@
     assert refusal.reason is types.Reason.NO_UPSTREAM
 
 
+def test_a_notice_that_an_upstream_leaves_takes_its_free_slots_away() -> None:
+    # Guards against a notice that is passed on but not heeded.
+    harness = Harness(slots=4)
+    harness.send(types.UpstreamLeaving(types.UpstreamId("u"), "platform"))
+    assert harness.owner.chooser.free_slots(0.0) == 0
+
+
+def test_a_long_answer_is_charged_to_its_workspace_while_it_runs() -> None:
+    # Guards against estimates that stay as they were when the request was granted.
+    limit = config.Limit(tokens_per_second=400.0)
+    harness = Harness(slots=2, cfg=configuration(w=limit))
+    grant = harness.grant()
+    harness.wait(1_000.0)
+    assert harness.owner.limits.blocking("w", "", harness.now_ms) is None
+    harness.send(types.GrantReport(ENTRY, SHARD, (evolve(held(grant), output_tokens=5_000),)))
+    assert harness.owner.limits.blocking("w", "", harness.now_ms) == ("w", "")
+
+
 def test_lower_tiers_leave_headroom_while_a_higher_tier_shows_demand() -> None:
     # Guards against a pool of long requests that a lower tier fills to the last slot.
     harness = Harness(slots=10)
@@ -361,6 +383,30 @@
     # Guards against limits that count work that never ran.
     limit = config.Limit(max_concurrent=1, tokens_per_second=100.0)
     harness = Harness(slots=2, cfg=configuration(w=limit))
-    grant = harness.grant()
-    harness.send(release(grant, types.GrantEnd.UNUSED))
+    for _ in range(5):
+        harness.send(release(harness.grant(), types.GrantEnd.UNUSED))
     assert isinstance(harness.send(harness.request())[0], types.SlotGrant)
+
+
+def test_a_new_configuration_keeps_what_waits_and_counts_what_runs() -> None:
+    # Guards against requests that vanish, and limits that forget what runs, at a change (P8).
+    harness = Harness(slots=1)
+    harness.grant()
+    kept, dropped = harness.request(), harness.request("low")
+    harness.send(kept)
+    harness.send(dropped)
+    cfg = configuration(TOP, w=config.Limit(max_concurrent=2))
+    upstream = config.Upstream(types.UpstreamId("u"), "a", "dc", 3)
+    effects = harness.owner.reconfigure(cfg, (upstream,), harness.now_ms)
+    answers = {e.message.request_id: e.message for e in effects if isinstance(e, types.Send)}
+    assert isinstance(answers[kept.request_id], types.SlotGrant)
+    assert isinstance(answers[dropped.request_id], types.SlotRefusal)
+    assert harness.owner.limits.running("w") == 2
+    assert harness.send(harness.request()) == []
+
+
+def test_a_class_that_is_not_in_force_here_is_refused_at_once() -> None:
+    # Guards against a request that never gets an answer while configurations differ.
+    harness = Harness()
+    (refusal,) = harness.send(evolve(harness.request(), class_name="new"))
+    assert isinstance(refusal, types.SlotRefusal)
