Add upstream choice with prefix index and straggler detection

Cause: a slot owner needs one place that knows the load, the caches and the speed of the upstreams of its shard. Load is the report brought up to date with all grants and ends since its own time, never below the grants in use. Chooser.progress takes held grants from grant reports. A hypothesis state machine recomputes the load from all events.

--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/choice.py
@@ -0,0 +1,357 @@
+"""Choice of the upstream that a slot is granted at."""
+
+from __future__ import annotations
+
+import bisect
+import heapq
+import itertools
+import math
+from collections import deque
+
+from attrs import define, field
+from sortedcontainers import SortedList
+
+from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.prefix import Match, PrefixIndex
+from goldcrestridge_core.stragglers import Speed, Stragglers
+from goldcrestridge_core.types import (
+    CacheEvents,
+    GrantEnd,
+    HeldGrant,
+    LoadReport,
+    SlotRelease,
+    SlotRequest,
+    UpstreamId,
+)
+
+# A prefix match may raise an upstream to this multiple of the mean load, rounded up. With the
+# ready slots of a pool well used, the rounding stays within the 1.25 that is promised.
+LOAD_BOUND = 1.15
+MAX_REPORT_AGE_MS = 30_000.0  # Older figures say nothing; the ledger is kept as long.
+# A report made this long after the sign of leaving, without the sign, takes it back.
+LEAVING_HOLD_MS = 5_000.0
+FIRST_BACKOFF_MS = 500.0
+MAX_BACKOFF_MS = 30_000.0
+FAILURES_TO_BACK_OFF = 3  # Of calls that were cut; a failed connect backs off at once.
+
+_LAST = (math.inf, 0, 0)
+
+GrantKey = tuple[str, int, int]  # Request, epoch and grant id.
+
+
+@define
+class _Active:
+    """A grant in use."""
+
+    upstream: UpstreamId
+    granted_ms: float
+    tokens: int
+    progress_ms: float
+    progress_tokens: int = 0
+    overdue: bool = False
+
+
+@define
+class _State:
+    """What is known about one upstream."""
+
+    upstream: Upstream
+    number: int
+    slots: int
+    active: int = 0
+    tokens: int = 0  # Expected output of the active grants.
+    granted_ms: deque[float] = field(factory=deque)
+    ended_ms: deque[float] = field(factory=deque)
+    report_ms: float = -math.inf  # The report's own time.
+    report_load: int = 0
+    delta: int = 0  # Granted less ended since the report's own time.
+    leaving_ms: float | None = None
+    failures: int = 0
+    blocked_until_ms: float = 0.0
+    suspect: bool = False  # Backed off, and no call has completed since.
+    probing: bool = False
+    key: tuple[float, int, int] | None = None  # Its entry in the order, if it is open.
+    free: int = 0
+
+    def load(self, now_ms: float) -> int:
+        """Return the estimated number of requests at the upstream.
+
+        The report brought up to date may miss grants that were on their way when it was made, so
+        the ledger of grants in use is a lower bound.
+        """
+        if now_ms - self.report_ms > MAX_REPORT_AGE_MS:
+            return self.active
+        return max(self.active, self.report_load + self.delta)
+
+
+@define
+class Chooser:
+    """Choose upstreams by prefix affinity with bounded load; one instance per shard owner.
+
+    A choice without a prefix costs a look at the head of a sorted list; one with a prefix costs
+    the number of its blocks and of the engines that hold them.
+    """
+
+    _states: dict[UpstreamId, _State] = field(factory=dict)
+    _grants: dict[GrantKey, _Active] = field(factory=dict)
+    _order: SortedList[tuple[float, int, int]] = field(factory=SortedList)
+    _by_number: dict[int, _State] = field(factory=dict)
+    _wakes: list[tuple[float, UpstreamId]] = field(factory=list)
+    _probes: dict[UpstreamId, None] = field(factory=dict)  # Ejected ones with a probe due.
+    _now_ms: float = 0.0
+    _free: int = 0
+    _load: int = 0
+    _slots: int = 0
+    _loads: dict[UpstreamId, tuple[int, int]] = field(factory=dict)
+    _prefixes: PrefixIndex = field(factory=PrefixIndex)
+    _stragglers: Stragglers = field(factory=Stragglers)
+
+    def set_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
+        """Use these upstreams; what is known about those that stay is kept."""
+        names = {upstream.name for upstream in upstreams}
+        for name in [name for name in self._states if name not in names]:
+            self._close(self._states[name])
+            self._count(self._states[name], 0, 0, 0)
+            del self._states[name]
+            self._prefixes.forget(name)
+        self._stragglers.set_upstreams([upstream.name for upstream in upstreams])
+        for number, upstream in enumerate(upstreams):
+            state = self._states.get(upstream.name)
+            if state is None:
+                state = _State(upstream, number, upstream.slots)
+                held = [item for item in self._grants.values() if item.upstream == upstream.name]
+                state.active = len(held)
+                state.tokens = sum(item.tokens for item in held)
+                self._states[upstream.name] = state
+            self._close(state)
+            state.upstream, state.number = upstream, number
+            state.slots = upstream.slots
+        self._by_number = {state.number: state for state in self._states.values()}
+        for state in self._states.values():
+            self._refresh(state, self._now_ms)
+
+    def free_slots(self, now_ms: float) -> int:
+        """Return how many grants can be given now, probes included."""
+        self._wake(now_ms)
+        return self._free
+
+    def choose(
+        self, request: SlotRequest, expected_tokens: int, now_ms: float
+    ) -> UpstreamId | None:
+        """Return the upstream for a request, or None if none that it may use has a slot."""
+        self._wake(now_ms)
+        probes = [name for name in self._probes if name not in request.excluded]
+        if probes:
+            return probes[0]
+        matched = self._best_match(request, now_ms)
+        if matched is not None:
+            return matched
+        for _, _, number in self._order:
+            state = self._by_number[number]
+            if state.upstream.name not in request.excluded:
+                return state.upstream.name
+        return None
+
+    def granted(
+        self, grant: HeldGrant, prefix: tuple[int, ...], expected_tokens: int, now_ms: float
+    ) -> None:
+        """Count a grant, made now or reported by an entry that holds it."""
+        key = (grant.request_id, grant.epoch, grant.grant_id)
+        if key in self._grants:
+            return
+        self._grants[key] = _Active(
+            grant.upstream, now_ms, expected_tokens, now_ms, grant.output_tokens
+        )
+        state = self._states.get(grant.upstream)
+        if state is None:
+            return
+        state.active += 1
+        state.tokens += expected_tokens
+        state.granted_ms.append(now_ms)
+        state.delta += 1
+        if self._stragglers.speed(grant.upstream) is Speed.EJECTED:
+            state.probing = True
+            self._stragglers.probed(grant.upstream, now_ms)
+        state.probing = state.probing or state.suspect
+        self._prefixes.touch(grant.upstream, prefix)
+        self._refresh(state, now_ms)
+
+    def progress(self, grant: HeldGrant, now_ms: float) -> None:
+        """Take the tokens so far from a grant report; a straggler shows before its calls end."""
+        active = self._grants.get((grant.request_id, grant.epoch, grant.grant_id))
+        if active is None or active.upstream not in self._states:
+            return
+        tokens, elapsed_ms = grant.output_tokens, now_ms - active.progress_ms
+        if tokens == 0:
+            if not active.overdue:
+                waited_ms = now_ms - active.granted_ms
+                active.overdue = self._stragglers.overdue(active.upstream, waited_ms, now_ms)
+        elif active.progress_tokens and elapsed_ms > 0.0:
+            inter_ms = elapsed_ms / max(1, tokens - active.progress_tokens)
+            self._observe(active.upstream, -1.0, inter_ms, now_ms)
+        active.progress_ms, active.progress_tokens = now_ms, tokens
+
+    def ended(self, release: SlotRelease, now_ms: float) -> None:
+        """Count the end of a grant with what was measured under it; repeats are ignored."""
+        key = (release.request_id, release.epoch, release.grant_id)
+        active = self._grants.pop(key, None)
+        if active is None:
+            return
+        state = self._states.get(active.upstream)
+        if state is None:
+            return
+        state.active -= 1
+        state.tokens -= active.tokens
+        state.ended_ms.append(now_ms)
+        state.delta -= 1
+        state.probing = False
+        self._take_end(state, release.end, now_ms)
+        # A wait that was counted as overdue is not counted a second time.
+        first_ms = -1.0 if active.overdue else release.first_token_ms
+        self._observe(active.upstream, first_ms, release.inter_token_ms, now_ms)
+        self._refresh(state, now_ms)
+
+    def load_report(self, report: LoadReport, now_ms: float) -> None:
+        """Take a report and bring it up to date with all grants and ends since its own time."""
+        state = self._states.get(report.upstream)
+        report_ms = now_ms - report.age_ms
+        if state is None or report_ms <= state.report_ms or report.age_ms > MAX_REPORT_AGE_MS:
+            return
+        state.report_ms = report_ms
+        state.report_load = report.running + report.waiting
+        state.slots = report.slots if report.slots > 0 else state.upstream.slots
+        for times in (state.granted_ms, state.ended_ms):
+            while times and times[0] < now_ms - MAX_REPORT_AGE_MS:
+                times.popleft()
+        state.delta = _after(state.granted_ms, report_ms) - _after(state.ended_ms, report_ms)
+        if report.leaving:
+            self.leaving(report.upstream, now_ms)
+        elif state.leaving_ms is not None and report_ms > state.leaving_ms + LEAVING_HOLD_MS:
+            state.leaving_ms = None
+        self._schedule(report_ms + MAX_REPORT_AGE_MS + 1.0, report.upstream)
+        self._refresh(state, now_ms)
+
+    def cache_events(self, events: CacheEvents, now_ms: float) -> None:
+        """Learn what an engine added to its cache and evicted from it."""
+        if events.upstream in self._states:
+            self._prefixes.events(events)
+
+    def leaving(self, upstream: UpstreamId, now_ms: float) -> None:
+        """Give an upstream nothing new."""
+        state = self._states.get(upstream)
+        if state is not None:
+            state.leaving_ms = now_ms
+            self._refresh(state, now_ms)
+
+    # Candidates.
+
+    def _best_match(self, request: SlotRequest, now_ms: float) -> UpstreamId | None:
+        """Return the least loaded engine among the best prefix matches within the bound."""
+        usable = (
+            match
+            for match in self._prefixes.matches(request.prefix)
+            if match.upstream not in request.excluded and self._within_bound(match, now_ms)
+        )
+        groups = itertools.groupby(usable, key=lambda match: match.depth * match.weight)
+        best = [match.upstream for _, group in itertools.islice(groups, 1) for match in group]
+        return min(best, key=lambda name: self._states[name].key or _LAST, default=None)
+
+    def _within_bound(self, match: Match, now_ms: float) -> bool:
+        """Return whether one more request keeps the upstream within the bounded load."""
+        state = self._states[match.upstream]
+        if state.key is None or not self._slots:
+            return False
+        share = state.slots / self._slots
+        return state.load(now_ms) < math.ceil(LOAD_BOUND * (self._load + 1) * share)
+
+    # State of one upstream.
+
+    def _take_end(self, state: _State, end: GrantEnd, now_ms: float) -> None:
+        """Learn from how a call ended whether its upstream is alive."""
+        match end:
+            case GrantEnd.COMPLETED:
+                state.failures, state.suspect = 0, False
+            case GrantEnd.LEAVING:
+                state.leaving_ms = now_ms
+            case GrantEnd.CONNECT_FAILED | GrantEnd.FAILED:
+                # Calls that fail together while a back-off runs count once.
+                if now_ms < state.blocked_until_ms:
+                    return
+                state.failures += 1
+                needed = 1 if end is GrantEnd.CONNECT_FAILED else FAILURES_TO_BACK_OFF
+                if state.failures >= needed:
+                    backoff_ms = FIRST_BACKOFF_MS * 2.0 ** min(16, state.failures - needed)
+                    state.suspect = True
+                    state.blocked_until_ms = now_ms + min(MAX_BACKOFF_MS, backoff_ms)
+                    self._schedule(state.blocked_until_ms, state.upstream.name)
+
+    def _observe(
+        self, upstream: UpstreamId, first_ms: float, inter_ms: float, now_ms: float
+    ) -> None:
+        """Compare times with those of the peers and apply changed judgements."""
+        for name in self._stragglers.observe(upstream, first_ms, inter_ms, now_ms):
+            self._refresh(self._states[name], now_ms)
+
+    def _refresh(self, state: _State, now_ms: float) -> None:
+        """Bring the order and the sums up to date with one upstream."""
+        self._close(state)
+        load = state.load(now_ms)
+        name = state.upstream.name
+        speed = self._stragglers.speed(name)
+        if state.leaving_ms is not None or now_ms < state.blocked_until_ms:
+            self._count(state, 0, 0, 0)
+            return
+        if speed is Speed.EJECTED:
+            self._refresh_ejected(state, load, now_ms)
+            return
+        capacity = max(1, math.floor(state.slots * self._stragglers.weight(name)))
+        free = max(0, capacity - load)
+        if state.suspect:
+            free = 0 if state.probing else min(free, 1)  # One call at a time until one completes.
+        self._count(state, free, load, capacity)
+        if free:
+            state.key = (load / capacity, state.tokens, state.number)
+            self._order.add(state.key)
+
+    def _refresh_ejected(self, state: _State, load: int, now_ms: float) -> None:
+        """Leave an ejected upstream open for one probe when it is due."""
+        probe_at_ms = self._stragglers.probe_at_ms(state.upstream.name)
+        due = now_ms >= probe_at_ms and not state.probing and load < state.slots
+        self._count(state, 1 if due else 0, 0, 0)
+        if due:
+            self._probes[state.upstream.name] = None
+        if now_ms < probe_at_ms:
+            self._schedule(probe_at_ms, state.upstream.name)
+
+    def _count(self, state: _State, free: int, load: int, slots: int) -> None:
+        """Replace the share of one upstream in the sums."""
+        old_load, old_slots = self._loads.get(state.upstream.name, (0, 0))
+        self._free += free - state.free
+        self._load += load - old_load
+        self._slots += slots - old_slots
+        self._loads[state.upstream.name] = (load, slots)
+        state.free = free
+
+    def _close(self, state: _State) -> None:
+        """Take an upstream out of the order and of the probes."""
+        self._probes.pop(state.upstream.name, None)
+        if state.key is not None:
+            self._order.remove(state.key)
+            state.key = None
+
+    def _schedule(self, at_ms: float, upstream: UpstreamId) -> None:
+        """Look at an upstream again at a later time."""
+        heapq.heappush(self._wakes, (at_ms, upstream))
+
+    def _wake(self, now_ms: float) -> None:
+        """Refresh the upstreams whose time has come."""
+        self._now_ms = max(self._now_ms, now_ms)
+        while self._wakes and self._wakes[0][0] <= now_ms:
+            _, name = heapq.heappop(self._wakes)
+            if name in self._states:
+                self._refresh(self._states[name], now_ms)
+
+
+def _after(times: deque[float], time_ms: float) -> int:
+    """Return how many of the ascending times are later."""
+    return len(times) - bisect.bisect_right(times, time_ms)
--- /dev/null
+++ b/tests/core/test_choice.py
@@ -0,0 +1,358 @@
+"""Tests of upstream choice: load from lagging reports, prefix index, stragglers, failures."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from goldcrestridge_core.choice import MAX_REPORT_AGE_MS, Chooser
+from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.prefix import PrefixIndex
+from goldcrestridge_core.stragglers import MAX_EJECTED_SHARE, Speed, Stragglers
+from goldcrestridge_core.types import (
+    CacheEvents,
+    GrantEnd,
+    HeldGrant,
+    LoadReport,
+    NodeId,
+    RequestId,
+    ShardId,
+    SlotRelease,
+    SlotRequest,
+    UpstreamId,
+)
+
+NAMES = [UpstreamId(f"u{number}") for number in range(5)]
+SLOTS = 4
+UPSTREAMS = tuple(Upstream(name, "127.0.0.1:1", "dc", SLOTS) for name in NAMES)
+
+
+def slot_request(
+    excluded: tuple[UpstreamId, ...] = (), prefix: tuple[int, ...] = ()
+) -> SlotRequest:
+    return SlotRequest(
+        RequestId("r"), 0, NodeId("e"), ShardId("p/0"), "w", "s", "c", "m", 10, 10, prefix, 0.0,
+        1000.0, excluded,
+    )  # fmt: skip
+
+
+def held_grant(number: int, upstream: UpstreamId, output_tokens: int = 0) -> HeldGrant:
+    request_id = RequestId(f"r{number}")
+    return HeldGrant(request_id, 0, 1, number, upstream, "w", "s", "c", "m", 10, output_tokens)
+
+
+def slot_release(
+    grant: HeldGrant,
+    end: GrantEnd = GrantEnd.COMPLETED,
+    first_ms: float = -1.0,
+    inter_ms: float = -1.0,
+) -> SlotRelease:
+    return SlotRelease(
+        grant.request_id, 0, NodeId("e"), ShardId("p/0"), 1, grant.grant_id, grant.upstream, end,
+        1, first_ms, inter_ms,
+    )  # fmt: skip
+
+
+class Choices(RuleBasedStateMachine):
+    """Guards against load that drifts from grants, ends and reports, and against bad choices."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.chooser = Chooser()
+        self.chooser.set_upstreams(UPSTREAMS)
+        self.now_ms = 0.0
+        self.count = 0
+        self.active: list[HeldGrant] = []
+        self.changes: list[tuple[float, UpstreamId, int]] = []
+        self.reports: dict[UpstreamId, tuple[float, int, int]] = {}
+        self.left: set[UpstreamId] = set()
+
+    def oracle_load(self, name: UpstreamId) -> int:
+        """Recompute the load from everything that ever happened."""
+        active = sum(grant.upstream == name for grant in self.active)
+        at_ms, load, known = self.reports.get(name, (-1e9, 0, 0))
+        if self.now_ms - at_ms > MAX_REPORT_AGE_MS:
+            return active
+        later = [item for item in self.changes[:known] if item[0] > at_ms] + self.changes[known:]
+        since = sum(change for _, who, change in later if who == name)
+        return max(active, load + since)
+
+    @rule(excluded=st.lists(st.sampled_from(NAMES), max_size=4), count=st.integers(1, 8))
+    def grant(self, excluded: list[UpstreamId], count: int) -> None:
+        for _ in range(count):
+            name = self.chooser.choose(slot_request(tuple(excluded)), 10, self.now_ms)
+            usable = [item for item in NAMES if item not in excluded and item not in self.left]
+            open_ones = [item for item in usable if self.oracle_load(item) < SLOTS]
+            if name is None:
+                assert not open_ones
+                return
+            assert name in open_ones
+            assert self.oracle_load(name) == min(map(self.oracle_load, open_ones))
+            self.count += 1
+            held = held_grant(self.count, name)
+            self.chooser.granted(held, (), 10, self.now_ms)
+            self.active.append(held)
+            self.changes.append((self.now_ms, name, 1))
+
+    @precondition(lambda self: self.active)
+    @rule(index=st.integers(0, 99), twice=st.booleans())
+    def end(self, index: int, twice: bool) -> None:
+        held = self.active.pop(index % len(self.active))
+        for _ in range(1 + twice):
+            self.chooser.ended(slot_release(held), self.now_ms)
+        self.changes.append((self.now_ms, held.upstream, -1))
+
+    @rule(name=st.sampled_from(NAMES), age_ms=st.sampled_from([0.0, 50.0, 2000.0, 40_000.0]),
+          load=st.integers(0, SLOTS + 1))  # fmt: skip
+    def report(self, name: UpstreamId, age_ms: float, load: int) -> None:
+        report = LoadReport(name, age_ms, load, 0, SLOTS)
+        self.chooser.load_report(report, self.now_ms)
+        at_ms = self.now_ms - age_ms
+        if age_ms <= MAX_REPORT_AGE_MS and at_ms > self.reports.get(name, (-1e9, 0, 0))[0]:
+            self.reports[name] = (at_ms, load, len(self.changes))
+
+    @rule(name=st.sampled_from(NAMES[:2]))
+    def leave(self, name: UpstreamId) -> None:
+        self.chooser.leaving(name, self.now_ms)
+        self.left.add(name)
+
+    @rule(delta_ms=st.sampled_from([1.0, 60.0, 1_000.0, 20_000.0]))
+    def advance(self, delta_ms: float) -> None:
+        self.now_ms += delta_ms
+        # Reports made long after the leave would take it back; see the test of that.
+        for name in self.left:
+            self.chooser.leaving(name, self.now_ms)
+
+    @invariant()
+    def free_slots_match(self) -> None:
+        free = [max(0, SLOTS - self.oracle_load(name)) for name in NAMES if name not in self.left]
+        assert self.chooser.free_slots(self.now_ms) == sum(free)
+
+
+TestChoices = Choices.TestCase
+TestChoices.settings = settings(settings.get_profile("ci"), stateful_step_count=40)
+
+EVENT = st.tuples(
+    st.integers(0, 2), st.booleans(), st.lists(st.integers(0, 5), max_size=4, unique=True)
+)
+
+
+@given(st.lists(EVENT, max_size=30), st.lists(st.integers(0, 5), max_size=5, unique=True))
+def test_prefix_index_agrees_with_plain_sets(
+    steps: list[tuple[int, bool, list[int]]], prefix: list[int]
+) -> None:
+    index = PrefixIndex()
+    model: dict[UpstreamId, set[int]] = {name: set() for name in NAMES}
+    sequence: Counter[UpstreamId] = Counter()
+    for number, add, blocks in steps:
+        name, items = NAMES[number], tuple(blocks)
+        added, evicted = (items, ()) if add else ((), items)
+        index.events(CacheEvents(name, sequence[name], added, evicted))
+        sequence[name] += len(items)
+        model[name] = model[name] | set(items) if add else model[name] - set(items)
+    expected = {}
+    for name, held in model.items():
+        depth = next((i for i, block in enumerate(prefix) if block not in held), len(prefix))
+        if depth:
+            expected[name] = depth
+    assert {match.upstream: match.depth for match in index.matches(tuple(prefix))} == expected
+
+
+def test_gap_in_cache_events_makes_the_engine_uncertain_until_confirmed() -> None:
+    index = PrefixIndex()
+    index.events(CacheEvents(NAMES[0], 0, (1, 2), ()))
+    index.events(CacheEvents(NAMES[1], 0, (1, 2), ()))
+    index.events(CacheEvents(NAMES[0], 9, (7,), ()))
+    assert index.uncertain(NAMES[0])
+    assert [match.upstream for match in index.matches((1, 2))] == [NAMES[1], NAMES[0]]
+    index.touch(NAMES[0], (1, 2))
+    assert not index.uncertain(NAMES[0])
+    assert {match.weight for match in index.matches((1, 2))} == {1.0}
+
+
+def test_late_cache_events_are_ignored_and_a_restarted_engine_is_learned_anew() -> None:
+    index = PrefixIndex()
+    index.events(CacheEvents(NAMES[0], 0, (1, 2, 3), ()))
+    index.events(CacheEvents(NAMES[0], 0, (), (1,)))
+    assert [match.depth for match in index.matches((1, 2))] == [2]
+    for sequence in range(2):
+        index.events(CacheEvents(NAMES[0], sequence, (8,), ()))
+    assert index.matches((1, 2)) == []
+    assert [match.depth for match in index.matches((8,))] == [1]
+
+
+def test_prefix_index_keeps_its_bound_and_the_blocks_used_last() -> None:
+    index = PrefixIndex(max_blocks=10)
+    for start in range(0, 1_000, 5):
+        index.touch(NAMES[0], tuple(range(start, start + 5)))
+        assert index.size(NAMES[0]) <= 10
+    assert [match.depth for match in index.matches((995, 996))] == [2]
+    assert len(index._holders) <= 10
+
+
+def test_prefix_match_wins_within_the_load_bound_only() -> None:
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS)
+    chosen: Counter[UpstreamId] = Counter()
+    for number in range(15):
+        name = chooser.choose(slot_request(prefix=(1, 2)), 10, 0.0)
+        assert name is not None
+        chosen[name] += 1
+        chooser.granted(held_grant(number, name), (1, 2), 10, 0.0)
+        assert max(chosen.values()) <= -(-115 * (number + 1) // 500)
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS)
+    chooser.granted(held_grant(1, NAMES[3]), (1, 2), 10, 0.0)
+    chooser.ended(slot_release(held_grant(1, NAMES[3])), 0.0)
+    assert chooser.choose(slot_request(prefix=(1, 2, 3)), 10, 0.0) == NAMES[3]
+
+
+def feed(
+    stragglers: Stragglers, slow: set[UpstreamId], start_ms: float, rounds: int, factor: float = 5.0
+) -> float:
+    """Give every upstream some samples; return the time afterwards."""
+    for number in range(rounds):
+        for name in NAMES:
+            times = factor if name in slow else 1.0
+            stragglers.observe(name, 100.0 * times, 20.0 * times, start_ms + 200.0 * number)
+    return start_ms + 200.0 * rounds
+
+
+@pytest.mark.parametrize("slow", [1, 2, 4])
+def test_ejection_never_exceeds_the_fixed_share(slow: int) -> None:
+    stragglers = Stragglers()
+    stragglers.set_upstreams(NAMES)
+    feed(stragglers, set(NAMES[:slow]), 0.0, 30)
+    ejected = [name for name in NAMES if stragglers.speed(name) is Speed.EJECTED]
+    assert len(ejected) <= MAX_EJECTED_SHARE * len(NAMES)
+    assert all(stragglers.speed(name) is Speed.NORMAL for name in NAMES[slow:] if slow < 3)
+
+
+def test_straggler_gets_less_traffic_then_probes_and_recovers_by_them() -> None:
+    stragglers = Stragglers()
+    stragglers.set_upstreams(NAMES)
+    now_ms = feed(stragglers, {NAMES[0]}, 0.0, 20, factor=2.0)
+    assert stragglers.speed(NAMES[0]) is Speed.REDUCED
+    now_ms = feed(stragglers, {NAMES[0]}, now_ms, 20)
+    assert stragglers.speed(NAMES[0]) is Speed.EJECTED
+    now_ms = feed(stragglers, set(), now_ms, 40)
+    assert stragglers.speed(NAMES[0]) is Speed.NORMAL
+
+
+def test_ejected_upstream_gets_single_probes_at_growing_intervals() -> None:
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS)
+    feed(chooser._stragglers, {NAMES[0]}, 0.0, 20)
+    chooser.set_upstreams(UPSTREAMS)
+    probes = []
+    for number in range(600):
+        now_ms = 5_000.0 + 50.0 * number
+        name = chooser.choose(slot_request(), 10, now_ms)
+        assert name is not None
+        grant = held_grant(number, name)
+        chooser.granted(grant, (), 10, now_ms)
+        slow = 5.0 if name == NAMES[0] else 1.0
+        chooser.ended(slot_release(grant, first_ms=100.0 * slow), now_ms + 1.0)
+        if name == NAMES[0]:
+            probes.append(now_ms)
+    gaps = [after - before for before, after in itertools.pairwise(probes)]
+    assert 2 <= len(probes) <= 6
+    assert gaps == sorted(gaps)
+
+
+def test_straggler_is_found_by_the_progress_of_calls_that_have_not_ended() -> None:
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS)
+    grants = [held_grant(number, NAMES[number % 5], 1) for number in range(15)]
+    for grant in grants:
+        chooser.granted(grant, (), 100, 0.0)
+    for report in range(1, 5):
+        for grant in grants:
+            rate = 5 if grant.upstream == NAMES[0] else 25
+            progress = held_grant(grant.grant_id, grant.upstream, 1 + rate * report)
+            chooser.progress(progress, 500.0 * report)
+    assert chooser._stragglers.speed(NAMES[0]) is Speed.EJECTED
+
+
+def test_unreachable_upstream_backs_off_and_returns_with_one_call_at_a_time() -> None:
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS[:1])
+    grant = held_grant(1, NAMES[0])
+    chooser.granted(grant, (), 10, 0.0)
+    chooser.ended(slot_release(grant, GrantEnd.CONNECT_FAILED), 0.0)
+    assert chooser.choose(slot_request(), 10, 499.0) is None
+    assert chooser.choose(slot_request(), 10, 500.0) == NAMES[0]
+    chooser.granted(held_grant(2, NAMES[0]), (), 10, 500.0)
+    assert chooser.choose(slot_request(), 10, 501.0) is None
+    chooser.ended(slot_release(held_grant(2, NAMES[0])), 502.0)
+    assert chooser.free_slots(502.0) == SLOTS
+
+
+def test_leaving_upstream_gets_nothing_until_it_reports_long_after() -> None:
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS[:1])
+    chooser.load_report(LoadReport(NAMES[0], 0.0, 0, 0, SLOTS, leaving=True), 100.0)
+    assert chooser.choose(slot_request(), 10, 101.0) is None
+    chooser.load_report(LoadReport(NAMES[0], 2_000.0, 0, 0, SLOTS), 3_000.0)
+    assert chooser.choose(slot_request(), 10, 3_000.0) is None
+    chooser.load_report(LoadReport(NAMES[0], 0.0, 0, 0, SLOTS), 6_000.0)
+    assert chooser.choose(slot_request(), 10, 6_000.0) == NAMES[0]
+
+
+def test_upstream_removed_and_added_again_keeps_its_grants() -> None:
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS[:2])
+    chooser.granted(held_grant(1, NAMES[0]), (), 10, 0.0)
+    chooser.set_upstreams(UPSTREAMS[1:2])
+    assert chooser.free_slots(1.0) == SLOTS
+    chooser.set_upstreams(UPSTREAMS[:2])
+    assert chooser.free_slots(2.0) == 2 * SLOTS - 1
+
+
+def test_grant_counted_twice_holds_one_slot() -> None:
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS[:1])
+    for _ in range(2):
+        chooser.granted(held_grant(1, NAMES[0]), (), 10, 0.0)
+    assert chooser.free_slots(0.0) == SLOTS - 1
+
+
+def test_removed_upstream_is_no_longer_matched_by_prefix() -> None:
+    chooser = Chooser()
+    chooser.set_upstreams(UPSTREAMS[:2])
+    chooser.granted(held_grant(1, NAMES[0]), (1, 2), 10, 0.0)
+    chooser.set_upstreams(UPSTREAMS[1:2])
+    assert chooser.choose(slot_request(prefix=(1, 2)), 10, 0.0) == NAMES[1]
+
+
+def test_prefix_in_constant_use_is_not_evicted_from_the_index() -> None:
+    index = PrefixIndex(max_blocks=4)
+    for blocks in ((1, 2), (10,), (11,), (1, 2), (12,), (13,)):
+        index.touch(NAMES[0], blocks)
+    assert [match.depth for match in index.matches((1, 2))] == [2]
+
+
+@pytest.mark.parametrize(("slow_rounds", "probes"), [(4, 3), (20, 2)])
+def test_straggler_in_first_tokens_returns_once_its_last_probes_are_good(
+    slow_rounds: int, probes: int
+) -> None:
+    stragglers = Stragglers()
+    stragglers.set_upstreams(NAMES)
+    now_ms = feed(stragglers, {NAMES[0]}, 0.0, slow_rounds)
+    speeds = []
+    for _ in range(6):
+        for number in range(5):
+            now_ms += 200.0
+            for name in NAMES:
+                first_ms = 100.0 if name != NAMES[0] or number == 4 else -1.0
+                stragglers.observe(name, first_ms, 20.0, now_ms)
+        now_ms = now_ms + 200.0
+        stragglers.observe(NAMES[1], 100.0, 20.0, now_ms)
+        speeds.append(stragglers.speed(NAMES[0]))
+    expected = [Speed.EJECTED] * (probes - 1) + [Speed.NORMAL] * (7 - probes)
+    assert speeds == expected
