Use the full upstream choice in the node and poll load of all upstreams

Cause: the node placed requests by least load, and an upstream that had left once stayed shut out until the next change of configuration.

--- a/packages/core/src/goldcrestridge_core/choice_simple.py
+++ b/packages/core/src/goldcrestridge_core/choice_simple.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
 
 from attrs import Factory, define
 
@@ -37,7 +36,7 @@
     _heap: list[tuple[float, int, int, types.UpstreamId]] = Factory(list)
     _free: int = 0
 
-    def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+    def set_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Replace the upstreams and keep the load of those that remain."""
         old = self._loads
         self._loads = {}
@@ -81,6 +80,9 @@
         """Count a grant."""
         self._change(grant.upstream, 1)
 
+    def progress(self, grant: types.HeldGrant, now_ms: float) -> None:
+        """Ignore progress; only the number of grants counts here."""
+
     def ended(self, release: types.SlotRelease, now_ms: float) -> None:
         """Count the end of a grant."""
         self._change(release.upstream, -1)
--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from goldcrestridge_core.addresses import Addresses
-from goldcrestridge_core.choice_simple import LeastLoaded
+from goldcrestridge_core.choice import Chooser
 from goldcrestridge_core.config import Configuration, PoolKind, Upstream
 from goldcrestridge_core.documents import Document, decode_document
 from goldcrestridge_core.drain import Drain, Phase
@@ -221,16 +221,21 @@
         """Return all shards of the configuration in force."""
         return tuple(self._shards)
 
-    def owned_engines(self) -> dict[UpstreamId, Upstream]:
-        """Return the engines in the shards that this node owns."""
-        engines = {name for name, pool in self.cfg.pools.items() if pool.kind is PoolKind.ENGINE}
+    def owned_upstreams(self) -> dict[UpstreamId, Upstream]:
+        """Return the upstreams in the shards that this node owns."""
         return {
             upstream.name: upstream
             for shard in self.owners
-            if shard.rpartition("/")[0] in engines
             for upstream in self._shards.get(shard, ())
         }
 
+    def is_engine(self, name: UpstreamId) -> bool:
+        """Tell whether an upstream is a model engine."""
+        return any(
+            pool.kind is PoolKind.ENGINE and any(u.name == name for u in pool.upstreams)
+            for pool in self.cfg.pools.values()
+        )
+
     def next_deadline_ms(self) -> float | None:
         """Return the earliest deadline of all roles."""
         return min((time for time in self._deadlines.values() if time is not None), default=None)
@@ -392,7 +397,7 @@
         if upstreams is None:
             return
         rng = self._rng(f"owner {shard} {epoch}")
-        chooser = LeastLoaded()
+        chooser = Chooser()
         own = self.identity.member.node
         self.owners[shard] = Owner(
             self.cfg, shard, own, upstreams, epoch, chooser, rng, started_ms=now_ms
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -4,12 +4,12 @@
 
 import math
 import random
-from collections.abc import Iterable
 from typing import Any, Protocol
 
 from attrs import define, field
 
 from goldcrestridge_core import types
+from goldcrestridge_core.choice import LEAVING_HOLD_MS
 from goldcrestridge_core.config import Configuration, Upstream
 from goldcrestridge_core.flows import Waiting
 from goldcrestridge_core.grants import REPORT_INTERVAL_MS, AttemptKey, Grant, Grants
@@ -33,7 +33,7 @@
 class Chooser(Protocol):
     """Choose upstreams; see section 11 of the design page."""
 
-    def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+    def set_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Replace the upstreams."""
 
     def free_slots(self, now_ms: float) -> int:
@@ -55,6 +55,9 @@
     ) -> None:
         """Count a grant."""
 
+    def progress(self, grant: types.HeldGrant, now_ms: float) -> None:
+        """Take in the output tokens that a report shows for a grant."""
+
     def ended(self, release: types.SlotRelease, now_ms: float) -> None:
         """Count the end of a grant."""
 
@@ -93,7 +96,7 @@
     _waiting: dict[AttemptKey, Waiting] = field(factory=dict)
     _entries: dict[types.NodeId, float] = field(factory=dict)
     _reports: dict[types.NodeId, int] = field(factory=dict)
-    _left: dict[types.UpstreamId, None] = field(factory=dict)
+    _left: dict[types.UpstreamId, float] = field(factory=dict)  # Time of the sign.
     _next_grant: int = 0
     _summary_ms: float = field(init=False)
     _sweep_ms: float = 0.0
@@ -137,7 +140,7 @@
         before = self.queue
         self.cfg = cfg
         self.upstreams = upstreams
-        self._left = {u.name: None for u in upstreams if u.name in self._left}
+        self._left = {u.name: self._left[u.name] for u in upstreams if u.name in self._left}
         self.chooser.set_upstreams(upstreams)
         self.limits = self.limits.reconfigured(cfg, now_ms)
         self.queue = Queue(cfg, self.limits, sum(u.slots for u in upstreams))
@@ -171,6 +174,9 @@
                 self.chooser.load_report(message, now_ms)
                 if message.leaving:
                     return self._leaving(message.upstream, "load_report", now_ms)
+                left_ms = self._left.get(message.upstream, math.inf)
+                if now_ms - message.age_ms > left_ms + LEAVING_HOLD_MS:
+                    del self._left[message.upstream]
             case types.CacheEvents():
                 self.chooser.cache_events(message, now_ms)
             case types.UpstreamLeaving():
@@ -247,6 +253,7 @@
             key = (report.entry, held.epoch, held.grant_id)
             grant = self.grants.find(key)
             if grant is not None:
+                self.chooser.progress(held, now_ms)
                 self._progress(grant, held.output_tokens, now_ms)
             elif held.epoch != self.epoch and not self.grants.has_ended(key):
                 self._adopt(report.entry, held, now_ms)
@@ -289,7 +296,7 @@
         """Stop giving work to an upstream and tell the entry nodes at once."""
         if upstream in self._left or upstream not in {u.name for u in self.upstreams}:
             return []
-        self._left[upstream] = None
+        self._left[upstream] = now_ms
         self.chooser.leaving(upstream, now_ms)
         notice = types.UpstreamLeaving(upstream, source)
         sends = [types.Send(entry, notice) for entry in self._entries]
--- a/packages/lab/src/goldcrestridge_lab/service_http.py
+++ b/packages/lab/src/goldcrestridge_lab/service_http.py
@@ -48,6 +48,7 @@
 
     crash: bool = False
     delay_ms: float | None = None
+    leave: bool | None = None
     fault: Fault | None = None
     times: int = 1
     answer_bytes: int | None = None  # Length of the padding in each answer.
@@ -61,6 +62,8 @@
     crash: anyio.Event = field(factory=anyio.Event)
     runs: Counter[str] = field(factory=Counter)
     answer_bytes: int = 0
+    running: int = 0
+    leaving: bool = False
     _fault: Fault | None = None
     _times: int = 0
 
@@ -70,10 +73,19 @@
         route = (scope["method"], scope["path"])
         if route == ("GET", "/runs"):
             await send_json(send, self.runs)
+        elif route == ("GET", "/load"):
+            load = {"running": self.running, "waiting": 0, "slots": 0, "leaving": self.leaving}
+            await send_json(send, load)
         elif route == ("POST", "/control"):
             await self._control(msgspec.json.decode(body, type=Control), send)
+        elif self.leaving:
+            await send_json(send, {"error": "leaving"}, 503, ((b"x-upstream-leaving", b"1"),))
         else:
-            await self._call(scope, body, send)
+            self.running += 1
+            try:
+                await self._call(scope, body, send)
+            finally:
+                self.running -= 1
 
     async def _control(self, control: Control, send: Send) -> None:
         if control.crash:
@@ -82,6 +94,8 @@
             return
         if control.delay_ms is not None:
             self.delay_ms = control.delay_ms
+        if control.leave is not None:
+            self.leaving = control.leave
         if control.answer_bytes is not None:
             self.answer_bytes = control.answer_bytes
         if control.fault is not None:
--- a/packages/node/src/goldcrestridge_node/process.py
+++ b/packages/node/src/goldcrestridge_node/process.py
@@ -107,7 +107,8 @@
         self.client = UpstreamClient(self._upstreams.get, self.driver.post_and_wait)
         self.edge = Edge(self._edge_hooks(), cfg.site, EdgeOptions(cfg.max_body_bytes))
         self.reports = Reports(
-            self.node.owned_engines,
+            self.node.owned_upstreams,
+            self.node.is_engine,
             lambda report: self.driver.post(Receive(cfg.node, report)),
             self.metrics.record,
         )
--- a/packages/node/src/goldcrestridge_node/reports.py
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -1,4 +1,4 @@
-"""Polling of load reports and cache events of the engines in the shards that this node owns."""
+"""Polling of load reports and cache events of the upstreams in the shards of this node."""
 
 from __future__ import annotations
 
@@ -38,21 +38,23 @@
 
 @define
 class Reports:
-    """Poll each engine in its own task, so that a silent engine delays no other.
+    """Poll each upstream in its own task, so that a silent one delays no other.
 
-    ``engines`` returns the engines to poll now, ``deliver`` takes each report.
+    ``upstreams`` returns those to poll now, ``is_engine`` tells which of them publish cache
+    events, ``deliver`` takes each report.
     """
 
-    engines: Callable[[], dict[UpstreamId, Upstream]]
+    upstreams: Callable[[], dict[UpstreamId, Upstream]]
+    is_engine: Callable[[UpstreamId], bool]
     deliver: Callable[[LoadReport | CacheEvents], None]
     count: Callable[[Count], None]
     _polled: dict[UpstreamId, anyio.CancelScope] = field(factory=dict)
 
     async def run(self) -> None:
-        """Poll until cancelled; engines come and go with ownership and configuration."""
+        """Poll until cancelled; upstreams come and go with ownership and configuration."""
         async with anyio.create_task_group() as tasks, httpcore.AsyncConnectionPool() as pool:
             while True:
-                wanted = self.engines()
+                wanted = self.upstreams()
                 for name in self._polled.keys() - wanted.keys():
                     self._polled.pop(name).cancel()
                 for name in wanted.keys() - self._polled.keys():
@@ -66,7 +68,7 @@
         sequence = 0
         with scope:
             while True:
-                upstream = self.engines().get(name)
+                upstream = self.upstreams().get(name)
                 if upstream is not None:
                     try:
                         sequence = await self._fetch(pool, upstream, sequence)
@@ -91,6 +93,8 @@
                 upstream.name, load.age_ms, load.running, load.waiting, load.slots, load.leaving
             )
         )
+        if not self.is_engine(upstream.name):
+            return sequence
         data = await _get(pool, upstream, f"/cache_events?after={sequence}")
         page = msgspec.json.decode(data, type=_CachePage)
         if not page.events:
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve, field
 
 from goldcrestridge_core import config, types
+from goldcrestridge_core.choice import Chooser
 from goldcrestridge_core.choice_simple import LeastLoaded
 from goldcrestridge_core.owner import REBUILD_MS, Owner
 
@@ -38,6 +39,7 @@
     started_ms: float = -REBUILD_MS
     lease_until_ms: float = float("inf")
     number: int = 0
+    chooser: Any = field(factory=LeastLoaded)
     owner: Owner = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -48,7 +50,7 @@
             types.NodeId("o"),
             (upstream,),
             self.epoch,
-            LeastLoaded(),
+            self.chooser,
             random.Random(1),
             self.started_ms,
             self.lease_until_ms,
@@ -365,6 +367,18 @@
     assert harness.owner.limits.blocking("w", "", harness.now_ms) == ("w", "")
 
 
+def test_an_upstream_that_reports_again_without_the_sign_gets_work_again() -> None:
+    # Guards against an upstream that is shut out for ever after a restart.
+    harness = Harness(chooser=Chooser())
+    harness.send(types.UpstreamLeaving(types.UpstreamId("u"), "list"))
+    (refusal,) = harness.send(harness.request())
+    assert refusal.reason is types.Reason.NO_UPSTREAM
+    harness.wait(6_000.0)
+    harness.send(types.LoadReport(types.UpstreamId("u"), 100.0, 0, 0, 1))
+    (grant,) = harness.send(harness.request())
+    assert isinstance(grant, types.SlotGrant)
+
+
 def test_lower_tiers_leave_headroom_while_a_higher_tier_shows_demand() -> None:
     # Guards against a pool of long requests that a lower tier fills to the last slot.
     harness = Harness(slots=10)
