Add shards and ownership by lease

Cause: one live node at a time has to own each shard of a pool. Change: shards (split by hash bits, rendezvous ranking), ownership (acquire, renew, hand over on a claim, standbys), OwnerAnnounce and OwnerClaim. Membership returns MemberUp of its own node when it joins. The test carrier keeps clocks of different rates, and rounds a Tick up to the deadline: without that a role that saw a time just below its deadline did nothing for ever, and the run hung. Faults seen to fail in a copy: split by modulo, ranking that depends on the number of nodes, first grant after a start used, lease counted from the reply, no standby, drain keeps shards, owner not announced. Not caught by a test: a denied or overruled holder that goes on until its lease ends; the lease ends first there, so these are second guards. Conclusion: usable with a store that renews, renumbers or refuses a second acquisition by the same holder.

--- a/packages/core/src/goldcrestridge_core/membership.py
+++ b/packages/core/src/goldcrestridge_core/membership.py
@@ -21,6 +21,7 @@
     MemberRecords,
     MemberState,
     MemberSummary,
+    MemberUp,
     NodeId,
     Ping,
     PingReq,
@@ -76,7 +77,8 @@
     live; the transport must know their addresses from the settings, and learns the addresses of
     other members from MemberUp. ``hint`` returns the configuration hint to piggyback.
 
-    The first Tick joins. Events: Tick, Receive of the membership messages, PlatformList,
+    The first Tick joins and returns MemberUp of this node, so that the other roles know it.
+    Events: Tick, Receive of the membership messages, PlatformList,
     StartDrain (marks this node LEAVING), Leave. Effects: MemberUp (also for each higher
     incarnation), MemberLeaving (also for this node), MemberDown, Send, Emit, Count.
     """
@@ -90,6 +92,7 @@
     _probe: _Probe | None = None
     _relays: dict[int, _Relay] = field(factory=dict)
     _sequence: int = 0
+    _joined: bool = False
     _gone: bool = False
     _next_probe_ms: float = 0.0
     _next_gossip_ms: float = 0.0
@@ -134,7 +137,9 @@
 
     def _tick(self, now_ms: float) -> list[Any]:
         """Do everything that is due."""
-        effects = self.view.bury(now_ms)
+        effects: list[Any] = [] if self._joined else [MemberUp(self.own)]
+        self._joined = True
+        effects += self.view.bury(now_ms)
         effects += [self._check(member) for member in self.view.due_checks(now_ms)]
         if self._probe and not self._probe.asked and now_ms >= self._probe.relays_at_ms:
             effects += self._ask_relays(self._probe)
--- /dev/null
+++ b/packages/core/src/goldcrestridge_core/shards.py
@@ -0,0 +1,80 @@
+"""Split pools into shards and rank nodes for each shard."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterable, Sequence
+
+import xxhash
+from attrs import define, field
+
+from goldcrestridge_core.addresses import weight
+from goldcrestridge_core.types import NodeId, ShardId, UpstreamId
+
+SHARD_UPSTREAMS = 16
+HASH_BITS = 64
+
+
+def split(pool: str, upstreams: Iterable[UpstreamId]) -> dict[ShardId, tuple[UpstreamId, ...]]:
+    """Return the shards of a pool, each with at most 16 upstreams, as far as hashes differ.
+
+    A shard that is too large is halved by the next bit of its upstreams' hashes. The result
+    depends on the set of upstreams alone, and another upstream changes only the shard that it
+    falls into. A pool of at most 16 upstreams is the one shard ``pool/0``; the halves of shard n
+    are 2n + 1 and 2n + 2.
+    """
+    hashed = sorted((xxhash.xxh3_64_intdigest(name.encode()), name) for name in set(upstreams))
+    return dict(_halve(pool, hashed, 0, HASH_BITS - 1))
+
+
+def _halve(
+    pool: str, hashed: Sequence[tuple[int, UpstreamId]], number: int, bit: int
+) -> list[tuple[ShardId, tuple[UpstreamId, ...]]]:
+    """Return the shards of one part of a pool; a part without upstreams has none."""
+    if len(hashed) <= SHARD_UPSTREAMS or bit < 0:
+        names = tuple(sorted(name for _, name in hashed))
+        return [(ShardId(f"{pool}/{number}"), names)] if names else []
+    low = [pair for pair in hashed if not pair[0] >> bit & 1]
+    high = [pair for pair in hashed if pair[0] >> bit & 1]
+    return [
+        *_halve(pool, low, 2 * number + 1, bit - 1),
+        *_halve(pool, high, 2 * number + 2, bit - 1),
+    ]
+
+
+@define
+class Ranking:
+    """Rank the eligible nodes of one shard by rendezvous weight, the highest first.
+
+    A node that comes or goes moves only the shards on which it ranks first: one in n.
+    """
+
+    shard: ShardId
+    _order: list[tuple[int, NodeId]] = field(factory=list)
+
+    def add(self, node: NodeId) -> None:
+        """Add a node unless it is ranked already."""
+        key = self._key(node)
+        at = bisect.bisect_left(self._order, key)
+        if at == len(self._order) or self._order[at] != key:
+            self._order.insert(at, key)
+
+    def remove(self, node: NodeId) -> None:
+        """Remove a node if it is ranked."""
+        at = self.rank(node)
+        if at is not None:
+            del self._order[at]
+
+    def rank(self, node: NodeId) -> int | None:
+        """Return the place of a node, 0 for the first, or None if it is not ranked."""
+        key = self._key(node)
+        at = bisect.bisect_left(self._order, key)
+        return at if at < len(self._order) and self._order[at] == key else None
+
+    def first(self, count: int) -> list[NodeId]:
+        """Return the first nodes."""
+        return [node for _, node in self._order[:count]]
+
+    def _key(self, node: NodeId) -> tuple[int, NodeId]:
+        """Return the sort key of a node."""
+        return -weight(self.shard, node), node
--- a/packages/lab/src/goldcrestridge_lab/carrier_members.py
+++ b/packages/lab/src/goldcrestridge_lab/carrier_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
 import itertools
 import random
@@ -23,24 +24,30 @@
     Tick,
 )
 
+ROUNDING_MS = 1e-6
+
 
 @define
 class Host:
     """Compose roles on one node: every effect that is not a Send is an event for all roles.
 
-    ``effects`` keeps (time, effect) of everything but Send.
+    ``effects`` keeps (time, effect) of everything but Send. The node's monotonic clock shows
+    ``rate`` times the virtual time plus ``skew_ms``.
     """
 
     node: NodeId
     roles: list[Any]
     effects: list[tuple[float, Any]] = Factory(list)
     skew_ms: float = 0.0
+    rate: float = 1.0
 
     def handle(self, event: Any, now_ms: float) -> list[Send]:
         """Give an event to the roles and return the messages to send."""
         sends: list[Send] = []
         pending = [event]
-        local_ms = now_ms + self.skew_ms
+        local_ms = now_ms * self.rate + self.skew_ms
+        if isinstance(event, Tick):
+            local_ms = self._rounded(local_ms)
         while pending:
             current = pending.pop(0)
             for role in self.roles:
@@ -54,16 +61,26 @@
                         pending.append(effect)
         return sends
 
+    def _rounded(self, local_ms: float) -> float:
+        """Return the earliest deadline if only a rounding error lies before it.
+
+        Otherwise a role that sees a time just below its deadline does nothing, for ever.
+        """
+        times = (role.next_deadline_ms() for role in self.roles)
+        deadline = min((t for t in times if t is not None), default=local_ms)
+        return max(local_ms, min(deadline, local_ms + ROUNDING_MS))
+
     def next_deadline_ms(self) -> float | None:
-        """Return the earliest deadline of the roles."""
+        """Return the earliest deadline of the roles in virtual time."""
         times = (role.next_deadline_ms() for role in self.roles)
-        return min((t - self.skew_ms for t in times if t is not None), default=None)
+        local_ms = min((t for t in times if t is not None), default=None)
+        return None if local_ms is None else (local_ms - self.skew_ms) / self.rate
 
 
 def _due(role: Any, now_ms: float) -> bool:
-    """Tell whether a role wants a Tick."""
+    """Tell whether a role wants a Tick; virtual times are rounded."""
     deadline = role.next_deadline_ms()
-    return deadline is not None and deadline <= now_ms + 1e-6
+    return deadline is not None and deadline <= now_ms + ROUNDING_MS
 
 
 @define
@@ -72,7 +89,7 @@
 
     ``cut`` returns True if a message from the first to the second node vanishes. Delays are drawn
     for each message, so messages overtake each other. ``sent_bytes`` counts encoded bytes by
-    sender, ``sent`` messages; ``on_step`` is called after each step with the virtual time.
+    sender and ``sent`` messages; ``on_effect`` sees every effect that is not a Send.
     """
 
     rng: random.Random
@@ -80,12 +97,12 @@
     duplicates: float = 0.0
     delay_ms: tuple[float, float] = (0.5, 5.0)
     cut: Callable[[NodeId, NodeId], bool] = lambda _sender, _to: False
+    on_effect: Callable[[Host, Any], None] = lambda _host, _effect: None
     hosts: dict[NodeId, Host] = Factory(dict)
     now_ms: float = 1_000.0
     sent: dict[NodeId, int] = Factory(dict)
     sent_bytes: dict[NodeId, int] = Factory(dict)
-    _queue: list[tuple[float, int, NodeId, NodeId, bytes]] = Factory(list)
-    _timers: list[tuple[float, int, NodeId]] = Factory(list)
+    _queue: list[tuple[float, int, Callable[[], None]]] = Factory(list)
     _order: itertools.count[int] = Factory(itertools.count)
 
     def add(self, host: Host) -> None:
@@ -101,42 +118,43 @@
         """Give an event to a node now."""
         self._deliver(self.hosts[node], event)
 
+    def call_at(self, at_ms: float, call: Callable[[], None]) -> None:
+        """Run a function at a virtual time."""
+        heapq.heappush(self._queue, (at_ms, next(self._order), call))
+
     def run(self, duration_ms: float, until: Callable[[], bool] | None = None) -> bool:
         """Run for ``duration_ms`` or until the condition holds; return whether it held."""
         end_ms = self.now_ms + duration_ms
         while True:
             if until and until():
                 return True
-            time_ms = min(
-                self._queue[0][0] if self._queue else end_ms,
-                self._timers[0][0] if self._timers else end_ms,
-            )
-            if time_ms >= end_ms:
+            if not self._queue or self._queue[0][0] >= end_ms:
                 self.now_ms = end_ms
                 return bool(until and until())
-            self.now_ms = max(self.now_ms, time_ms)
-            self._step()
-
-    def _step(self) -> None:
-        """Deliver the next message or Tick."""
-        if self._queue and (not self._timers or self._queue[0][0] <= self._timers[0][0]):
-            _, _, sender, to, data = heapq.heappop(self._queue)
-            host = self.hosts.get(to)
-            if host and not self.cut(sender, to):
-                self._deliver(host, Receive(sender, codec.decode(data).unwrap()))
-            return
-        _, _, node = heapq.heappop(self._timers)
-        host = self.hosts.get(node)
-        if host is None:
-            return
+            at_ms, _, call = heapq.heappop(self._queue)
+            self.now_ms = max(self.now_ms, at_ms)
+            call()
+
+    def _receive(self, sender: NodeId, to: NodeId, data: bytes) -> None:
+        """Deliver a message unless its receiver is down or the link is cut."""
+        host = self.hosts.get(to)
+        if host and not self.cut(sender, to):
+            self._deliver(host, Receive(sender, codec.decode(data).unwrap()))
+
+    def _fire(self, host: Host) -> None:
+        """Give a Tick to a host that still wants it."""
         deadline = host.next_deadline_ms()
-        if deadline is not None and deadline <= self.now_ms + 1e-6:
+        running = self.hosts.get(host.node) is host
+        if running and deadline is not None and deadline <= self.now_ms + ROUNDING_MS:
             self._deliver(host, Tick())
 
     def _deliver(self, host: Host, event: Any) -> None:
         """Run a host and carry what it sends."""
+        seen = len(host.effects)
         self.carry(host.node, host.handle(event, self.now_ms))
         self._arm(host)
+        for _, effect in host.effects[seen:]:
+            self.on_effect(host, effect)
 
     def carry(self, sender: NodeId, sends: Iterable[Send]) -> None:
         """Queue messages for delivery, or drop them."""
@@ -148,14 +166,13 @@
             for _ in range(copies):
                 if self.rng.random() >= self.loss:
                     at_ms = self.now_ms + self.rng.uniform(*self.delay_ms)
-                    heapq.heappush(self._queue, (at_ms, next(self._order), sender, send.to, data))
+                    self.call_at(at_ms, functools.partial(self._receive, sender, send.to, data))
 
     def _arm(self, host: Host) -> None:
         """Set the timer of a host; outdated timers are ignored when they fire."""
         deadline = host.next_deadline_ms()
         if deadline is not None:
-            at_ms = max(deadline, self.now_ms)
-            heapq.heappush(self._timers, (at_ms, next(self._order), host.node))
+            self.call_at(max(deadline, self.now_ms), functools.partial(self._fire, host))
 
 
 def node_id(number: int) -> NodeId:
--- /dev/null
+++ b/tests/core/test_ownership.py
@@ -0,0 +1,302 @@
+"""Ownership: one holder for each epoch, stops in time, hands over, is known to everyone."""
+
+from __future__ import annotations
+
+import functools
+import itertools
+import random
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from goldcrestridge_core.ownership import LEASE_MS, Ownership
+from goldcrestridge_core.shards import SHARD_UPSTREAMS, Ranking, split
+from goldcrestridge_core.types import (
+    AcquireLease,
+    LeaseResult,
+    MemberDown,
+    MemberLeaving,
+    MemberUp,
+    NodeId,
+    OwnershipGained,
+    OwnershipLost,
+    ProposalDone,
+    ReleaseLease,
+    ReleaseOwnership,
+    ShardId,
+    ShardsChanged,
+    SubmitProposal,
+    UpstreamId,
+)
+from goldcrestridge_lab.carrier_members import Carrier, Cuts, Host, member, node_id
+
+NODES = 4
+SHARDS = tuple(ShardId(f"pool/{n}") for n in range(3))
+NAMES = st.sets(st.integers(0, 10**6).map(lambda n: UpstreamId(f"u{n}")), max_size=120)
+
+
+@given(NAMES, st.integers(0, 10**6))
+def test_an_added_upstream_changes_only_the_shard_that_it_falls_into(
+    names: set[UpstreamId], number: int
+) -> None:
+    # Guards against a new server that moves the queues of the whole pool.
+    new = UpstreamId(f"new{number}")
+    before, after = split("p", names), split("p", names | {new})
+    assert sorted(itertools.chain(*before.values())) == sorted(names)
+    assert all(len(part) <= SHARD_UPSTREAMS for part in after.values())
+    assert len(before) == 1 or len(names) != SHARD_UPSTREAMS
+    changed = [shard for shard in before if after.get(shard) != before[shard]]
+    assert len(changed) <= 1
+    moved = {name for shard in changed for name in before[shard]} | {new}
+    created = [after[shard] for shard in after if after[shard] != before.get(shard)]
+    assert set(itertools.chain(*created)) == moved
+
+
+@given(st.sets(st.integers(0, 400), min_size=1, max_size=60), st.integers(500, 900))
+def test_a_node_that_comes_or_goes_moves_only_its_own_shards(nodes: set[int], new: int) -> None:
+    # Guards against a restart that moves the ownership of shards between other nodes.
+    rankings = [Ranking(ShardId(f"p/{n}")) for n in range(200)]
+    for ranking, number in itertools.product(rankings, sorted(nodes)):
+        ranking.add(node_id(number))
+    before = [ranking.first(1) for ranking in rankings]
+    for ranking in rankings:
+        ranking.add(node_id(new))
+        ranking.add(node_id(new))
+    after = [ranking.first(1) for ranking in rankings]
+    moved = [now for then, now in zip(before, after, strict=True) if now != then]
+    assert all(now == [node_id(new)] for now in moved)
+    mean = 200 / (len(nodes) + 1)
+    assert len(moved) <= mean + 5 * mean**0.5
+    for ranking in rankings:
+        ranking.remove(node_id(new))
+    assert [ranking.first(1) for ranking in rankings] == before
+
+
+class Store:
+    """Leases as the log grants them, with the three answers that a second acquisition may get."""
+
+    def __init__(self, again: str) -> None:
+        self.again = again
+        self.leases: dict[str, tuple[NodeId, int, float]] = {}
+        self.fencing = 0
+
+    def apply(self, command: Any, now_ms: float) -> LeaseResult:
+        holder, fencing, until_ms = self.leases.get(command.resource, (None, 0, 0.0))
+        if until_ms <= now_ms:
+            holder = None
+        if isinstance(command, ReleaseLease):
+            if (holder, fencing) == (command.holder, command.fencing):
+                self.leases[command.resource] = (command.holder, fencing, 0.0)
+            return LeaseResult(False, None, fencing)
+        own = holder == command.holder
+        if command.fencing:
+            granted = own and fencing == command.fencing
+        else:
+            granted = holder is None or (own and self.again != "denied")
+            if granted and (holder is None or self.again == "new"):
+                self.fencing += 1
+                fencing = self.fencing
+        if not granted:
+            return LeaseResult(False, holder, fencing)
+        self.leases[command.resource] = (command.holder, fencing, now_ms + command.duration_ms)
+        return LeaseResult(True, command.holder, fencing)
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Oracle: who may grant now, by the effects, against the leases of the store."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cuts = Cuts()
+        self.rng = random.Random(5)
+        self.carrier = Carrier(self.rng, delay_ms=(0.5, 300.0), cut=self.cuts, on_effect=self.seen)
+        self.roles: dict[NodeId, Ownership] = {}
+        self.store = Store("same")
+        self.owners: dict[ShardId, NodeId] = {}
+        self.epochs: set[tuple[ShardId, int]] = set()
+        self.no_log: set[NodeId] = set()
+        self.log_loss = 0.0
+        self.slow_log = True
+        self.life = 0
+        self.finished: set[str] = set()
+
+    nodes = st.integers(0, NODES - 1).map(node_id)
+
+    @initialize(again=st.sampled_from(["same", "new", "denied"]))
+    def begin(self, again: str) -> None:
+        self.store = Store(again)
+        for number in range(NODES):
+            self.start(node_id(number))
+
+    def start(self, node: NodeId) -> None:
+        self.life += 1
+        self.stop(node)
+        role = Ownership(node, str(self.life), random.Random(self.life))
+        self.roles[node] = role
+        skew_ms, rate = self.rng.uniform(0.0, 1e6), self.rng.uniform(0.99, 1.01)
+        self.carrier.add(Host(node, [role], skew_ms=skew_ms, rate=rate))
+        self.carrier.inject(node, ShardsChanged(SHARDS))
+        for other in sorted(self.roles):
+            self.carrier.inject(node, MemberUp(member(int(other[1:]))))
+            if other != node:
+                self.carrier.inject(other, MemberUp(member(int(node[1:]))))
+
+    def stop(self, node: NodeId) -> None:
+        self.carrier.remove(node)
+        self.roles.pop(node, None)
+        self.owners = {shard: owner for shard, owner in self.owners.items() if owner != node}
+
+    def seen(self, host: Host, effect: Any) -> None:
+        match effect:
+            case OwnershipGained(shard=shard, epoch=epoch):
+                assert (shard, epoch) not in self.epochs
+                assert shard not in self.owners
+                self.epochs.add((shard, epoch))
+                self.owners[shard] = host.node
+            case OwnershipLost(shard=shard):
+                assert self.owners.pop(shard) == host.node
+                holder, _, until_ms = self.store.leases[f"shard/{shard}"]
+                assert holder == host.node
+                assert self.carrier.now_ms < until_ms
+            case SubmitProposal():
+                self.submit(host, effect)
+
+    def submit(self, host: Host, proposal: SubmitProposal) -> None:
+        now_ms = self.carrier.now_ms
+        paused = self.rng.random() < self.log_loss
+        give_up_ms = now_ms + (5_000.0 if paused else proposal.timeout_ms / host.rate)
+        self.carrier.call_at(give_up_ms, functools.partial(self.finish, host, proposal, None))
+        if host.node not in self.no_log and self.rng.random() >= self.log_loss:
+            slow = [400.0, 2_500.0] if self.slow_log else []
+            at_ms = now_ms + self.rng.choice([2.0, 20.0, *slow])
+            self.carrier.call_at(at_ms, functools.partial(self.commit, host, proposal))
+
+    def commit(self, host: Host, proposal: SubmitProposal) -> None:
+        now_ms = self.carrier.now_ms
+        before = dict(self.store.leases)
+        result = self.store.apply(proposal.command, now_ms)
+        if isinstance(proposal.command, AcquireLease) and result.granted:
+            resource = proposal.command.resource
+            shard = ShardId(resource.removeprefix("shard/"))
+            if before.get(resource, (None,))[0] != host.node:
+                assert self.owners.get(shard) is None
+        if self.rng.random() >= self.log_loss:
+            slow = [500.0, 2_500.0] if self.slow_log else []
+            at_ms = now_ms + self.rng.choice([1.0, 80.0, *slow])
+            self.carrier.call_at(at_ms, functools.partial(self.finish, host, proposal, result))
+
+    def finish(self, host: Host, proposal: SubmitProposal, result: Any) -> None:
+        known = proposal.proposal_id in self.finished
+        if not known and self.carrier.hosts.get(host.node) is host:
+            self.finished.add(proposal.proposal_id)
+            self.carrier.inject(host.node, ProposalDone(proposal.proposal_id, result))
+
+    @rule(ms=st.sampled_from([100.0, 700.0, 2_500.0, 9_000.0]))
+    def run_for(self, ms: float) -> None:
+        self.carrier.run(ms)
+
+    @rule(loss=st.sampled_from([0.0, 0.3]), log_loss=st.sampled_from([0.0, 0.3]))
+    def weather(self, loss: float, log_loss: float) -> None:
+        self.carrier.loss = self.carrier.duplicates = loss
+        self.log_loss = log_loss
+
+    @rule(node=nodes)
+    def cut_from_log(self, node: NodeId) -> None:
+        self.no_log ^= {node}
+
+    @rule(node=nodes, one_way=st.booleans())
+    def isolate(self, node: NodeId, one_way: bool) -> None:
+        self.cuts.split([node], [n for n in self.roles if n != node], one_way)
+
+    @rule(node=nodes)
+    def restart(self, node: NodeId) -> None:
+        self.start(node)
+
+    @rule(node=nodes)
+    def crash(self, node: NodeId) -> None:
+        if len(self.roles) > 1:
+            self.stop(node)
+            for other in sorted(self.roles):
+                self.carrier.inject(other, MemberDown(node))
+
+    @rule(node=nodes)
+    def drain(self, node: NodeId) -> None:
+        if node in self.roles:
+            for other in sorted(self.roles):
+                self.carrier.inject(other, MemberLeaving(node))
+            self.carrier.inject(node, ReleaseOwnership())
+            assert not self.roles[node].held()
+
+    @rule(one=nodes, other=nodes)
+    def disagree(self, one: NodeId, other: NodeId) -> None:
+        if one in self.roles and one != other:
+            self.carrier.inject(one, MemberDown(other))
+
+    def teardown(self) -> None:
+        """Heal, start every node, and expect the first node of each shard to own it."""
+        self.cuts.links.clear()
+        self.no_log.clear()
+        self.slow_log = False
+        self.carrier.loss = self.log_loss = 0.0
+        for number in range(NODES):
+            self.start(node_id(number))
+        nodes = sorted(self.roles)
+        ranked = {shard: ranking(shard, nodes) for shard in SHARDS}
+
+        def settled() -> bool:
+            known = [role.owner(shard) for role in self.roles.values() for shard in SHARDS]
+            leases = [self.store.leases.get(f"shard/{s}", ("", 0, 0))[:2] for s in SHARDS]
+            return self.owners == ranked and known == leases * NODES
+
+        assert self.carrier.run(60_000.0, settled), (self.owners, ranked)
+
+
+def ranking(shard: ShardId, nodes: list[NodeId]) -> NodeId:
+    ranked = Ranking(shard)
+    for node in nodes:
+        ranked.add(node)
+    return ranked.first(1)[0]
+
+
+TestOwnershipMachine = OwnershipMachine.TestCase
+TestOwnershipMachine.settings = settings(max_examples=50, stateful_step_count=20)
+
+
+def test_another_node_takes_over_within_four_seconds_of_a_crash() -> None:
+    # Guards against a shard without an owner until membership declares the old one dead.
+    for seed in range(10):
+        machine = OwnershipMachine()
+        machine.rng.seed(seed)
+        machine.carrier.delay_ms = (0.5, 5.0)
+        machine.submit = functools.partial(quick_submit, machine)  # type: ignore[method-assign]
+        machine.begin("same")
+        machine.carrier.run(5_000.0)
+        assert len(machine.owners) == len(SHARDS)
+        machine.stop(machine.owners[SHARDS[0]])
+        assert machine.carrier.run(4_000.0, lambda m=machine: SHARDS[0] in m.owners)  # type: ignore[misc]
+
+
+def quick_submit(machine: OwnershipMachine, host: Host, proposal: SubmitProposal) -> None:
+    def commit() -> None:
+        result = machine.store.apply(proposal.command, machine.carrier.now_ms)
+        machine.finish(host, proposal, result)
+
+    machine.carrier.call_at(machine.carrier.now_ms + 10.0, commit)
+
+
+def test_a_lease_counts_from_before_the_request_was_sent() -> None:
+    # Guards against a holder that believes in its lease longer than the log does.
+    role = Ownership(node_id(0), "1", random.Random(1))
+    role.handle(ShardsChanged(SHARDS[:1]), 0.0)
+    role.handle(MemberUp(member(0)), 0.0)
+    effects: list[Any] = []
+    for fencing, now_ms in ((1, 100.0), (1, 200.0), (2, 900.0)):
+        proposal = role._shards[SHARDS[0]].proposal_id
+        result = LeaseResult(True, node_id(0), fencing)
+        effects = role.handle(ProposalDone(proposal, result), now_ms)
+    assert OwnershipGained(SHARDS[0], 2) in effects
+    proposal = role._shards[SHARDS[0]].proposal_id
+    late = role.handle(ProposalDone(proposal, None), 200.0 + LEASE_MS - 1.0)
+    assert OwnershipLost(SHARDS[0]) in late
