--- a/packages/core/src/goldcrestridge_core/queue.py
+++ b/packages/core/src/goldcrestridge_core/queue.py
@@ -32,6 +32,9 @@
 MAX_WAITING = 20_000  # Bounds memory at about 1 KB each.
 FIRST_TOKEN_SHARE = 0.95  # Targets are stated for 95 in 100 requests.
 FIRST_TOKEN_PRIOR_MS = 100.0  # Time from grant to first token before one was measured.
+# A request may wait at least this share of its queue timeout. Without it a class whose estimated
+# first token is beyond its target was refused altogether, and the estimate never recovered.
+MIN_PATIENCE_SHARE = 0.25
 # Standard deviations of the number of releases that a request may hope for beyond the mean, at
 # an attainment weight of 0, 0.5 and 1. With none, some refused requests of a middle tier would
 # have had a slot in time.
@@ -313,7 +316,8 @@
         At 0 a request is refused once it would probably miss its first-token target, because
         a caller who leaves wastes the work. At 1 it may wait until its deadline.
         """
-        in_time_ms = min(cls.queue_timeout_ms, self._in_time_ms(cls))
+        least_ms = MIN_PATIENCE_SHARE * cls.queue_timeout_ms
+        in_time_ms = min(cls.queue_timeout_ms, max(least_ms, self._in_time_ms(cls)))
         weight = self.cfg.objective.attainment_weight
         return in_time_ms + weight * (cls.queue_timeout_ms - in_time_ms)
 
--- a/packages/lab/src/goldcrestridge_lab/scenario.py
+++ b/packages/lab/src/goldcrestridge_lab/scenario.py
@@ -128,6 +128,7 @@
     rate_per_s: float,
     interval_ms: tuple[float, float],
     output: traffic.Lengths = OUTPUT,
+    prompt: traffic.Lengths = PROMPT,
 ) -> list[traffic.Stream]:
     """Return streams that share a rate among workspaces; callers leave after the target.
 
@@ -140,7 +141,7 @@
             name,
             rate_per_s / len(names),
             *interval_ms,
-            PROMPT,
+            prompt,
             output,
             (target_ms, 2.0 * target_ms),
             model=MODEL,
