Add a state machine for proposals

Cause: proposals were tested by single cases only.

Conclusion: the fuzz table covers log, disk, proposals and store.

--- a/packages/lab/src/goldcrestridge_lab/fuzz.py
+++ b/packages/lab/src/goldcrestridge_lab/fuzz.py
@@ -20,11 +20,13 @@
 
 from goldcrestridge_lab.disk_machine import DiskMachine
 from goldcrestridge_lab.log_machine import LogMachine
+from goldcrestridge_lab.proposals_machine import ProposalsMachine
 from goldcrestridge_lab.store_machine import ClaimsMachine, ConfigMachine, LeasesMachine
 
 MACHINES: dict[str, type[RuleBasedStateMachine]] = {
     "log": LogMachine,
     "disk": DiskMachine,
+    "proposals": ProposalsMachine,
     "store.claims": ClaimsMachine,
     "store.config": ConfigMachine,
     "store.leases": LeasesMachine,
--- a/tests/core/test_log_machines.py
+++ b/tests/core/test_log_machines.py
@@ -1,4 +1,4 @@
-"""State machines of the log and the store, with a fixed number of examples."""
+"""State machines of log, disk, proposals and store, with a fixed number of examples."""
 
 from __future__ import annotations
 
