Number grant reports across restarts, name lease sessions, allow floors up to all grants

Cause: reports were not numbered, so an overtaken one could count a grant as missing; a restarted entry would have begun below its former numbers; leases did not tell one process of a node from the next; the check refused floors that set the proportions alone, which policy.proportion needs. Change: numbers start at the node's incarnation, the lease session is the life of the process, floors may add up to 1.

--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -180,7 +180,12 @@
         self.membership = Membership(who.member, who.seeds, self._rng(MEMBERSHIP), self.spread.hint)
         self.ownership = Ownership(own, who.life, self._rng(OWNERSHIP))
         self.requests = Requests(
-            own, self.cfg, self._rng(REQUESTS), lambda: max(1, len(self.addresses.live()))
+            own,
+            self.cfg,
+            self._rng(REQUESTS),
+            lambda: max(1, len(self.addresses.live())),
+            # The incarnation is wall time in milliseconds, which passes faster than reports.
+            who.member.incarnation,
         )
         self.drain = Drain(self.cfg.address_ttl_ms)
         self._roles = {
--- a/packages/core/src/goldcrestridge_core/options.py
+++ b/packages/core/src/goldcrestridge_core/options.py
@@ -159,7 +159,7 @@
                     "least share of grants",
                     default=0.01,
                     minimum=0,
-                    maximum=0.5,
+                    maximum=1,
                 ),
                 _required(_FIRST_TOKEN),
                 _required(_INTER_TOKEN),
--- a/packages/core/src/goldcrestridge_core/ownership.py
+++ b/packages/core/src/goldcrestridge_core/ownership.py
@@ -235,7 +235,7 @@
                 shard,
                 state,
                 _Step.LEASE,
-                AcquireLease(lease_resource(shard), self.own, LEASE_MS, state.held),
+                AcquireLease(lease_resource(shard), self.own, LEASE_MS, state.held, self.life),
                 now_ms,
             )
             for shard, state in due
--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -139,6 +139,7 @@
     cfg: Configuration
     rng: random.Random
     live_entries: Callable[[], int] = lambda: 1
+    first_report: int = 1
     _slots: Slots = field(init=False)
     _claims: Claims = field(init=False)
     _budget: RetryBudget = field(init=False)
@@ -150,7 +151,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Build the parts that share the configuration."""
-        self._slots = Slots(self.node, self.rng, self._upstreams_of, self.live_entries)
+        self._slots = Slots(
+            self.node, self.rng, self._upstreams_of, self.live_entries, self.first_report
+        )
         self._claims = Claims(self.node)
         self._budget = RetryBudget(self.cfg.retry_share)
         self.set_config(self.cfg)
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -111,19 +111,26 @@
     """Ask owners for slots, and keep what waits and what is held.
 
     ``upstreams`` returns the upstreams of a shard, ``live_entries`` the number of live entry
-    nodes including this one.
+    nodes including this one. ``first_report`` numbers the first grant report; it must be above
+    all numbers of the node's former lives, or owners take its reports for overtaken ones.
     """
 
     node: NodeId
     rng: random.Random
     upstreams: Callable[[ShardId], tuple[Upstream, ...]]
     live_entries: Callable[[], int]
+    first_report: int = 1
     _views: dict[ShardId, ShardView] = field(factory=dict)
     _waiting: dict[RequestId, Waiting] = field(factory=dict)
     _held: dict[RequestId, Held] = field(factory=dict)
     _avoid_until_ms: dict[UpstreamId, float] = field(factory=dict)
     _local_ids: itertools.count[int] = field(factory=itertools.count)
     _poll_at_ms: float = math.inf
+    _next_report: int = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin to number the grant reports."""
+        self._next_report = self.first_report
 
     def view(self, shard: ShardId) -> ShardView:
         """Return the view of a shard, made on first use."""
@@ -418,7 +425,9 @@
             view.active_ms = now_ms
         if now_ms - view.active_ms >= REPORT_TAIL_MS:
             view.report_at_ms = math.inf
-        return _to_owner(view, GrantReport(self.node, view.shard, held, waiting))
+        report = GrantReport(self.node, view.shard, held, waiting, self._next_report)
+        self._next_report += 1
+        return _to_owner(view, report)
 
     def _unused(self, sender: NodeId, grant: SlotGrant) -> Send:
         """Answer a stale or late grant."""
--- a/packages/core/src/goldcrestridge_core/validation.py
+++ b/packages/core/src/goldcrestridge_core/validation.py
@@ -19,7 +19,7 @@
 from goldcrestridge_core.types import UpstreamId
 
 FORMAT = 1
-MAX_FLOOR_TOTAL = 0.5  # Floors above half of all grants would delay the highest tier too much.
+MAX_FLOOR_TOTAL = 1.0  # At 1 the floors alone set the proportions, and tiers only who is shed.
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
@@ -189,7 +189,7 @@
         return
     total = sum(row["floor_share"] for row in classes.values())
     if total > MAX_FLOOR_TOTAL:
-        reason = f"The floors add up to {total:g}; they may take {MAX_FLOOR_TOTAL:g} at most."
+        reason = f"The floors add up to {total:g}; they may take 1 at most."
         yield ConfigError(file, "classes", reason)
     highest = min(row["tier"] for row in classes.values())
     for name, row in classes.items():
