Run all measurements from the bench command

Cause: only the policy records were reachable; in a row they take over two minutes. Change: records in virtual time run in four processes, those that measure processor time or files run alone after them. Conclusion: one command makes every record.

--- a/packages/lab/src/goldcrestridge_lab/bench.py
+++ b/packages/lab/src/goldcrestridge_lab/bench.py
@@ -13,36 +13,67 @@
 from __future__ import annotations
 
 import sys
-import time
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from docopt import docopt
 
-from goldcrestridge_lab import bench_policy
+from goldcrestridge_lab import (
+    bench_choice,
+    bench_log,
+    bench_members,
+    bench_path,
+    bench_policy,
+)
 
 Run = Callable[[int, bool], list[dict[str, Any]]]
 
 # Beginning of the record names, and the ``run`` function of the module that makes them. Its
 # records are filtered by name, so one entry can stand for a whole group.
-MEASUREMENTS: tuple[tuple[str, Run], ...] = (*bench_policy.MEASUREMENTS,)
+VIRTUAL: tuple[tuple[str, Run], ...] = (
+    *((name, run) for name, run in bench_policy.MEASUREMENTS if name != "cost.decision"),
+    ("policy.straggler policy.stale-load policy.prefix", bench_choice.run),
+    ("control.cost config.spread", bench_members.run),
+)
+# Records that measure processor time or real files run one after the other.
+ALONE: tuple[tuple[str, Run], ...] = (
+    *((name, run) for name, run in bench_policy.MEASUREMENTS if name == "cost.decision"),
+    ("path.overhead", bench_path.run),
+    ("log.commit log.restart log.claim", bench_log.run),
+)
+WORKERS = 4
+
+
+def chosen(table: tuple[tuple[str, Run], ...], only: str) -> list[int]:
+    """Return the places in a table that may make records whose name begins with ``only``."""
+    return [
+        place
+        for place, (names, _) in enumerate(table)
+        if any(name.startswith(only) or only.startswith(name) for name in names.split())
+    ]
+
+
+def run_virtual(place: int, seed: int, long: bool) -> list[dict[str, Any]]:
+    """Run one measurement in virtual time, in a process of its own."""
+    return VIRTUAL[place][1](seed, long)
 
 
 def collect(only: str, seed: int, long: bool) -> list[dict[str, Any]]:
-    """Return the records whose name begins with ``only``."""
-    records: list[dict[str, Any]] = []
-    for name, run in MEASUREMENTS:
-        if not (name.startswith(only) or only.startswith(name)):
-            continue
-        started = time.monotonic()
-        found = [r for r in run(seed, long) if r["name"].startswith(only)]
-        for record in found:
-            state = "met" if record["met"] else "NOT MET"
-            print(f"{record['name']}: {state}", record["params"], file=sys.stderr)
-        print(f"{name}: {time.monotonic() - started:.1f} s", file=sys.stderr)
-        records += found
+    """Return the records whose name begins with ``only``, in the order of the tables."""
+    found: list[dict[str, Any]] = []
+    with ProcessPoolExecutor(WORKERS) as pool:
+        futures = [pool.submit(run_virtual, place, seed, long) for place in chosen(VIRTUAL, only)]
+        for future in futures:
+            found += future.result()
+    for place in chosen(ALONE, only):
+        found += ALONE[place][1](seed, long)
+    records = [record for record in found if record["name"].startswith(only)]
+    for record in records:
+        state = "met" if record["met"] else "NOT MET"
+        print(f"{record['name']}: {state}", record["params"], file=sys.stderr)
     return records
 
 
