Test that no node names a draining one after the announcement time

Cause: drain assumes that all nodes know within 4 s; nothing checked it. Conclusion: the announcement time holds in this test.

--- a/tests/core/test_drain.py
+++ b/tests/core/test_drain.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import random
+
+from attrs import evolve
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from goldcrestridge_core.addresses import Addresses
 from goldcrestridge_core.drain import ANNOUNCE_MS, Drain, Phase
+from goldcrestridge_core.membership import Membership
 from goldcrestridge_core.types import (
     Call,
     CallerGone,
@@ -22,6 +27,7 @@
     StartDrain,
     Tick,
 )
+from goldcrestridge_lab.carrier_members import Carrier, Host, member, node_id
 
 TTL_MS = 30_000.0
 CALL = Call(CallKind.PLAIN, "w", "s", "c", "p", "GET", "/", b"", (), b"")
@@ -124,3 +130,24 @@
     drain.set_address_ttl(TTL_MS, 500.0)
     drain.handle(StartDrain(), 600.0)
     assert drain.next_deadline_ms() == 600.0 + ANNOUNCE_MS + TTL_MS
+
+
+def test_no_node_names_a_draining_one_when_the_announcement_time_is_over() -> None:
+    # Guards against callers that are sent to a node after it has stopped to accept them.
+    for seed in range(5):
+        carrier = Carrier(random.Random(seed), loss=0.1, delay_ms=(0.5, 60.0))
+        books: list[Addresses] = []
+        for number in range(24):
+            own = evolve(member(number), caller_address=f"127.0.0.1:{number}")
+            membership = Membership(
+                own, (node_id(0), node_id(1)), random.Random(f"{seed}/{number}")
+            )
+            books.append(Addresses(own))
+            carrier.add(Host(own.node, [membership, books[-1], Drain(TTL_MS)]))
+        carrier.run(20_000.0)
+        assert all(len(book.live()) == 24 for book in books)
+        carrier.inject(node_id(5), StartDrain())
+        carrier.run(ANNOUNCE_MS)
+        assert not [book for book in books if node_id(5) in book.live()]
+        carrier.run(TTL_MS + 1.0)
+        assert DrainDone((), "idle") in [e for _, e in carrier.hosts[node_id(5)].effects]
