Stop replicas while they sync, in the log state machine

Cause: the machine missed seeded faults that need a crash within a few milliseconds of a sync.

Change: two rules stop followers during a slow sync of entries, and voters during a slow sync of votes.

--- a/packages/lab/src/goldcrestridge_lab/log_machine.py
+++ b/packages/lab/src/goldcrestridge_lab/log_machine.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from goldcrestridge_core.exceptions import InvariantError
+from goldcrestridge_core.log_state import Position
 from goldcrestridge_core.types import NodeId, WallTime
 from goldcrestridge_lab.log_group import Group, Member, new_group
 
@@ -118,6 +119,56 @@
         member.disk.fails = False
         self.group.crash(node, 0, 500.0)
 
+    @rule(wait=st.sampled_from([20.0, 120.0, 300.0]))
+    def lose_unsynced(self, wait: float) -> None:
+        """Stop the followers during a slow sync, and cut off the leader, who holds the rest."""
+        leaders = self.group.leaders_now()
+        followers = [member for member in self.group.members.values() if member.node not in leaders]
+        for member in followers:
+            member.disk.delay_ms = 400.0
+        self.group.run(wait)
+        for member in followers:
+            self.group.crash(member.node)
+            member.disk.delay_ms = 1.0
+            self.group.start(member.node)
+        for node in leaders:
+            for other in self.group.members:
+                self.group.carrier.block(node, other, both=True)
+        self.group.run(2500.0)
+        self.group.carrier.heal()
+        self.group.run(1000.0)
+
+    @rule(rounds=st.integers(1, 12))
+    def restart_voters(self, rounds: int) -> None:
+        """Stop the leader, and the others again and again while their votes are being written."""
+        for node in self.group.leaders_now():
+            self.group.crash(node, 0, 4000.0)
+        for member in self.group.members.values():
+            member.disk.delay_ms = 30.0
+        for _ in range(rounds):
+            candidates = self._wait_for_candidate()
+            for node, member in self.group.members.items():
+                if member.log is not None and node not in candidates:
+                    self.group.crash(node)
+                    self.group.start(node)
+        for member in self.group.members.values():
+            member.disk.delay_ms = 1.0
+        self.group.run(1000.0)
+
+    def _wait_for_candidate(self) -> list[NodeId]:
+        """Run until a vote may be under way, and return the candidates."""
+        for _ in range(300):
+            candidates = [
+                member.node
+                for member in self.group.members.values()
+                if member.log is not None and member.log.state.position is Position.CANDIDATE
+            ]
+            if candidates:
+                self.group.run(35.0)
+                return candidates
+            self.group.run(5.0)
+        return []
+
     @rule(number=NUMBER, other=NUMBER, both=st.booleans(), after=AFTER_MS)
     def block(self, number: int, other: int, both: bool, after: float) -> None:
         """Cut the way between two members in one or both directions."""
