--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -241,6 +241,11 @@
             for pool in self.cfg.pools.values()
         )
 
+    def members(self) -> list[Member]:
+        """Return all members by name, this node included."""
+        known = (self.membership.own, *self.membership.view.members())
+        return sorted(known, key=lambda member: member.node)
+
     def next_deadline_ms(self) -> float | None:
         """Return the earliest deadline of all roles."""
         return min((time for time in self._deadlines.values() if time is not None), default=None)
@@ -452,9 +457,7 @@
                     "caller_address": member.caller_address,
                     "admin_address": member.admin_address,
                 }
-                for member in sorted(
-                    (self.membership.own, *self.membership.view.members()), key=lambda m: m.node
-                )
+                for member in self.members()
             ],
             "shards": [
                 {"shard": shard, "owner": owner, "epoch": epoch}
--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/platform.py
@@ -0,0 +1,89 @@
+"""Polling of the platform's lagging list of live and leaving VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+from attrs import frozen
+
+from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.types import (
+    Count,
+    Member,
+    PlatformList,
+    PlatformVm,
+    UpstreamLeaving,
+)
+
+POLL_INTERVAL_MS = 2_000.0
+POLL_TIMEOUT_MS = 2_000.0
+LEAVING = "leaving"
+
+
+class ListedVm(msgspec.Struct):
+    """A VM by its IP address, or by ``ip:port`` where several processes share an address."""
+
+    address: str
+    state: str
+
+
+class Listing(msgspec.Struct):
+    """The platform's answer; ``lag_ms`` is how old it may be."""
+
+    vms: list[ListedVm]
+    lag_ms: float = 0.0
+
+
+@frozen
+class Platform:
+    """Poll the list at ``url``; ``members`` and ``upstreams`` return those known now."""
+
+    url: str
+    members: Callable[[], Iterable[Member]]
+    upstreams: Callable[[], Iterable[Upstream]]
+    deliver: Callable[[PlatformList | UpstreamLeaving], None]
+    count: Callable[[Count], None]
+
+    async def run(self) -> None:
+        """Poll until cancelled; a list that can't be read is counted and skipped."""
+        limit = POLL_TIMEOUT_MS / MS_PER_SECOND
+        timeout: dict[str, Any] = dict.fromkeys(("connect", "read", "write", "pool"), limit)
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                try:
+                    answer = await pool.request("GET", self.url, extensions={"timeout": timeout})
+                    self._take(msgspec.json.decode(answer.content, type=Listing))
+                except (
+                    httpcore.NetworkError,
+                    httpcore.TimeoutException,
+                    httpcore.ProtocolError,
+                    msgspec.DecodeError,
+                    msgspec.ValidationError,
+                ):
+                    self.count(Count("platform_lists_failed"))
+                await anyio.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
+
+    def _take(self, listing: Listing) -> None:
+        """Translate addresses to nodes and upstreams."""
+        states = {vm.address: vm.state for vm in listing.vms}
+        members = [(member, state_of(member.peer_address, states)) for member in self.members()]
+        vms = tuple(
+            PlatformVm(member.node, state == LEAVING)
+            for member, state in members
+            if state is not None
+        )
+        self.deliver(PlatformList(vms, listing.lag_ms))
+        for upstream in list(self.upstreams()):
+            if state_of(upstream.address, states) == LEAVING:
+                self.deliver(UpstreamLeaving(upstream.name, "platform_list"))
+
+
+def state_of(address: str, states: dict[str, str]) -> str | None:
+    """Return the listed state of ``ip:port``, by the whole address or by its IP."""
+    host = address.rpartition(":")[0]
+    return states.get(address, states.get(host))
--- a/packages/node/src/goldcrestridge_node/process.py
+++ b/packages/node/src/goldcrestridge_node/process.py
@@ -36,6 +36,7 @@
     MemberState,
     MemberUp,
     NodeId,
+    PlatformList,
     ProposalDone,
     Receive,
     Send,
@@ -43,6 +44,7 @@
     SubmitProposal,
     TimelineEvent,
     UpstreamId,
+    UpstreamLeaving,
     WallTime,
 )
 from goldcrestridge_core.validation import validate_bytes
@@ -51,6 +53,7 @@
 from goldcrestridge_node.edge import Edge, EdgeHooks, EdgeOptions, Page
 from goldcrestridge_node.logs import logger
 from goldcrestridge_node.metrics import Metrics
+from goldcrestridge_node.platform import Platform
 from goldcrestridge_node.reports import Reports
 from goldcrestridge_node.runtime import Driver, Outputs
 from goldcrestridge_node.server import listen, serve
@@ -302,6 +305,8 @@
                 admin = Admin(self._admin_hooks())
                 await tasks.start(serve, admin, _listen(cfg.admin_address), stop_serving)
             tasks.start_soon(self.reports.run)
+            if cfg.platform_url:
+                tasks.start_soon(self._platform().run)
             tasks.start_soon(self._take_signals)
             self._log.info("node_started", peer=cfg.peer_address, caller=cfg.caller_address)
             await self.stop.wait()
@@ -310,6 +315,19 @@
             self._log.info("node_stopped")
             tasks.cancel_scope.cancel()
 
+    def _platform(self) -> Platform:
+        def deliver(event: PlatformList | UpstreamLeaving) -> None:
+            own = self.settings.node
+            self.driver.post(event if isinstance(event, PlatformList) else Receive(own, event))
+
+        return Platform(
+            self.settings.platform_url,
+            self.node.members,
+            self._upstreams.values,
+            deliver,
+            self.metrics.record,
+        )
+
     async def _disk_answered(self, event: Any) -> None:
         self.driver.post(event)
 
--- /dev/null
+++ b/tests/node/test_platform.py
@@ -0,0 +1,64 @@
+"""The platform's list: translation of addresses, and lists that can't be used."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.types import (
+    Member,
+    MemberState,
+    NodeId,
+    PlatformList,
+    PlatformVm,
+    UpstreamId,
+    UpstreamLeaving,
+)
+from goldcrestridge_node.platform import Listing, Platform
+
+
+def member(name: str, address: str) -> Member:
+    return Member(NodeId(name), 1, MemberState.ALIVE, "dc", address)
+
+
+def upstream(name: str, address: str) -> Upstream:
+    return Upstream(UpstreamId(name), address, "dc", 4)
+
+
+def taken(listing: dict[str, Any]) -> list[Any]:
+    """Return the events that a list causes."""
+    events: list[Any] = []
+    ignore: Callable[[Any], None] = lambda _count: None  # noqa: E731
+    platform = Platform(
+        "http://127.0.0.1:1",
+        lambda: [member("a", "10.0.0.1:7000"), member("b", "10.0.0.2:7000")],
+        lambda: [upstream("u", "10.0.0.8:8000"), upstream("v", "10.0.0.9:8000")],
+        events.append,
+        ignore,
+    )
+    platform._take(msgspec.convert(listing, Listing))
+    return events
+
+
+def test_leaving_vms_become_leaving_nodes_and_upstreams() -> None:
+    # Guards against new work for an upstream whose VM is listed as leaving.
+    listing = {
+        "lag_ms": 5_000,
+        "vms": [
+            {"address": "10.0.0.1", "state": "live"},
+            {"address": "10.0.0.2:7000", "state": "leaving"},
+            {"address": "10.0.0.9", "state": "leaving"},
+        ],
+    }
+    assert taken(listing) == [
+        PlatformList((PlatformVm(NodeId("a")), PlatformVm(NodeId("b"), True)), 5_000),
+        UpstreamLeaving(UpstreamId("v"), "platform_list"),
+    ]
+
+
+def test_an_empty_list_ends_no_node_and_no_upstream() -> None:
+    # Guards against a broken platform that empties the deployment.
+    assert taken({"vms": []}) == [PlatformList((), 0.0)]
