Measure path.overhead through a whole node

Cause: the record used a stand-in for the requests role, so it left out admission, the core and the timeline. Change: the bench runs a whole node (entry, slot owner, only replica) in the measured process; the stand-in moves to the tests; the disk's queue exists before the process runs; the log is followed only after events of the replica.

--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -278,7 +278,6 @@
             self.addresses.handle(event, now_ms)
             for shard in list(self.owners):
                 self._run_owner(shard, event, now_ms)
-        self._follow_log(now_ms)
 
     def _tick(self, now_ms: float) -> None:
         """Run the roles that are due."""
@@ -333,6 +332,8 @@
         self._deadlines[name] = role.next_deadline_ms()
         for effect in effects:
             self._effect(effect, now_ms)
+        if name == REPLICA:
+            self._follow_log(now_ms)
 
     def _run_owner(self, shard: ShardId, event: Any, now_ms: float) -> None:
         owner = self.owners[shard]
--- a/packages/lab/src/goldcrestridge_lab/bench_path.py
+++ b/packages/lab/src/goldcrestridge_lab/bench_path.py
@@ -7,8 +7,10 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
 from statistics import median
 from typing import Any
 
@@ -18,26 +20,23 @@
 import uvicorn
 from attrs import frozen
 
-from goldcrestridge_core.config import (
-    Configuration,
-    LatencyTarget,
-    Model,
-    Pool,
-    PoolKind,
-    RequestClass,
-    Site,
-    Upstream,
-    Workspace,
-)
-from goldcrestridge_core.types import UpstreamId
+from goldcrestridge_core.clock import Clock
+from goldcrestridge_core.documents import Document, encode_document
+from goldcrestridge_core.owner import REBUILD_MS
+from goldcrestridge_core.types import ApplyConfig
 from goldcrestridge_lab.asgi import Receive, Scope, Send, read_body
-from goldcrestridge_lab.forward import Forwarder
+from goldcrestridge_node.disk import open_folder
+from goldcrestridge_node.logs import configure_logs
+from goldcrestridge_node.process import Process
 from goldcrestridge_node.server import listen
+from goldcrestridge_node.settings import Settings, parse_settings
 
 KEY = "bench"
 TARGET_RATIO = 1.5
 WORKSPACES = 1_500  # The design size, so that the look-up of keys is measured at it.
 US_PER_S = 1e6
+POLL_S = 0.05
+SETTLE_S = 2 * REBUILD_MS / 1_000.0  # A new owner grants after this time.
 
 
 @frozen
@@ -82,7 +81,7 @@
 async def measure(load: Load, seed: int, rounds: int) -> dict[str, Any]:
     """Measure one load in alternating rounds; the first of each side only warms up."""
     with engine_process(load) as address:
-        async with path_server(address) as path_url, plain_server(address) as plain_url:
+        async with node_server(address) as path_url, plain_server(address) as plain_url:
             pairs = []
             for number in range(rounds + 1):
                 plain = await sample(plain_url, load, seed + number)
@@ -113,7 +112,7 @@
             "parallel": load.parallel,
             "token_ms": load.token_ms,
             "workspaces": WORKSPACES,
-            "requests_role": "forwarder",
+            "path": "whole node",
         },
         "figures": figures,
         "baseline": {unit: round(median(plain), 1), "kind": "uvicorn and httpcore pass-through"},
@@ -164,14 +163,48 @@
 
 
 @contextlib.asynccontextmanager
-async def path_server(engine: str) -> AsyncIterator[str]:
-    """Run the edge and the upstream client, and return their URL."""
-    path = Forwarder(configuration(engine), keep_calls=False)
-    sock = listen("127.0.0.1", 0)
-    async with anyio.create_task_group() as group:
-        await group.start(path.run, sock, anyio.Event())
-        yield url_of(sock)
-        group.cancel_scope.cancel()
+async def node_server(engine: str) -> AsyncIterator[str]:
+    """Run a whole node (entry, slot owner and the only replica), and return its URL."""
+    with tempfile.TemporaryDirectory() as name:
+        settings = node_settings(Path(name))
+        folder = open_folder(Path(name) / "data", settings.node)
+        configure_logs(settings.node, settings.log_level)
+        process = Process(settings, Clock(), folder)
+        async with anyio.create_task_group() as group:
+            group.start_soon(process.run)
+            await put_in_force(process, engine)
+            yield f"http://{settings.caller_address}"
+            group.cancel_scope.cancel()
+        folder.close()
+
+
+def node_settings(folder: Path) -> Settings:
+    """Return the settings of a node that is alone; its ports are free now."""
+    addresses = []
+    for _ in range(2):
+        with listen("127.0.0.1", 0) as sock:
+            addresses.append("{}:{}".format(*sock.getsockname()[:2]))
+    table = {
+        "format": 1,
+        "node": "bench",
+        "data_centre": "dc1",
+        "roles": ["entry", "replica"],
+        "peer_address": addresses[0],
+        "caller_address": addresses[1],
+        "data_folder": str(folder / "data"),
+    }
+    return parse_settings(table, "bench").unwrap()
+
+
+async def put_in_force(process: Process, engine: str) -> None:
+    """Apply the configuration, and wait until the node owns the shard of the engine."""
+    document = encode_document(Document(tables(engine), {}, {}))
+    result = None
+    while result is None:
+        result = await process.apply(ApplyConfig("bench", 0, "bench", document))
+    while not process.node.owners:  # noqa: ASYNC110 - the core has no event for this
+        await anyio.sleep(POLL_S)
+    await anyio.sleep(SETTLE_S)
 
 
 @contextlib.asynccontextmanager
@@ -222,20 +255,23 @@
     return f"http://{host}:{port}"
 
 
-def configuration(engine: str) -> Configuration:
-    """Return a configuration of the design size in workspaces and with one engine."""
-    target = LatencyTarget(520.0, 28.0)
+def tables(engine: str) -> dict[str, Any]:
+    """Return a base configuration of the design size in workspaces and with one engine."""
     keys = [KEY, *(f"other-{number}" for number in range(1, WORKSPACES))]
-    digests = [hashlib.sha256(key.encode()).hexdigest() for key in keys]
-    upstream = Upstream(UpstreamId("engine"), engine, "dc1", 64)
-    return Configuration(
-        name="bench",
-        classes={"fast": RequestClass("fast", 0, 1.0, 0.05, target, 10_000.0)},
-        workspaces={
-            key: Workspace(key, "fast", (digest,), (), ("m1",))
-            for key, digest in zip(keys, digests, strict=True)
+    upstream = {"name": "engine", "address": engine, "data_centre": "dc1", "slots": 64}
+    return {
+        "format": 1,
+        "name": "bench",
+        "data_centres": {"dc1": {"region": "r"}},
+        "classes": {"fast": {"tier": 0, "first_token_ms": 520, "inter_token_ms": 28}},
+        "workspaces": {
+            key: {
+                "class": "fast",
+                "keys_sha256": [hashlib.sha256(key.encode()).hexdigest()],
+                "models": ["m1"],
+            }
+            for key in keys
         },
-        sites={"home": Site("home", "dc1")},
-        pools={"engines": Pool("engines", PoolKind.ENGINE, (upstream,))},
-        models={"m1": Model("m1", "engines")},
-    )
+        "pools": {"engines": {"kind": "engine", "upstreams": [upstream]}},
+        "models": {"m1": {"pool": "engines"}},
+    }
--- a/packages/node/src/goldcrestridge_node/process.py
+++ b/packages/node/src/goldcrestridge_node/process.py
@@ -10,7 +10,7 @@
 import anyio
 import anyio.abc
 import msgspec
-from attrs import define, evolve, field
+from attrs import define, field
 from returns.result import Failure
 
 from goldcrestridge_core.changes import ConfigCheck
@@ -87,7 +87,8 @@
     _cfg: Configuration = field(factory=lambda: Configuration(""))
     _upstreams: dict[UpstreamId, Upstream] = field(factory=dict)
     _applying: dict[str, tuple[anyio.Event, list[ApplyResult | None]]] = field(factory=dict)
-    _writes: Any = None
+    _writes: Any = field(init=False)
+    _written: Any = field(init=False)
     _log: Any = field(factory=logger)
 
     def __attrs_post_init__(self) -> None:
@@ -95,6 +96,7 @@
         cfg = self.settings
         self.timeline = Timeline(cfg.node, cfg.timeline_events)
         self.node = self._build_node()
+        self._writes, self._written = anyio.create_memory_object_stream[Any](WRITE_QUEUE)
         outputs = Outputs(
             send=self._send,
             answer=lambda effect: self.edge.deliver_nowait(effect),
@@ -214,7 +216,7 @@
 
     def _submit(self, event: CallerRequest | CallerGone) -> None:
         if isinstance(event, CallerRequest):
-            event = evolve(event, wall_ms=self.clock.wall_ms())
+            event = CallerRequest(event.request_id, event.call, self.clock.wall_ms())
         self.driver.post(event)
 
     def _ready(self) -> Page:
@@ -237,7 +239,7 @@
             status=lambda: {**self.node.status(), "counters": self.metrics.totals()},
             events=self._events,
             current=self._current,
-            apply=self._apply,
+            apply=self.apply,
             drain=self._drain,
             metrics=self.metrics.render,
         )
@@ -258,7 +260,7 @@
         )
         return CurrentConfig(self._cfg.version, self.node.spread.hint().digest, data)
 
-    async def _apply(self, command: ApplyConfig) -> ApplyResult | None:
+    async def apply(self, command: ApplyConfig) -> ApplyResult | None:
         """Have a change committed; the same change id joins the proposal in flight."""
         proposal_id = f"{OPERATOR_PROPOSAL}{command.change_id}"
         done, results = self._applying.setdefault(proposal_id, (anyio.Event(), []))
@@ -292,8 +294,7 @@
         cfg = self.settings
         async with anyio.create_task_group() as tasks:
             if self.folder is not None:
-                self._writes, writes = anyio.create_memory_object_stream[Any](WRITE_QUEUE)
-                tasks.start_soon(disk.serve, self.folder, writes, self._disk_answered)
+                tasks.start_soon(disk.serve, self.folder, self._written, self._disk_answered)
                 tasks.start_soon(self._tell_wall_time)
             await tasks.start(self.transport.run)
             await tasks.start(self.client.run)
--- a/packages/node/src/goldcrestridge_node/runtime.py
+++ b/packages/node/src/goldcrestridge_node/runtime.py
@@ -31,7 +31,7 @@
 
 IDLE_WAIT_MS = 60_000.0
 
-ANSWERS = (RespondHead, RespondChunk, RespondEnd, RespondFailure)
+ANSWERS = frozenset((RespondHead, RespondChunk, RespondEnd, RespondFailure))
 WRITES = (WriteLog, WriteSnapshot, TruncateLog)
 
 
@@ -67,6 +67,19 @@
     _timer_ms: float = 0.0
     _wake: anyio.Event = field(factory=anyio.Event)
     _tasks: anyio.abc.TaskGroup | None = None
+    _handlers: dict[type, Callable[[Any], None]] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Look the handler of each kind of effect up by its type, which is the cheapest."""
+        outputs = self.outputs
+        self._handlers = {
+            Send: outputs.send,
+            Count: outputs.count,
+            Emit: outputs.emit,
+            StartAttempt: outputs.start,
+            CancelAttempt: outputs.cancel,
+            **dict.fromkeys(WRITES, outputs.write),
+        }
 
     def post(self, event: Any) -> None:
         """Apply an event; answers to slow callers are delivered by a task of their own."""
@@ -120,21 +133,10 @@
         return self._slow
 
     def _perform(self, effect: Any) -> None:
-        outputs = self.outputs
-        if isinstance(effect, ANSWERS):
-            if not outputs.answer(effect):
+        kind = type(effect)
+        if kind in ANSWERS:
+            if not self.outputs.answer(effect):
                 self._slow.append(effect)
-        elif isinstance(effect, Send):
-            outputs.send(effect)
-        elif isinstance(effect, Count):
-            outputs.count(effect)
-        elif isinstance(effect, Emit):
-            outputs.emit(effect)
-        elif isinstance(effect, StartAttempt):
-            outputs.start(effect)
-        elif isinstance(effect, CancelAttempt):
-            outputs.cancel(effect)
-        elif isinstance(effect, WRITES):
-            outputs.write(effect)
-        else:
-            outputs.other(effect)
+            return
+        handler = self._handlers.get(kind, self.outputs.other)
+        handler(effect)
--- a/tests/node/path_helpers.py
+++ b/tests/node/path_helpers.py
@@ -14,6 +14,7 @@
 import msgspec
 from attrs import define, field
 from attrs import evolve as evolve
+from tests.node.forward import Forwarder
 
 from goldcrestridge_core.config import (
     CallRule,
@@ -31,7 +32,6 @@
 from goldcrestridge_core.types import UpstreamId
 from goldcrestridge_lab.asgi import serve_until
 from goldcrestridge_lab.engine_http import EngineApp
-from goldcrestridge_lab.forward import Forwarder
 from goldcrestridge_lab.service_http import ServiceApp
 from goldcrestridge_lab.simple_engine import SimpleEngine
 from goldcrestridge_node.edge import EdgeOptions
