Reclaim the grants of an entry node that restarted

Cause: an entry node that crashes and restarts before it is declared dead sends one grant report when it learns the owner, and none after that until it gets a request. The owner takes a grant back only after two reports without it, so the slots of the earlier process stayed held.

Change: the owner marks the grants of a node as lost when the node appears with a higher incarnation. A node that only refuted a suspicion reports its grants within the grant timeout and keeps them.

The focused test fails without the change and passes with it.

Conclusion: a fast restart no longer costs slots. A grant that the owner gives to a late request of the earlier process, and whose release is lost, is still reclaimed only with the node's next reports.

--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -96,6 +96,7 @@
     _waiting: dict[AttemptKey, Waiting] = field(factory=dict)
     _entries: dict[types.NodeId, float] = field(factory=dict)
     _reports: dict[types.NodeId, int] = field(factory=dict)
+    _incarnations: dict[types.NodeId, int] = field(factory=dict)
     _left: dict[types.UpstreamId, float] = field(factory=dict)  # Time of the sign.
     _next_grant: int = 0
     _summary_ms: float = field(init=False)
@@ -116,6 +117,8 @@
             effects += self._receive(event.sender, event.message, now_ms)
         elif isinstance(event, types.MemberDown):
             self._member_down(event.node, now_ms)
+        elif isinstance(event, types.MemberUp):
+            self._member_up(event.member, now_ms)
         elif isinstance(event, types.LeaseExtended) and event.epoch == self.epoch:
             self.lease_until_ms = max(self.lease_until_ms, event.until_ms)
         effects += self._run(now_ms)
@@ -306,12 +309,23 @@
         """Drop the waiting requests of a node; its grants are reclaimed after a while."""
         self._entries.pop(node, None)
         self._reports.pop(node, None)
+        self._incarnations.pop(node, None)
         self.grants.entry_down(node, now_ms)
         for attempt, waiting in list(self._waiting.items()):
             if waiting.request.entry == node:
                 del self._waiting[attempt]
                 self.queue.remove(waiting)
 
+    def _member_up(self, member: types.Member, now_ms: float) -> None:
+        """Doubt the grants of a node that may have restarted.
+
+        A restarted node without new requests sends no further reports, so that its old grants
+        would never be missed twice. One that did not restart reports its grants in time.
+        """
+        if member.incarnation > self._incarnations.get(member.node, -1):
+            self._incarnations[member.node] = member.incarnation
+            self.grants.entry_down(member.node, now_ms)
+
     # Decisions.
 
     def _run(self, now_ms: float) -> list[Any]:
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -424,3 +424,31 @@
     harness = Harness()
     (refusal,) = harness.send(evolve(harness.request(), class_name="new"))
     assert isinstance(refusal, types.SlotRefusal)
+
+
+def test_grants_of_a_restarted_entry_that_sends_one_report_only_are_reclaimed() -> None:
+    # Guards against slots that stay held until the restarted entry node gets a request again.
+    harness = Harness(slots=2)
+    harness.event(types.MemberUp(member(1)))
+    harness.grant()
+    harness.wait(2_000.0)
+    harness.event(types.MemberUp(member(7)))
+    harness.send(report())
+    harness.wait(2_001.0)
+    assert len(harness.owner.grants) == 0
+
+
+def test_a_node_that_only_refutes_a_suspicion_keeps_its_grants() -> None:
+    # Guards against reclaiming the slot of a request that still runs.
+    harness = Harness()
+    harness.event(types.MemberUp(member(1)))
+    grant = harness.grant()
+    harness.wait(2_000.0)
+    harness.event(types.MemberUp(member(2)))
+    harness.send(report(grant))
+    harness.wait(10_000.0)
+    assert len(harness.owner.grants) == 1
+
+
+def member(incarnation: int) -> types.Member:
+    return types.Member(ENTRY, incarnation, types.MemberState.ALIVE, "dc", "peer")
