Measure crashes of an engine, an entry node and a slot owner

Cause: nothing measured what callers lose when several parts crash in short order on complete nodes.

Change: policy.crash runs three replicas and two nodes without a disk on the engine model in virtual time. An engine crashes, 2 s later an entry node, 2 s later the owner of the engines' shard. The oracle of the node machine checks every outcome. The same arrivals run without crashes beside it. Load reports reach the owner without lag, and the crashed parts stay down.

No false outcome.

--- a/packages/lab/src/goldcrestridge_lab/bench.py
+++ b/packages/lab/src/goldcrestridge_lab/bench.py
@@ -21,13 +21,16 @@
 import msgspec
 from docopt import docopt
 
-from goldcrestridge_lab import bench_policy
+from goldcrestridge_lab import bench_policy, bench_requests
 
 Run = Callable[[int, bool], list[dict[str, Any]]]
 
 # Beginning of the record names, and the ``run`` function of the module that makes them. Its
 # records are filtered by name, so one entry can stand for a whole group.
-MEASUREMENTS: tuple[tuple[str, Run], ...] = (*bench_policy.MEASUREMENTS,)
+MEASUREMENTS: tuple[tuple[str, Run], ...] = (
+    *bench_policy.MEASUREMENTS,
+    ("policy.crash", bench_requests.run),
+)
 
 
 def collect(only: str, seed: int, long: bool) -> list[dict[str, Any]]:
--- /dev/null
+++ b/packages/lab/src/goldcrestridge_lab/bench_requests.py
@@ -0,0 +1,254 @@
+"""Measurement of complete nodes while an engine, an entry node and a slot owner crash."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.exceptions import InvariantError
+from goldcrestridge_core.types import (
+    AttemptChunk,
+    AttemptEnd,
+    AttemptHead,
+    CallKind,
+    LoadReport,
+    NodeId,
+    RespondEnd,
+    UpstreamId,
+)
+from goldcrestridge_lab import measure, traffic
+from goldcrestridge_lab.engine import Engine, EngineSpec, Finished, FirstToken, Job, Lost
+from goldcrestridge_lab.node_config import (
+    CLASSES,
+    ENGINES,
+    WALL_MS,
+    WORKSPACES,
+    completion,
+    order,
+    uuid7,
+)
+from goldcrestridge_lab.node_fleet import ENGINE_SHARD, Fleet, new_fleet
+from goldcrestridge_lab.node_machine import check_settled
+from goldcrestridge_lab.node_oracle import Caller, Run
+from goldcrestridge_lab.node_upstreams import Upstreams
+
+SEEDS = 5
+LONG_SEEDS = 20
+SLOTS = 8
+LOAD_MS = 40_000.0
+CRASH_AT_MS = 15_000.0
+CRASH_GAP_MS = 2_000.0
+ARRIVALS_PER_S = 8.0
+ORDER_SHARE = 0.2
+OUTPUT = traffic.Lengths(60.0, 0.6, 4, 600)
+POLL_MS = 100.0  # Tokens reach the entry node in pieces of this length.
+
+
+@define
+class EngineUpstreams(Upstreams):
+    """Engines by the engine model, plain services by script."""
+
+    engines: dict[UpstreamId, Engine] = field(factory=dict)
+    jobs: dict[str, tuple[Run, int]] = field(factory=dict)  # With the tokens sent so far.
+    output_tokens: int = 0
+    poll_ms: float = 0.0
+
+    def next_ms(self) -> float | None:
+        """Return when something happens next."""
+        times = [engine.next_ms() for engine in self.engines.values()]
+        times += [self.due[0][0]] if self.due else []
+        times += [self.poll_ms] if self.jobs else []
+        return min(times)
+
+    def take(self, now_ms: float) -> tuple[Run, Any] | None:
+        """Advance the engines and return the next event that an entry receives now."""
+        for engine in self.engines.values():
+            for event in engine.advance(now_ms):
+                if isinstance(event, FirstToken):
+                    self._send(event.job_id, 1, now_ms)
+                elif isinstance(event, Finished):
+                    self._finish(event, now_ms)
+        if now_ms >= self.poll_ms:
+            self.poll_ms = now_ms + POLL_MS
+            for job_id, (run, _) in list(self.jobs.items()):
+                self._send(job_id, self.engines[run.start.upstream].tokens(job_id), now_ms)
+        return Upstreams.take(self, now_ms)
+
+    def stop_idle(self, now_ms: float) -> None:
+        """Cancel the jobs whose entry node has gone or has cancelled them."""
+        for job_id, (run, _) in list(self.jobs.items()):
+            if not run.active:
+                del self.jobs[job_id]
+                engine = self.engines[run.start.upstream]
+                engine.advance(now_ms)
+                self.output_tokens += engine.cancel(job_id, now_ms)
+
+    def crash(self, name: UpstreamId, now_ms: float) -> None:
+        """Break all work of an engine and refuse connections."""
+        self.down.add(name)
+        engine = self.engines[name]
+        engine.advance(now_ms)
+        for event in engine.crash(now_ms):
+            if isinstance(event, Lost):
+                self.output_tokens += event.output_tokens
+                run, _ = self.jobs.pop(event.job_id)
+                self._fail(run, now_ms, "reset")
+
+    def report(self, name: UpstreamId) -> LoadReport:
+        """Return the load report of an upstream."""
+        engine = self.engines.get(name)
+        if engine is None:
+            return Upstreams.report(self, name)
+        return LoadReport(name, 0.0, engine.running, engine.waiting, SLOTS)
+
+    def _serve(self, run: Run, now_ms: float) -> None:
+        start = run.start
+        if start.call.kind is CallKind.PLAIN:
+            Upstreams._serve(self, run, now_ms)
+            return
+        job_id = f"{run.host}/{run.life}/{start.request_id}/{start.attempt}"
+        job = Job(
+            job_id,
+            start.call.prompt_tokens,
+            run.caller.tokens,
+            priority=start.priority,
+            delivered_tokens=start.delivered_tokens,
+        )
+        engine = self.engines[start.upstream]
+        engine.advance(now_ms)
+        self.jobs[job_id] = (run, 0)
+        engine.submit(job, now_ms)
+
+    def _send(self, job_id: str, tokens: int, now_ms: float) -> None:
+        """Send the tokens that were produced since the last piece."""
+        run, sent = self.jobs.get(job_id, (None, 0))
+        if run is None or tokens <= sent:
+            return
+        ids = (run.start.request_id, run.start.attempt)
+        if not sent:
+            self._schedule(now_ms, run, AttemptHead(*ids, 200, ()))
+            self._schedule(now_ms, run, AttemptChunk(*ids, b"R", opening=True))
+        first = run.start.delivered_tokens
+        text = "".join(run.caller.pieces()[first + sent : first + tokens])
+        chunk = AttemptChunk(*ids, text.encode(), text, tokens - sent)
+        self._schedule(now_ms, run, chunk)
+        self.jobs[job_id] = (run, tokens)
+
+    def _finish(self, event: Finished, now_ms: float) -> None:
+        self.output_tokens += event.output_tokens
+        if event.job_id in self.jobs:
+            self._send(event.job_id, event.output_tokens, now_ms)
+            run, _ = self.jobs.pop(event.job_id)
+            ids = (run.start.request_id, run.start.attempt)
+            self._schedule(now_ms, run, AttemptChunk(*ids, b"F"))
+            self._schedule(now_ms, run, AttemptEnd(*ids))
+
+
+def _crash(fleet: Fleet, upstreams: EngineUpstreams, step: int) -> None:
+    """Crash an engine, then an entry node, then the owner of the engines' shard."""
+    cores = {name: host.core for name, host in fleet.hosts.items() if host.core is not None}
+    owners = [name for name, core in cores.items() if ENGINE_SHARD in core.owners]
+    if step == 0:
+        upstreams.crash(ENGINES[0], fleet.now_ms)
+    elif step == 1:
+        fleet.crash(next(name for name in reversed(cores) if name not in owners))
+    elif owners:
+        fleet.crash(owners[0])
+
+
+def _request(fleet: Fleet, rng: Random, number: int) -> None:
+    hosts = [name for name, host in fleet.hosts.items() if host.core is not None]
+    # One number for each choice keeps the arrivals the same with and without crashes.
+    entry: NodeId = hosts[int(rng.random() * len(hosts))]
+    workspace, tier = rng.choice(WORKSPACES), rng.randrange(len(CLASSES))
+    tokens = OUTPUT.draw(rng)
+    if rng.random() < ORDER_SHARE:
+        key = uuid7(number, WALL_MS)
+        fleet.request(entry, order(tier, workspace, key, repeatable=False))
+    else:
+        fleet.request(entry, completion(tier, workspace), tokens)
+
+
+def _one(seed: int, crashes: bool) -> dict[str, float]:
+    """Return the figures of one run; raise InvariantError if the oracle sees a false outcome."""
+    rng = Random(f"crash {seed}")
+    specs = [EngineSpec(name, slots=SLOTS) for name in ENGINES]
+    engines = {spec.name: Engine(spec, Random(f"{seed} {spec.name}")) for spec in specs}
+    upstreams = EngineUpstreams(Random(seed), engines=engines)
+    fleet = new_fleet(Random(seed), 2, upstreams, SLOTS)
+    start_ms, step, number = fleet.now_ms, 0, 0
+    while fleet.now_ms < start_ms + LOAD_MS:
+        fleet.run(rng.expovariate(ARRIVALS_PER_S) * MS_PER_SECOND)
+        due_ms = start_ms + CRASH_AT_MS + step * CRASH_GAP_MS
+        if crashes and step < 3 and fleet.now_ms >= due_ms:
+            _crash(fleet, upstreams, step)
+            step += 1
+        upstreams.stop_idle(fleet.now_ms)
+        number += 1
+        _request(fleet, rng, number)
+    check_settled(fleet)
+    upstreams.stop_idle(fleet.now_ms)
+    return _figures(fleet, upstreams)
+
+
+def _figures(fleet: Fleet, upstreams: EngineUpstreams) -> dict[str, float]:
+    callers = list(fleet.oracle.callers.values())
+    models = [caller for caller in callers if caller.call.kind is CallKind.COMPLETION]
+    done = [c for c in models if c.finals and isinstance(c.finals[0], RespondEnd)]
+    core = next(host.core for host in fleet.hosts.values() if host.core is not None)
+    figures: dict[str, float] = {}
+    for name, cls in core.cfg.classes.items():
+        mine = [c for c in models if c.call.class_name == name]
+        met = [c for c in mine if c in done and _attained(c, cls.target)]
+        figures[f"attainment_{name}_share"] = len(met) / max(1, len(mine))
+    useful = sum(c.tokens for c in done)
+    prompts = sum(c.call.prompt_tokens for c in done)
+    worked = upstreams.output_tokens + sum(
+        engine.prefilled_tokens for engine in upstreams.engines.values()
+    )
+    figures["goodput_tokens_per_s"] = useful * MS_PER_SECOND / LOAD_MS
+    figures["wasted_tokens"] = worked - useful - prompts
+    figures["broken_connections"] = sum(c.gone for c in callers)
+    figures["runs_per_key_max"] = _runs_per_key(fleet)
+    return figures
+
+
+def _attained(caller: Caller, target: Any) -> bool:
+    inter_ms = (caller.ended_ms - caller.first_ms) / max(1, caller.tokens - 1)
+    in_time = caller.first_ms - caller.arrived_ms <= target.first_token_ms
+    return bool(in_time and inter_ms <= target.inter_token_ms)
+
+
+def _runs_per_key(fleet: Fleet) -> int:
+    counts: dict[str, int] = {}
+    for run in fleet.oracle.runs:
+        key = run.caller.call.key
+        if key and run.reached():
+            counts[key] = counts.get(key, 0) + 1
+    return max(counts.values(), default=0)
+
+
+def run(seed: int, long: bool) -> list[dict[str, Any]]:
+    """Return the record of runs with crashes beside the same runs without."""
+    seeds = range(seed, seed + (LONG_SEEDS if long else SEEDS))
+    params = {"seeds": len(seeds), "arrivals_per_s": ARRIVALS_PER_S, "load_ms": LOAD_MS}
+    target = {"runs_per_key_max": 1, "false_outcomes": 0}
+    base = [_one(one, crashes=False) for one in seeds]
+    try:
+        ours = [_one(one, crashes=True) for one in seeds]
+    except InvariantError as exc:
+        found = {"broken_promise": str(exc)}
+        return [
+            measure.record(
+                "policy.crash", seed, params, found, measure.spreads(base), target, False
+            )
+        ]
+    met = all(one["runs_per_key_max"] <= 1 for one in ours)
+    return [
+        measure.record(
+            "policy.crash", seed, params, measure.spreads(ours), measure.spreads(base), target, met
+        )
+    ]
--- a/packages/lab/src/goldcrestridge_lab/node_config.py
+++ b/packages/lab/src/goldcrestridge_lab/node_config.py
@@ -22,7 +22,7 @@
 SERVICE_POOL = "orders"
 
 
-def document(variant: int) -> bytes:
+def document(variant: int, slots: int = SLOTS) -> bytes:
     """Return a valid document; each variant differs, some in slots or in the set of engines."""
     engines = ENGINES if variant % 3 != 2 else ENGINES[:2]
     base: dict[str, Any] = {
@@ -57,7 +57,7 @@
         },
     }
     upstreams = {
-        ENGINE_POOL: [_upstream(name, SLOTS + variant % 2) for name in engines],
+        ENGINE_POOL: [_upstream(name, slots + variant % 2) for name in engines],
         SERVICE_POOL: [_upstream(name, SLOTS) for name in SERVICES],
     }
     sites = {"site": {"format": 1, "site": "site", "data_centre": "dc", "upstreams": upstreams}}
--- a/packages/lab/src/goldcrestridge_lab/node_fleet.py
+++ b/packages/lab/src/goldcrestridge_lab/node_fleet.py
@@ -52,8 +52,8 @@
 )
 from goldcrestridge_lab.carrier import Carrier
 from goldcrestridge_lab.log_group import FakeDisk
-from goldcrestridge_lab.node_config import ENGINE_POOL, WALL_MS, check_document, document
-from goldcrestridge_lab.node_oracle import Caller, Oracle, Run, require
+from goldcrestridge_lab.node_config import ENGINE_POOL, SLOTS, WALL_MS, check_document, document
+from goldcrestridge_lab.node_oracle import TOKENS, Caller, Oracle, Run, require
 from goldcrestridge_lab.node_upstreams import Upstreams
 
 REPLICAS = tuple(NodeId(f"r{number}") for number in range(3))
@@ -96,6 +96,7 @@
     hosts: dict[NodeId, Host] = field(factory=dict)
     now_ms: float = 0.0
     changes: int = 0
+    slots: int = SLOTS
 
     # Nodes.
 
@@ -156,13 +157,13 @@
 
     # Callers and operators.
 
-    def request(self, name: NodeId, call: Call) -> Caller | None:
+    def request(self, name: NodeId, call: Call, tokens: int = TOKENS) -> Caller | None:
         """Let a caller send a request to a node that serves."""
         host = self.hosts[name]
         if host.core is None or not host.core.serving:
             return None
         request_id = RequestId(f"q{len(self.oracle.callers)}")
-        caller = Caller(request_id, call, name, self.now_ms, host.draining)
+        caller = Caller(request_id, call, name, self.now_ms, host.draining, tokens=tokens)
         self.oracle.callers[request_id] = caller
         self.handle(host, CallerRequest(request_id, call, WALL_MS + self.now_ms))
         return caller
@@ -180,7 +181,9 @@
         if host.core is not None:
             self.changes += 1
             change_id = f"change-{self.changes}"
-            command = ApplyConfig(change_id, base_version, "ada", document(self.changes))
+            command = ApplyConfig(
+                change_id, base_version, "ada", document(self.changes, self.slots)
+            )
             proposal_id = f"{OPERATOR_PROPOSAL}{change_id}"
             self.handle(host, SubmitProposal(proposal_id, command, APPLY_TIMEOUT_MS))
 
@@ -378,10 +381,12 @@
     return []
 
 
-def new_fleet(rng: Random, diskless: int) -> Fleet:
+def new_fleet(
+    rng: Random, diskless: int, upstreams: Upstreams | None = None, slots: int = SLOTS
+) -> Fleet:
     """Return three replicas and some entry nodes without a disk, with a configuration in force."""
     carrier = Carrier(rng, delay_ms=MESSAGE_DELAY_MS)
-    fleet = Fleet(rng, carrier, Upstreams(rng))
+    fleet = Fleet(rng, carrier, upstreams or Upstreams(rng), slots=slots)
     for name in REPLICAS:
         fleet.hosts[name] = Host(name, FakeDisk(Replica(name, f"disk of {name}")))
     for number in range(diskless):
--- a/packages/lab/src/goldcrestridge_lab/node_oracle.py
+++ b/packages/lab/src/goldcrestridge_lab/node_oracle.py
@@ -49,6 +49,9 @@
     finals: list[RespondEnd | RespondFailure] = field(factory=list)
     gone: bool = False
     must_complete: bool = False
+    tokens: int = TOKENS
+    first_ms: float = -1.0
+    ended_ms: float = -1.0
 
     @property
     def open(self) -> bool:
@@ -62,7 +65,7 @@
 
     def pieces(self) -> list[str]:
         """Return the tokens of the answer."""
-        return [f"{self.request_id}.{number} " for number in range(TOKENS)]
+        return [f"{self.request_id}.{number} " for number in range(self.tokens)]
 
     def expected(self) -> bytes:
         """Return the complete answer of this request."""
@@ -111,11 +114,13 @@
                 caller.heads += 1
                 require(caller.heads == 1, "P3", f"{caller.request_id} got two heads.")
             case RespondChunk():
+                caller.first_ms = now_ms if caller.first_ms < 0.0 else caller.first_ms
                 caller.data += effect.data
                 whole = caller.expected().startswith(caller.data)
                 require(whole, "P3", f"{caller.request_id} got {caller.data!r}.")
             case RespondEnd():
                 caller.finals.append(effect)
+                caller.ended_ms = now_ms
                 whole = caller.data == caller.expected() and caller.heads == 1
                 require(whole, "P3", f"{caller.request_id} ended with {caller.data!r}.")
             case RespondFailure():
