--- a/packages/lab/src/goldcrestridge_lab/bench.py
+++ b/packages/lab/src/goldcrestridge_lab/bench.py
@@ -27,6 +27,7 @@
     bench_members,
     bench_path,
     bench_policy,
+    bench_requests,
 )
 
 Run = Callable[[int, bool], list[dict[str, Any]]]
@@ -36,6 +37,7 @@
 VIRTUAL: tuple[tuple[str, Run], ...] = (
     *((name, run) for name, run in bench_policy.MEASUREMENTS if name != "cost.decision"),
     ("policy.straggler policy.stale-load policy.prefix", bench_choice.run),
+    ("policy.crash", bench_requests.run),
     ("control.cost config.spread", bench_members.run),
 )
 # Records that measure processor time or real files run one after the other.
@@ -44,7 +46,7 @@
     ("path.overhead", bench_path.run),
     ("log.commit log.restart log.claim", bench_log.run),
 )
-WORKERS = 4
+WORKERS = 8
 
 
 def chosen(table: tuple[tuple[str, Run], ...], only: str) -> list[int]:
