Measure requests cut over drains under load

Cause: no record showed that a graceful shutdown cuts nothing under load. Change: drain.cut drains nodes of the complete fleet one after the other, with callers at every node, and starts them again.

--- a/packages/lab/src/goldcrestridge_lab/bench.py
+++ b/packages/lab/src/goldcrestridge_lab/bench.py
@@ -23,6 +23,7 @@
 
 from goldcrestridge_lab import (
     bench_choice,
+    bench_drain,
     bench_log,
     bench_members,
     bench_path,
@@ -38,6 +39,7 @@
     *((name, run) for name, run in bench_policy.MEASUREMENTS if name != "cost.decision"),
     ("policy.straggler policy.stale-load policy.prefix", bench_choice.run),
     ("policy.crash", bench_requests.run),
+    ("drain.cut", bench_drain.run),
     ("control.cost config.spread", bench_members.run),
 )
 # Records that measure processor time or real files run one after the other.
