--- a/tests/core/test_node_machine.py
+++ b/tests/core/test_node_machine.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis.stateful import run_state_machine_as_test
 
+from goldcrestridge_core.types import UpstreamId
 from goldcrestridge_lab.node_config import ENGINES, completion
 from goldcrestridge_lab.node_fleet import new_fleet
 from goldcrestridge_lab.node_machine import NodeMachine
@@ -36,3 +37,47 @@
     fleet.crash(owner)
     fleet.request(entry, completion(2, "ada"))
     fleet.run(6_000.0)
+
+
+def test_the_lowest_class_is_not_shed_when_a_pool_works_again_after_an_outage() -> None:
+    # Guards against a low rate, learned while no engine answered, that sheds waiting requests
+    # of the lowest class (P2) once load has stopped and the engines work.
+    schedule = (
+        ("orders-1", 1.0),
+        ("orders-1", 20.0),
+        ("orders-1", 700.0),
+        ("engine-1", 20.0),
+        ("engine-0", 700.0),
+        ("orders-0", 700.0),
+        ("orders-0", 6000.0),
+        ("engine-1", 6000.0),
+        ("engine-2", 6000.0),
+        ("engine-2", 700.0),
+        ("engine-2", 700.0),
+        ("orders-1", 20.0),
+        ("orders-0", 700.0),
+        ("orders-0", 6000.0),
+        ("engine-2", 1.0),
+        ("engine-2", 6000.0),
+        ("engine-2", 2500.0),
+        ("engine-0", 20.0),
+        ("orders-1", 150.0),
+        ("engine-2", 6000.0),
+        ("engine-2", 1.0),
+        ("engine-0", 700.0),
+        ("orders-0", 20.0),
+        ("engine-2", 1.0),
+        ("orders-1", 6000.0),
+        ("engine-1", 700.0),
+        ("engine-2", 6000.0),
+        ("engine-1", 2500.0),
+        ("orders-1", 700.0),
+        ("engine-1", 2500.0),
+        ("engine-0", 700.0),
+        ("engine-0", 1.0),
+    )
+    machine = NodeMachine()
+    machine.form(seed=135868, diskless=1)
+    for name, after in schedule:
+        machine.crash_upstream(name=UpstreamId(name), after=after)
+    machine.teardown()
