Spread the sign of a leaving upstream to every entry node

Ruled out: a longer time alone, since an idle entry never heard the sign. Change: the owner's node tells all live entries, and an entry keeps the sign until an owner grants a slot there again.

--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -369,12 +369,25 @@
                 self._out.append(effect)
             case DrainEnded():
                 pass
+            case Emit(kind="upstream_leaving", upstream=upstream):
+                self._out.append(effect)
+                self._spread_leaving(UpstreamId(upstream), now_ms)
             case RespondEnd() | RespondFailure():
                 self._out.append(effect)
                 self._run(DRAIN, effect, now_ms)
             case _:
                 self._out.append(effect)
 
+    def _spread_leaving(self, upstream: UpstreamId, now_ms: float) -> None:
+        """Tell every entry node, also those that have not asked this owner for a slot yet.
+
+        An entry that admits locally after the loss of the owner must know it.
+        """
+        notice = UpstreamLeaving(upstream, self.identity.member.node)
+        for node in self.addresses.live():
+            if node != self.identity.member.node:
+                self._effect(Send(node, notice), now_ms)
+
     def _set_config(self, effect: ConfigInForce, now_ms: float) -> None:
         """Put a whole configuration version in force in all roles."""
         document = Document(effect.document["base"], effect.document["sites"], {})
--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -362,7 +362,7 @@
             case ShardSummary():
                 return [*self._slots.summary(sender, message, now_ms)]
             case UpstreamLeaving():
-                self._slots.leaving(message.upstream, now_ms)
+                self._slots.leaving(message.upstream)
         return []
 
     def _start(self, accepted: Accepted, now_ms: float) -> list[Any]:
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -40,7 +40,7 @@
 OWNER_SILENCE_MS = 1_500.0
 # Empty reports go on this long, so that the owner reclaims grants whose release was lost.
 REPORT_TAIL_MS = 30_000.0
-AVOID_MS = 10_000.0  # Local admission passes over an upstream that refused or failed.
+AVOID_MS = 10_000.0  # Local admission passes over an upstream that refused a connection.
 MIN_RETRY_AFTER_MS = 1_000.0
 WAIT_SMOOTHING = 0.2
 
@@ -187,7 +187,9 @@
         view = self.view(held.grant.shard)
         view.active_ms = now_ms
         upstream = held.grant.upstream
-        if end in (GrantEnd.CONNECT_FAILED, GrantEnd.LEAVING):
+        if end is GrantEnd.LEAVING:
+            self.leaving(upstream)
+        elif end is GrantEnd.CONNECT_FAILED:
             self._avoid_until_ms[upstream] = now_ms + AVOID_MS
         release = evolve(
             _release_of(held.grant, self.node, end),
@@ -209,9 +211,9 @@
         """Return the smoothed wait for a slot of the shard, at least one second."""
         return max(MIN_RETRY_AFTER_MS, self.view(shard).wait_ms)
 
-    def leaving(self, upstream: UpstreamId, now_ms: float) -> None:
-        """Keep local admission from an upstream that is leaving."""
-        self._avoid_until_ms[upstream] = now_ms + AVOID_MS
+    def leaving(self, upstream: UpstreamId) -> None:
+        """Keep local admission from a leaving upstream until an owner grants a slot there."""
+        self._avoid_until_ms[upstream] = math.inf
 
     # Messages of owners.
 
@@ -231,6 +233,7 @@
             return [*sends, self._unused(sender, grant)], None
         if grant.epoch < view.epoch:
             return [*sends, self._unused(sender, grant)], None
+        self._avoid_until_ms.pop(grant.upstream, None)
         wait_ms = now_ms - waiting.asked_ms
         view.wait_ms += WAIT_SMOOTHING * (wait_ms - view.wait_ms)
         return sends, self._accept(waiting, grant)
