--- a/packages/core/src/goldcrestridge_core/addresses.py
+++ b/packages/core/src/goldcrestridge_core/addresses.py
@@ -8,14 +8,14 @@
 import xxhash
 from attrs import define, field, frozen
 
-from goldcrestridge_core.types import (
+from goldcrestridge_core.member_types import (
     Member,
     MemberDown,
     MemberLeaving,
     MemberState,
     MemberUp,
-    NodeId,
 )
+from goldcrestridge_core.types import NodeId
 
 # Two addresses near the caller let it survive the loss of a node, the third that of the data
 # centre. A longer answer would only be cached longer than the nodes in it live.
--- a/packages/core/src/goldcrestridge_core/attempts.py
+++ b/packages/core/src/goldcrestridge_core/attempts.py
@@ -4,16 +4,15 @@
 
 from attrs import define, field
 
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptHead,
     Call,
-    Headers,
-    RequestId,
     RespondChunk,
     RespondEnd,
     RespondHead,
 )
+from goldcrestridge_core.types import Headers, RequestId
 
 # A whole answer of usual size is held until it is complete, so that it can be repeated
 # elsewhere, or fail with a proper error response, as long as the caller has seen nothing.
--- a/packages/core/src/goldcrestridge_core/changes.py
+++ b/packages/core/src/goldcrestridge_core/changes.py
@@ -11,7 +11,7 @@
 
 from attrs import Factory, define, frozen
 
-from goldcrestridge_core.types import (
+from goldcrestridge_core.store_types import (
     ApplyConfig,
     ApplyResult,
     ApplyStatus,
--- a/packages/core/src/goldcrestridge_core/claims.py
+++ b/packages/core/src/goldcrestridge_core/claims.py
@@ -12,15 +12,15 @@
 
 from attrs import Factory, define, evolve
 
-from goldcrestridge_core.types import (
+from goldcrestridge_core.store_types import (
     BeginClaim,
     ClaimPhase,
     ClaimRecord,
     ClaimResult,
     ClaimState,
     FinishClaim,
-    Outcome,
 )
+from goldcrestridge_core.types import Outcome
 
 DEFAULT_RETENTION_MS = 86_400_000.0
 # A claimant that has not finished by then has vanished; longer than any call may take.
--- a/packages/core/src/goldcrestridge_core/drain.py
+++ b/packages/core/src/goldcrestridge_core/drain.py
@@ -7,20 +7,9 @@
 
 from attrs import define, field
 
-from goldcrestridge_core.types import (
-    CallerGone,
-    CallerRequest,
-    DrainDone,
-    Emit,
-    Outcome,
-    Reason,
-    ReleaseOwnership,
-    RequestId,
-    RespondEnd,
-    RespondFailure,
-    StartDrain,
-    Tick,
-)
+from goldcrestridge_core.call_types import CallerGone, CallerRequest, RespondEnd, RespondFailure
+from goldcrestridge_core.member_types import DrainDone, ReleaseOwnership, StartDrain
+from goldcrestridge_core.types import Emit, Outcome, Reason, RequestId, Tick
 
 # Time until every other node that can be reached has learned that this one is leaving. Gossip
 # needs about a second at 340 nodes; the rest covers lost messages and one probe round.
--- a/packages/core/src/goldcrestridge_core/election.py
+++ b/packages/core/src/goldcrestridge_core/election.py
@@ -10,17 +10,17 @@
 
 from goldcrestridge_core.exceptions import InvariantError
 from goldcrestridge_core.log_state import LogState, Position
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     Append,
     InstallSnapshot,
     PreVote,
     PreVoteReply,
     QueryReply,
     Replica,
-    Send,
     Vote,
     VoteReply,
 )
+from goldcrestridge_core.types import Send
 
 
 def start_timer(state: LogState, now_ms: float) -> None:
--- a/packages/core/src/goldcrestridge_core/idempotency.py
+++ b/packages/core/src/goldcrestridge_core/idempotency.py
@@ -8,21 +8,16 @@
 from attrs import define, field, frozen
 from returns.result import Failure, Result, Success
 
+from goldcrestridge_core.call_types import Call, CallKind, RespondFailure
+from goldcrestridge_core.store_types import BeginClaim, ClaimResult, ClaimState, FinishClaim
 from goldcrestridge_core.types import (
-    BeginClaim,
-    Call,
-    CallKind,
-    ClaimResult,
-    ClaimState,
     Count,
-    FinishClaim,
     Headers,
     NodeId,
     Outcome,
     ProposalDone,
     Reason,
     RequestId,
-    RespondFailure,
     SubmitProposal,
 )
 
--- a/packages/core/src/goldcrestridge_core/leases.py
+++ b/packages/core/src/goldcrestridge_core/leases.py
@@ -8,7 +8,7 @@
 
 from attrs import Factory, define, evolve
 
-from goldcrestridge_core.types import (
+from goldcrestridge_core.store_types import (
     AcquireLease,
     ExpireLease,
     LeaseRecord,
--- a/packages/core/src/goldcrestridge_core/log.py
+++ b/packages/core/src/goldcrestridge_core/log.py
@@ -16,11 +16,10 @@
 from goldcrestridge_core import election, log_members, log_snapshots, replication
 from goldcrestridge_core.log_records import Recovered, membership_of
 from goldcrestridge_core.log_state import LogOptions, LogState, Position, StateMachine
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     Append,
     AppendReply,
     ChangeReplicas,
-    Count,
     EntryKind,
     InstallSnapshot,
     InstallSnapshotReply,
@@ -28,20 +27,18 @@
     JoinReply,
     LogFailed,
     LogSynced,
-    NodeId,
     PreVote,
     PreVoteReply,
     Propose,
     ProposeReply,
     Query,
     QueryReply,
-    Receive,
     Replica,
-    Send,
     Vote,
     VoteReply,
     WallTime,
 )
+from goldcrestridge_core.types import Count, NodeId, Receive, Send
 
 ROUTED = (
     PreVote,
--- a/packages/core/src/goldcrestridge_core/log_members.py
+++ b/packages/core/src/goldcrestridge_core/log_members.py
@@ -12,8 +12,7 @@
 from goldcrestridge_core import codec
 from goldcrestridge_core.log_records import membership_of
 from goldcrestridge_core.log_state import LogState, Position
-from goldcrestridge_core.replication import propose
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     ChangeReplicas,
     ChangeReplicasReply,
     EntryKind,
@@ -21,11 +20,11 @@
     JoinReply,
     LogEntry,
     LogMembership,
-    NodeId,
     Replica,
     ReplicaOperation,
-    Send,
 )
+from goldcrestridge_core.replication import propose
+from goldcrestridge_core.types import NodeId, Send
 
 
 def is_fresh(state: LogState) -> bool:
--- a/packages/core/src/goldcrestridge_core/log_records.py
+++ b/packages/core/src/goldcrestridge_core/log_records.py
@@ -8,7 +8,7 @@
 
 from goldcrestridge_core import codec
 from goldcrestridge_core.exceptions import StorageError
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     EntryKind,
     HardState,
     LogEntry,
--- a/packages/core/src/goldcrestridge_core/log_snapshots.py
+++ b/packages/core/src/goldcrestridge_core/log_snapshots.py
@@ -5,7 +5,7 @@
 from goldcrestridge_core import codec
 from goldcrestridge_core.election import accept_leader
 from goldcrestridge_core.log_state import Incoming, LogState, Progress
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     InstallSnapshot,
     InstallSnapshotReply,
     LogMembership,
--- a/packages/core/src/goldcrestridge_core/log_state.py
+++ b/packages/core/src/goldcrestridge_core/log_state.py
@@ -15,20 +15,18 @@
 
 from goldcrestridge_core.exceptions import InvariantError
 from goldcrestridge_core.log_records import Entries, Record, membership_of
-from goldcrestridge_core.types import (
-    Emit,
+from goldcrestridge_core.log_types import (
     HardState,
     LogEntry,
     LogMembership,
     LogReset,
     LogRoute,
-    NodeId,
     Replica,
-    Send,
     Snapshot,
     WriteLog,
     WriteSnapshot,
 )
+from goldcrestridge_core.types import Emit, NodeId, Send
 
 NO_MEMBERSHIP = LogMembership("", ())
 
--- a/packages/core/src/goldcrestridge_core/membership.py
+++ b/packages/core/src/goldcrestridge_core/membership.py
@@ -8,11 +8,9 @@
 
 from attrs import define, evolve, field, frozen
 
-from goldcrestridge_core.types import (
+from goldcrestridge_core.member_types import (
     Ack,
     ConfigHint,
-    Count,
-    Emit,
     Leave,
     Member,
     MemberDigest,
@@ -22,15 +20,12 @@
     MemberState,
     MemberSummary,
     MemberUp,
-    NodeId,
     Ping,
     PingReq,
     PlatformList,
-    Receive,
-    Send,
     StartDrain,
-    Tick,
 )
+from goldcrestridge_core.types import Count, Emit, NodeId, Receive, Send, Tick
 from goldcrestridge_core.view import DOWN, View, precedence
 
 PROBE_INTERVAL_MS = 1_000.0
--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -10,29 +10,26 @@
 from returns.result import Failure
 
 from goldcrestridge_core.addresses import Addresses
-from goldcrestridge_core.choice import Chooser
-from goldcrestridge_core.config import Configuration, PoolKind, Upstream
-from goldcrestridge_core.documents import Document, decode_document
-from goldcrestridge_core.drain import Drain, Phase
-from goldcrestridge_core.membership import Membership
-from goldcrestridge_core.owner import Owner
-from goldcrestridge_core.ownership import Ownership
-from goldcrestridge_core.proposals import Proposals
-from goldcrestridge_core.replica import Replica
-from goldcrestridge_core.replication import has_lease
-from goldcrestridge_core.requests import Requests
-from goldcrestridge_core.shards import pool_shards
-from goldcrestridge_core.spread import Spread
-from goldcrestridge_core.store import Store
-from goldcrestridge_core.types import (
-    Ack,
+from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptEnd,
     AttemptFailed,
     AttemptHead,
-    CacheEvents,
     CallerGone,
     CallerRequest,
+    DrainEnded,
+    EndDrain,
+    OwnerChanged,
+    RespondEnd,
+    RespondFailure,
+)
+from goldcrestridge_core.choice import Chooser
+from goldcrestridge_core.config import Configuration, PoolKind, Upstream
+from goldcrestridge_core.documents import Document, decode_document
+from goldcrestridge_core.drain import Drain, Phase
+from goldcrestridge_core.log_types import LogFailed, LogSynced, ProposeReply, WallTime
+from goldcrestridge_core.member_types import (
+    Ack,
     ConfigCommitted,
     ConfigConfirmed,
     ConfigDelta,
@@ -41,14 +38,7 @@
     ConfigPull,
     ConfigurationChanged,
     DrainDone,
-    DrainEnded,
-    Emit,
-    EndDrain,
-    GrantReport,
     Leave,
-    LoadReport,
-    LogFailed,
-    LogSynced,
     Member,
     MemberDigest,
     MemberDown,
@@ -57,37 +47,48 @@
     MemberRecords,
     MemberSummary,
     MemberUp,
-    NodeId,
-    NotOwner,
     OwnerAnnounce,
-    OwnerChanged,
     OwnerClaim,
     OwnershipGained,
     OwnershipLost,
     Ping,
     PingReq,
     PlatformList,
+    ReleaseOwnership,
+    ShardsChanged,
+    StartDrain,
+)
+from goldcrestridge_core.membership import Membership
+from goldcrestridge_core.owner import Owner
+from goldcrestridge_core.ownership import Ownership
+from goldcrestridge_core.proposals import Proposals
+from goldcrestridge_core.replica import Replica
+from goldcrestridge_core.replication import has_lease
+from goldcrestridge_core.requests import Requests
+from goldcrestridge_core.shards import pool_shards
+from goldcrestridge_core.spread import Spread
+from goldcrestridge_core.store import Store
+from goldcrestridge_core.types import (
+    CacheEvents,
+    Emit,
+    GrantReport,
+    LoadReport,
+    NodeId,
+    NotOwner,
     ProposalDone,
-    ProposeReply,
     Receive,
-    ReleaseOwnership,
-    RespondEnd,
-    RespondFailure,
     Send,
     ShardId,
-    ShardsChanged,
     ShardSummary,
     SlotCancel,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
     SlotRequest,
-    StartDrain,
     SubmitProposal,
     Tick,
     UpstreamId,
     UpstreamLeaving,
-    WallTime,
 )
 from goldcrestridge_core.validation import validate
 
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from goldcrestridge_core import types
+from goldcrestridge_core import member_types, types
 from goldcrestridge_core.choice import LEAVING_HOLD_MS
 from goldcrestridge_core.config import Configuration, Upstream
 from goldcrestridge_core.flows import Waiting
@@ -115,9 +115,9 @@
         effects: list[Any] = []
         if isinstance(event, types.Receive):
             effects += self._receive(event.sender, event.message, now_ms)
-        elif isinstance(event, types.MemberDown):
+        elif isinstance(event, member_types.MemberDown):
             self._member_down(event.node, now_ms)
-        elif isinstance(event, types.MemberUp):
+        elif isinstance(event, member_types.MemberUp):
             self._member_up(event.member, now_ms)
         elif isinstance(event, types.LeaseExtended) and event.epoch == self.epoch:
             self.lease_until_ms = max(self.lease_until_ms, event.until_ms)
@@ -316,7 +316,7 @@
                 del self._waiting[attempt]
                 self.queue.remove(waiting)
 
-    def _member_up(self, member: types.Member, now_ms: float) -> None:
+    def _member_up(self, member: member_types.Member, now_ms: float) -> None:
         """Doubt the grants of a node that may have restarted.
 
         A restarted node without new requests sends no further reports, so that its old grants
--- a/packages/core/src/goldcrestridge_core/ownership.py
+++ b/packages/core/src/goldcrestridge_core/ownership.py
@@ -9,29 +9,29 @@
 from attrs import define, field
 
 from goldcrestridge_core.addresses import ENTRY_ROLE
-from goldcrestridge_core.shards import Ranking
-from goldcrestridge_core.types import (
-    AcquireLease,
-    Count,
-    Emit,
-    LeaseResult,
+from goldcrestridge_core.call_types import OwnerChanged
+from goldcrestridge_core.member_types import (
     MemberDown,
     MemberLeaving,
     MemberState,
     MemberUp,
-    NodeId,
     OwnerAnnounce,
-    OwnerChanged,
     OwnerClaim,
     OwnershipGained,
     OwnershipLost,
+    ReleaseOwnership,
+    ShardsChanged,
+)
+from goldcrestridge_core.shards import Ranking
+from goldcrestridge_core.store_types import AcquireLease, LeaseResult, ReleaseLease
+from goldcrestridge_core.types import (
+    Count,
+    Emit,
+    NodeId,
     ProposalDone,
     Receive,
-    ReleaseLease,
-    ReleaseOwnership,
     Send,
     ShardId,
-    ShardsChanged,
     ShardSummary,
     SubmitProposal,
 )
--- a/packages/core/src/goldcrestridge_core/proposals.py
+++ b/packages/core/src/goldcrestridge_core/proposals.py
@@ -13,17 +13,8 @@
 from returns.result import Success
 
 from goldcrestridge_core import codec
-from goldcrestridge_core.types import (
-    Count,
-    NodeId,
-    ProposalDone,
-    Propose,
-    ProposeReply,
-    Receive,
-    ReplicasKnown,
-    Send,
-    SubmitProposal,
-)
+from goldcrestridge_core.log_types import Propose, ProposeReply, ReplicasKnown
+from goldcrestridge_core.types import Count, NodeId, ProposalDone, Receive, Send, SubmitProposal
 
 # Longer than a commit on a slow disk, and a fraction of an election.
 REPEAT_MS = 300.0
--- a/packages/core/src/goldcrestridge_core/replica.py
+++ b/packages/core/src/goldcrestridge_core/replica.py
@@ -9,8 +9,9 @@
 from goldcrestridge_core import codec
 from goldcrestridge_core.leases import LeaseTimer
 from goldcrestridge_core.log import Log
+from goldcrestridge_core.log_types import Propose, ProposeReply
 from goldcrestridge_core.store import Store
-from goldcrestridge_core.types import Propose, ProposeReply, Receive, Send
+from goldcrestridge_core.types import Receive, Send
 
 # Proposals of expiry are repeated at this interval until the store shows their effect.
 EXPIRY_INTERVAL_MS = 100.0
--- a/packages/core/src/goldcrestridge_core/replication.py
+++ b/packages/core/src/goldcrestridge_core/replication.py
@@ -11,7 +11,7 @@
 from goldcrestridge_core.election import accept_leader, change_term, step_down
 from goldcrestridge_core.log_snapshots import send_chunk, start_snapshot
 from goldcrestridge_core.log_state import LogState, Position, Progress
-from goldcrestridge_core.types import Append, AppendReply, EntryKind, LogEntry, Replica
+from goldcrestridge_core.log_types import Append, AppendReply, EntryKind, LogEntry, Replica
 
 
 def become_leader(state: LogState, now_ms: float) -> None:
--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -12,6 +12,25 @@
 from returns.result import Failure
 
 from goldcrestridge_core.attempts import Answer, Timing
+from goldcrestridge_core.call_types import (
+    AttemptChunk,
+    AttemptEnd,
+    AttemptFailed,
+    AttemptHead,
+    Call,
+    CallerGone,
+    CallerRequest,
+    CallKind,
+    CancelAttempt,
+    DrainEnded,
+    EndDrain,
+    OwnerChanged,
+    RespondChunk,
+    RespondEnd,
+    RespondFailure,
+    RespondHead,
+    StartAttempt,
+)
 from goldcrestridge_core.config import Configuration, RequestClass, Upstream
 from goldcrestridge_core.idempotency import (
     MAX_RECORDED_BYTES,
@@ -20,44 +39,26 @@
     claim_failure,
     needs_claim,
 )
+from goldcrestridge_core.member_types import StartDrain
 from goldcrestridge_core.retries import RetryBudget
 from goldcrestridge_core.shards import pool_shards
 from goldcrestridge_core.slots import Accepted, Slots, Waiting
+from goldcrestridge_core.store_types import ClaimResult, ClaimState
 from goldcrestridge_core.types import (
-    AttemptChunk,
-    AttemptEnd,
-    AttemptFailed,
-    AttemptHead,
-    Call,
-    CallerGone,
-    CallerRequest,
-    CallKind,
-    CancelAttempt,
-    ClaimResult,
-    ClaimState,
     Count,
-    DrainEnded,
     Emit,
-    EndDrain,
     GrantEnd,
     NodeId,
     NotOwner,
     Outcome,
-    OwnerChanged,
     ProposalDone,
     Reason,
     Receive,
     RequestId,
-    RespondChunk,
-    RespondEnd,
-    RespondFailure,
-    RespondHead,
     ShardId,
     ShardSummary,
     SlotGrant,
     SlotRefusal,
-    StartAttempt,
-    StartDrain,
     Tick,
     UpstreamId,
     UpstreamLeaving,
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -10,9 +10,9 @@
 import xxhash
 from attrs import define, evolve, field, frozen
 
+from goldcrestridge_core.call_types import Call
 from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.types import (
-    Call,
     GrantEnd,
     GrantReport,
     HeldGrant,
--- a/packages/core/src/goldcrestridge_core/spread.py
+++ b/packages/core/src/goldcrestridge_core/spread.py
@@ -11,7 +11,7 @@
 
 from goldcrestridge_core import differences
 from goldcrestridge_core.differences import Document
-from goldcrestridge_core.types import (
+from goldcrestridge_core.member_types import (
     Ack,
     ConfigCommitted,
     ConfigConfirmed,
@@ -19,18 +19,13 @@
     ConfigHint,
     ConfigInForce,
     ConfigPull,
-    Count,
-    Emit,
     MemberDown,
     MemberGossip,
     MemberUp,
-    NodeId,
     Ping,
     PingReq,
-    Receive,
-    Send,
-    Tick,
 )
+from goldcrestridge_core.types import Count, Emit, NodeId, Receive, Send, Tick
 
 PULL_TIMEOUT_MS = 400.0  # Four round trips between regions; nine tries fit into the 4 s.
 HINT_FANOUT = 3
--- a/packages/core/src/goldcrestridge_core/store.py
+++ b/packages/core/src/goldcrestridge_core/store.py
@@ -13,7 +13,7 @@
 
 from goldcrestridge_core import changes, claims, codec, leases
 from goldcrestridge_core.exceptions import InvariantError
-from goldcrestridge_core.types import (
+from goldcrestridge_core.store_types import (
     AcquireLease,
     ApplyConfig,
     BeginClaim,
--- a/packages/core/src/goldcrestridge_core/view.py
+++ b/packages/core/src/goldcrestridge_core/view.py
@@ -10,14 +10,14 @@
 import xxhash
 from attrs import Factory, define, evolve
 
-from goldcrestridge_core.types import (
+from goldcrestridge_core.member_types import (
     Member,
     MemberDown,
     MemberLeaving,
     MemberState,
     MemberUp,
-    NodeId,
 )
+from goldcrestridge_core.types import NodeId
 
 # Regions lose each other for minutes and a single VM may be cut off for hours. A day covers both,
 # and at 471 failures and replacements a day it bounds the table to about 2.4 times its live size.
--- a/packages/lab/src/goldcrestridge_lab/bench_drain.py
+++ b/packages/lab/src/goldcrestridge_lab/bench_drain.py
@@ -5,9 +5,10 @@
 from random import Random
 from typing import Any
 
+from goldcrestridge_core.call_types import RespondEnd, RespondFailure
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.exceptions import InvariantError
-from goldcrestridge_core.types import NodeId, Reason, RespondEnd, RespondFailure
+from goldcrestridge_core.types import NodeId, Reason
 from goldcrestridge_lab import measure
 from goldcrestridge_lab.node_config import CLASSES, WORKSPACES, completion
 from goldcrestridge_lab.node_fleet import ADDRESS_TTL_MS, Fleet, new_fleet
--- a/packages/lab/src/goldcrestridge_lab/bench_log.py
+++ b/packages/lab/src/goldcrestridge_lab/bench_log.py
@@ -23,24 +23,19 @@
 from goldcrestridge_core.changes import ConfigCheck
 from goldcrestridge_core.log import open_log
 from goldcrestridge_core.log_state import LogOptions
-from goldcrestridge_core.replica import Replica as ControlReplica
-from goldcrestridge_core.store import Store
-from goldcrestridge_core.types import (
-    ApplyConfig,
-    BeginClaim,
-    ClaimState,
+from goldcrestridge_core.log_types import (
     LogSynced,
-    NodeId,
     Propose,
     ProposeReply,
-    Receive,
-    Send,
-    Tick,
     TruncateLog,
     WallTime,
     WriteLog,
     WriteSnapshot,
 )
+from goldcrestridge_core.replica import Replica as ControlReplica
+from goldcrestridge_core.store import Store
+from goldcrestridge_core.store_types import ApplyConfig, BeginClaim, ClaimState
+from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 from goldcrestridge_node.disk import Folder, open_folder, serve
 
 CLAIMANT = NodeId("claimant")
--- a/packages/lab/src/goldcrestridge_lab/bench_members.py
+++ b/packages/lab/src/goldcrestridge_lab/bench_members.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from goldcrestridge_core.member_types import ConfigCommitted, ConfigConfirmed
 from goldcrestridge_core.spread import Spread
-from goldcrestridge_core.types import ConfigCommitted, ConfigConfirmed, NodeId
+from goldcrestridge_core.types import NodeId
 from goldcrestridge_lab.carrier_members import Carrier, node_id, start_spread
 
 SIZES = (12, 24, 48, 96, 192)
--- a/packages/lab/src/goldcrestridge_lab/bench_path.py
+++ b/packages/lab/src/goldcrestridge_lab/bench_path.py
@@ -23,7 +23,7 @@
 from goldcrestridge_core.clock import Clock
 from goldcrestridge_core.documents import Document, encode_document
 from goldcrestridge_core.owner import REBUILD_MS
-from goldcrestridge_core.types import ApplyConfig
+from goldcrestridge_core.store_types import ApplyConfig
 from goldcrestridge_lab.asgi import Receive, Scope, Send, read_body
 from goldcrestridge_node.disk import open_folder
 from goldcrestridge_node.logs import configure_logs
--- a/packages/lab/src/goldcrestridge_lab/bench_requests.py
+++ b/packages/lab/src/goldcrestridge_lab/bench_requests.py
@@ -7,18 +7,16 @@
 
 from attrs import define, field
 
-from goldcrestridge_core.clock import MS_PER_SECOND
-from goldcrestridge_core.exceptions import InvariantError
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptEnd,
     AttemptHead,
     CallKind,
-    LoadReport,
-    NodeId,
     RespondEnd,
-    UpstreamId,
 )
+from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.exceptions import InvariantError
+from goldcrestridge_core.types import LoadReport, NodeId, UpstreamId
 from goldcrestridge_lab import measure, traffic
 from goldcrestridge_lab.engine import Engine, EngineSpec, Finished, FirstToken, Job, Lost
 from goldcrestridge_lab.node_config import (
--- a/packages/lab/src/goldcrestridge_lab/carrier_members.py
+++ b/packages/lab/src/goldcrestridge_lab/carrier_members.py
@@ -12,17 +12,10 @@
 from attrs import Factory, define, evolve
 
 from goldcrestridge_core import codec
+from goldcrestridge_core.member_types import ConfigHint, Member, MemberState
 from goldcrestridge_core.membership import Membership
 from goldcrestridge_core.spread import Spread
-from goldcrestridge_core.types import (
-    ConfigHint,
-    Member,
-    MemberState,
-    NodeId,
-    Receive,
-    Send,
-    Tick,
-)
+from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 
 ROUNDING_MS = 1e-6
 
--- a/packages/lab/src/goldcrestridge_lab/disk_machine.py
+++ b/packages/lab/src/goldcrestridge_lab/disk_machine.py
@@ -10,18 +10,18 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from goldcrestridge_core.log_records import Record, Recovered, recover
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     EntryKind,
     HardState,
     LogEntry,
     LogMembership,
     LogReset,
-    NodeId,
     Snapshot,
     TruncateLog,
     WriteLog,
     WriteSnapshot,
 )
+from goldcrestridge_core.types import NodeId
 from goldcrestridge_lab.store_machine import require
 from goldcrestridge_node.disk import Folder, frame, open_folder
 
--- a/packages/lab/src/goldcrestridge_lab/log_group.py
+++ b/packages/lab/src/goldcrestridge_lab/log_group.py
@@ -19,26 +19,23 @@
 from goldcrestridge_core.log_members import may_change
 from goldcrestridge_core.log_records import Record, recover
 from goldcrestridge_core.log_state import LogOptions, Position
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     HardState,
     LogEntry,
     LogFailed,
     LogSynced,
-    NodeId,
     Propose,
     ProposeReply,
     Query,
     QueryReply,
-    Receive,
     Replica,
-    Send,
     Snapshot,
-    Tick,
     TruncateLog,
     WallTime,
     WriteLog,
     WriteSnapshot,
 )
+from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 from goldcrestridge_lab.carrier import Carrier
 
 CLIENT = NodeId("client")
--- a/packages/lab/src/goldcrestridge_lab/log_machine.py
+++ b/packages/lab/src/goldcrestridge_lab/log_machine.py
@@ -10,7 +10,8 @@
 
 from goldcrestridge_core.exceptions import InvariantError
 from goldcrestridge_core.log_state import Position
-from goldcrestridge_core.types import NodeId, WallTime
+from goldcrestridge_core.log_types import WallTime
+from goldcrestridge_core.types import NodeId
 from goldcrestridge_lab.log_group import Group, Member, new_group
 
 # Long enough for elections, replacement of a replica and catch-up on a healthy carrier.
--- a/packages/lab/src/goldcrestridge_lab/node_config.py
+++ b/packages/lab/src/goldcrestridge_lab/node_config.py
@@ -6,9 +6,10 @@
 
 from returns.result import Failure
 
+from goldcrestridge_core.call_types import Call, CallKind
 from goldcrestridge_core.changes import ConfigCheck
 from goldcrestridge_core.documents import Document, encode_document
-from goldcrestridge_core.types import Call, CallKind, UpstreamId
+from goldcrestridge_core.types import UpstreamId
 from goldcrestridge_core.validation import validate_bytes
 
 WALL_MS = 1_800_000_000_000.0
--- a/packages/lab/src/goldcrestridge_lab/node_fleet.py
+++ b/packages/lab/src/goldcrestridge_lab/node_fleet.py
@@ -8,47 +8,46 @@
 
 from attrs import define, field
 
+from goldcrestridge_core.call_types import (
+    Call,
+    CallerGone,
+    CallerRequest,
+    CancelAttempt,
+    RespondChunk,
+    RespondEnd,
+    RespondFailure,
+    RespondHead,
+    StartAttempt,
+)
 from goldcrestridge_core.log import open_log
 from goldcrestridge_core.log_records import recover
 from goldcrestridge_core.log_state import LogOptions
+from goldcrestridge_core.log_types import (
+    LogSynced,
+    Replica,
+    TruncateLog,
+    WallTime,
+    WriteLog,
+    WriteSnapshot,
+)
+from goldcrestridge_core.member_types import DrainDone, Member, MemberState, StartDrain
 from goldcrestridge_core.node import OPERATOR_PROPOSAL, Identity, Node
 from goldcrestridge_core.replica import Replica as ControlReplica
 from goldcrestridge_core.store import Store
+from goldcrestridge_core.store_types import ApplyConfig, ApplyResult, ApplyStatus
 from goldcrestridge_core.types import (
-    ApplyConfig,
-    ApplyResult,
-    ApplyStatus,
-    Call,
-    CallerGone,
-    CallerRequest,
-    CancelAttempt,
-    DrainDone,
     Emit,
-    LogSynced,
-    Member,
-    MemberState,
     NodeId,
     ProposalDone,
     Reason,
     Receive,
-    Replica,
     RequestId,
-    RespondChunk,
-    RespondEnd,
-    RespondFailure,
-    RespondHead,
     Send,
     ShardId,
     SlotRefusal,
     SlotRequest,
-    StartAttempt,
-    StartDrain,
     SubmitProposal,
     Tick,
-    TruncateLog,
-    WallTime,
-    WriteLog,
-    WriteSnapshot,
 )
 from goldcrestridge_lab.carrier import Carrier
 from goldcrestridge_lab.log_group import FakeDisk
--- a/packages/lab/src/goldcrestridge_lab/node_oracle.py
+++ b/packages/lab/src/goldcrestridge_lab/node_oracle.py
@@ -6,21 +6,17 @@
 
 from attrs import define, field
 
-from goldcrestridge_core.exceptions import InvariantError
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     Call,
     CallKind,
-    NodeId,
-    Outcome,
-    Reason,
-    RequestId,
     RespondChunk,
     RespondEnd,
     RespondFailure,
     RespondHead,
     StartAttempt,
-    UpstreamId,
 )
+from goldcrestridge_core.exceptions import InvariantError
+from goldcrestridge_core.types import NodeId, Outcome, Reason, RequestId, UpstreamId
 from goldcrestridge_lab.node_config import CLASSES
 
 TOKENS = 4
--- a/packages/lab/src/goldcrestridge_lab/node_upstreams.py
+++ b/packages/lab/src/goldcrestridge_lab/node_upstreams.py
@@ -8,15 +8,14 @@
 
 from attrs import define, field
 
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptEnd,
     AttemptFailed,
     AttemptHead,
     CallKind,
-    LoadReport,
-    UpstreamId,
 )
+from goldcrestridge_core.types import LoadReport, UpstreamId
 from goldcrestridge_lab.node_config import SLOTS
 from goldcrestridge_lab.node_oracle import Run
 
--- a/packages/lab/src/goldcrestridge_lab/proposals_machine.py
+++ b/packages/lab/src/goldcrestridge_lab/proposals_machine.py
@@ -9,19 +9,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from goldcrestridge_core import codec
+from goldcrestridge_core.log_types import Propose, ProposeReply
 from goldcrestridge_core.proposals import Proposals
-from goldcrestridge_core.types import (
-    LeaseResult,
-    NodeId,
-    ProposalDone,
-    Propose,
-    ProposeReply,
-    Receive,
-    ReleaseLease,
-    Send,
-    SubmitProposal,
-    Tick,
-)
+from goldcrestridge_core.store_types import LeaseResult, ReleaseLease
+from goldcrestridge_core.types import NodeId, ProposalDone, Receive, Send, SubmitProposal, Tick
 from goldcrestridge_lab.carrier import Carrier
 from goldcrestridge_lab.store_machine import require
 
--- a/packages/lab/src/goldcrestridge_lab/store_machine.py
+++ b/packages/lab/src/goldcrestridge_lab/store_machine.py
@@ -16,7 +16,7 @@
 from goldcrestridge_core.claims import CLAIM_TIMEOUT_MS, MAX_AHEAD_MS
 from goldcrestridge_core.exceptions import InvariantError
 from goldcrestridge_core.store import Store
-from goldcrestridge_core.types import (
+from goldcrestridge_core.store_types import (
     AcquireLease,
     ApplyConfig,
     ApplyResult,
@@ -27,10 +27,9 @@
     ExpireLease,
     FinishClaim,
     LeaseResult,
-    NodeId,
-    Outcome,
     ReleaseLease,
 )
+from goldcrestridge_core.types import NodeId, Outcome
 
 START_MS = 1e12
 RETENTION_MS = 3_600_000.0
--- a/packages/node/src/goldcrestridge_node/admin.py
+++ b/packages/node/src/goldcrestridge_node/admin.py
@@ -12,7 +12,8 @@
 from attrs import frozen
 
 from goldcrestridge_core.documents import Document, decode_document, encode_document
-from goldcrestridge_core.types import ApplyConfig, ApplyResult, TimelineEvent
+from goldcrestridge_core.store_types import ApplyConfig, ApplyResult
+from goldcrestridge_core.types import TimelineEvent
 from goldcrestridge_core.validation import validate
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
--- a/packages/node/src/goldcrestridge_node/answers.py
+++ b/packages/node/src/goldcrestridge_node/answers.py
@@ -6,7 +6,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from attrs import define, field
 
-from goldcrestridge_core.types import RespondChunk, RespondEnd, RespondFailure, RespondHead
+from goldcrestridge_core.call_types import RespondChunk, RespondEnd, RespondFailure, RespondHead
 
 Effect = RespondHead | RespondChunk | RespondEnd | RespondFailure
 Item = RespondHead | RespondChunk
--- a/packages/node/src/goldcrestridge_node/calls.py
+++ b/packages/node/src/goldcrestridge_node/calls.py
@@ -10,9 +10,10 @@
 
 from attrs import field, frozen
 
+from goldcrestridge_core.call_types import Call, CallKind
 from goldcrestridge_core.classes import is_repeatable
 from goldcrestridge_core.config import Configuration, Workspace
-from goldcrestridge_core.types import Call, CallKind, Headers
+from goldcrestridge_core.types import Headers
 from goldcrestridge_node import prompts
 from goldcrestridge_node.headers import request_headers, values
 from goldcrestridge_node.refusals import Refusal
--- a/packages/node/src/goldcrestridge_node/continuation.py
+++ b/packages/node/src/goldcrestridge_node/continuation.py
@@ -8,7 +8,8 @@
 from attrs import define, field, frozen
 from msgspec import Raw
 
-from goldcrestridge_core.types import RequestId, StartAttempt
+from goldcrestridge_core.call_types import StartAttempt
+from goldcrestridge_core.types import RequestId
 from goldcrestridge_node.calls import CHAT_PATH
 
 _FIELDS = msgspec.json.Decoder(dict[str, Raw])
--- a/packages/node/src/goldcrestridge_node/disk.py
+++ b/packages/node/src/goldcrestridge_node/disk.py
@@ -28,18 +28,18 @@
 from goldcrestridge_core import codec
 from goldcrestridge_core.exceptions import StorageError
 from goldcrestridge_core.log_records import Record, Recovered, recover
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     HardState,
     LogEntry,
     LogFailed,
     LogSynced,
-    NodeId,
     Replica,
     Snapshot,
     TruncateLog,
     WriteLog,
     WriteSnapshot,
 )
+from goldcrestridge_core.types import NodeId
 
 MAGIC = b"GcrL"
 HEADER = struct.Struct("<4sII")
--- a/packages/node/src/goldcrestridge_node/edge.py
+++ b/packages/node/src/goldcrestridge_node/edge.py
@@ -11,19 +11,17 @@
 import structlog
 from attrs import Factory, define, evolve, field, frozen
 
-from goldcrestridge_core.clock import MS_PER_SECOND
-from goldcrestridge_core.config import Configuration, Workspace
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     Call,
     CallerGone,
     CallerRequest,
     CallKind,
-    Headers,
-    Outcome,
-    RequestId,
     RespondFailure,
     RespondHead,
 )
+from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.config import Configuration, Workspace
+from goldcrestridge_core.types import Headers, Outcome, RequestId
 from goldcrestridge_node.answers import Answer, Effect
 from goldcrestridge_node.calls import (
     CHAT_PATH,
--- a/packages/node/src/goldcrestridge_node/platform.py
+++ b/packages/node/src/goldcrestridge_node/platform.py
@@ -12,13 +12,8 @@
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.config import Upstream
-from goldcrestridge_core.types import (
-    Count,
-    Member,
-    PlatformList,
-    PlatformVm,
-    UpstreamLeaving,
-)
+from goldcrestridge_core.member_types import Member, PlatformList, PlatformVm
+from goldcrestridge_core.types import Count, UpstreamLeaving
 
 POLL_INTERVAL_MS = 2_000.0
 POLL_TIMEOUT_MS = 2_000.0
--- a/packages/node/src/goldcrestridge_node/process.py
+++ b/packages/node/src/goldcrestridge_node/process.py
@@ -13,39 +13,39 @@
 from attrs import define, field
 from returns.result import Failure
 
+from goldcrestridge_core.call_types import CallerGone, CallerRequest
 from goldcrestridge_core.changes import ConfigCheck
 from goldcrestridge_core.classes import classify
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_core.config import Configuration, Upstream
 from goldcrestridge_core.documents import Document, encode_document
 from goldcrestridge_core.log import open_log
-from goldcrestridge_core.node import OPERATOR_PROPOSAL, Identity, Node
-from goldcrestridge_core.replica import Replica
-from goldcrestridge_core.store import Store
-from goldcrestridge_core.timeline import Timeline, matching
-from goldcrestridge_core.types import (
-    ApplyConfig,
-    ApplyResult,
-    CallerGone,
-    CallerRequest,
+from goldcrestridge_core.log_types import WallTime
+from goldcrestridge_core.member_types import (
     ConfigurationChanged,
     DrainDone,
-    Emit,
     Member,
     MemberDown,
     MemberState,
     MemberUp,
-    NodeId,
     PlatformList,
+    StartDrain,
+)
+from goldcrestridge_core.node import OPERATOR_PROPOSAL, Identity, Node
+from goldcrestridge_core.replica import Replica
+from goldcrestridge_core.store import Store
+from goldcrestridge_core.store_types import ApplyConfig, ApplyResult
+from goldcrestridge_core.timeline import Timeline, matching
+from goldcrestridge_core.types import (
+    Emit,
+    NodeId,
     ProposalDone,
     Receive,
     Send,
-    StartDrain,
     SubmitProposal,
     TimelineEvent,
     UpstreamId,
     UpstreamLeaving,
-    WallTime,
 )
 from goldcrestridge_core.validation import validate_bytes
 from goldcrestridge_node import disk
--- a/packages/node/src/goldcrestridge_node/refusals.py
+++ b/packages/node/src/goldcrestridge_node/refusals.py
@@ -7,8 +7,9 @@
 import msgspec
 from attrs import frozen
 
+from goldcrestridge_core.call_types import RespondFailure
 from goldcrestridge_core.clock import MS_PER_SECOND
-from goldcrestridge_core.types import Headers, Outcome, Reason, RespondFailure
+from goldcrestridge_core.types import Headers, Outcome, Reason
 
 OUTCOME_HEADER = b"x-goldcrestridge-outcome"
 REQUEST_ID_HEADER = b"x-goldcrestridge-request-id"
--- a/packages/node/src/goldcrestridge_node/runtime.py
+++ b/packages/node/src/goldcrestridge_node/runtime.py
@@ -11,23 +11,17 @@
 import anyio.lowlevel
 from attrs import define, field
 
-from goldcrestridge_core.clock import MS_PER_SECOND, Clock
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     CancelAttempt,
-    Count,
-    Emit,
     RespondChunk,
     RespondEnd,
     RespondFailure,
     RespondHead,
-    Role,
-    Send,
     StartAttempt,
-    Tick,
-    TruncateLog,
-    WriteLog,
-    WriteSnapshot,
 )
+from goldcrestridge_core.clock import MS_PER_SECOND, Clock
+from goldcrestridge_core.log_types import TruncateLog, WriteLog, WriteSnapshot
+from goldcrestridge_core.types import Count, Emit, Role, Send, Tick
 
 IDLE_WAIT_MS = 60_000.0
 
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -10,9 +10,7 @@
 from anyio.abc import TaskGroup, TaskStatus
 from attrs import define, field, frozen
 
-from goldcrestridge_core.clock import MS_PER_SECOND, Clock
-from goldcrestridge_core.config import Upstream
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptEnd,
     AttemptFailed,
@@ -20,11 +18,11 @@
     Call,
     CallKind,
     CancelAttempt,
-    Headers,
-    RequestId,
     StartAttempt,
-    UpstreamId,
 )
+from goldcrestridge_core.clock import MS_PER_SECOND, Clock
+from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.types import Headers, RequestId, UpstreamId
 from goldcrestridge_node.connections import ConnectFailedError, Pool
 from goldcrestridge_node.continuation import (
     Identities,
--- a/tests/core/fleet.py
+++ b/tests/core/fleet.py
@@ -8,44 +8,45 @@
 
 from attrs import define, field
 
-from goldcrestridge_core.config import (
-    Configuration,
-    LatencyTarget,
-    Pool,
-    PoolKind,
-    RequestClass,
-    Upstream,
-)
-from goldcrestridge_core.requests import Requests
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptEnd,
     AttemptFailed,
     AttemptHead,
-    BeginClaim,
     Call,
     CallerGone,
     CallerRequest,
     CallKind,
     CancelAttempt,
-    ClaimResult,
-    ClaimState,
     DrainEnded,
     EndDrain,
-    FinishClaim,
+    OwnerChanged,
+    RespondChunk,
+    RespondEnd,
+    RespondFailure,
+    RespondHead,
+    StartAttempt,
+)
+from goldcrestridge_core.config import (
+    Configuration,
+    LatencyTarget,
+    Pool,
+    PoolKind,
+    RequestClass,
+    Upstream,
+)
+from goldcrestridge_core.member_types import StartDrain
+from goldcrestridge_core.requests import Requests
+from goldcrestridge_core.store_types import BeginClaim, ClaimResult, ClaimState, FinishClaim
+from goldcrestridge_core.types import (
     GrantReport,
     NodeId,
     NotOwner,
     Outcome,
-    OwnerChanged,
     ProposalDone,
     Reason,
     Receive,
     RequestId,
-    RespondChunk,
-    RespondEnd,
-    RespondFailure,
-    RespondHead,
     Send,
     ShardId,
     ShardSummary,
@@ -54,8 +55,6 @@
     SlotRefusal,
     SlotRelease,
     SlotRequest,
-    StartAttempt,
-    StartDrain,
     SubmitProposal,
     Tick,
     UpstreamId,
--- a/tests/core/test_addresses.py
+++ b/tests/core/test_addresses.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from goldcrestridge_core.addresses import ANSWER_LENGTH, Addresses
-from goldcrestridge_core.types import MemberDown, MemberLeaving, MemberState, MemberUp
+from goldcrestridge_core.member_types import MemberDown, MemberLeaving, MemberState, MemberUp
 from goldcrestridge_lab.carrier_members import member, node_id
 
 CENTRES = ("dc0", "dc1", "dc2")
--- a/tests/core/test_drain.py
+++ b/tests/core/test_drain.py
@@ -10,23 +10,18 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from goldcrestridge_core.addresses import Addresses
-from goldcrestridge_core.drain import ANNOUNCE_MS, Drain, Phase
-from goldcrestridge_core.membership import Membership
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     Call,
     CallerGone,
     CallerRequest,
     CallKind,
-    DrainDone,
-    Outcome,
-    Reason,
-    ReleaseOwnership,
-    RequestId,
     RespondEnd,
     RespondFailure,
-    StartDrain,
-    Tick,
 )
+from goldcrestridge_core.drain import ANNOUNCE_MS, Drain, Phase
+from goldcrestridge_core.member_types import DrainDone, ReleaseOwnership, StartDrain
+from goldcrestridge_core.membership import Membership
+from goldcrestridge_core.types import Outcome, Reason, RequestId, Tick
 from goldcrestridge_lab.carrier_members import Carrier, Host, member, node_id
 
 TTL_MS = 30_000.0
--- a/tests/core/test_log.py
+++ b/tests/core/test_log.py
@@ -10,22 +10,21 @@
 
 from goldcrestridge_core.log_records import recover
 from goldcrestridge_core.log_state import LogOptions, Position
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     ChangeReplicas,
     ChangeReplicasReply,
     LogRoute,
     LogSynced,
-    NodeId,
     PreVote,
     PreVoteReply,
     Propose,
-    Receive,
     Replica,
     ReplicaOperation,
     Vote,
     VoteReply,
     WallTime,
 )
+from goldcrestridge_core.types import NodeId, Receive
 from goldcrestridge_lab.log_group import Group, Member, new_group, sent, written
 
 
--- a/tests/core/test_log_replica.py
+++ b/tests/core/test_log_replica.py
@@ -12,7 +12,7 @@
 from goldcrestridge_core.log_members import first_entry
 from goldcrestridge_core.log_records import Recovered, recover
 from goldcrestridge_core.log_state import Position
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     Append,
     AppendReply,
     EntryKind,
@@ -24,19 +24,17 @@
     LogMembership,
     LogRoute,
     LogSynced,
-    NodeId,
     PreVote,
     PreVoteReply,
     Query,
     QueryReply,
-    Receive,
     Replica,
     Snapshot,
-    Tick,
     Vote,
     VoteReply,
     WriteSnapshot,
 )
+from goldcrestridge_core.types import NodeId, Receive, Tick
 from goldcrestridge_lab.log_group import Register, sent, written
 
 A, B, C = (Replica(NodeId(name), f"{name}-1") for name in "abc")
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -9,8 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from goldcrestridge_core.membership import Membership
-from goldcrestridge_core.types import (
+from goldcrestridge_core.member_types import (
     ConfigHint,
     Leave,
     MemberDown,
@@ -18,13 +17,12 @@
     MemberLeaving,
     MemberState,
     MemberUp,
-    NodeId,
     PlatformList,
     PlatformVm,
-    Receive,
     StartDrain,
-    Tick,
 )
+from goldcrestridge_core.membership import Membership
+from goldcrestridge_core.types import NodeId, Receive, Tick
 from goldcrestridge_core.view import FORGET_AFTER_MS, View
 from goldcrestridge_lab.carrier_members import (
     Carrier,
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -8,7 +8,7 @@
 import pytest
 from attrs import define, evolve, field
 
-from goldcrestridge_core import config, types
+from goldcrestridge_core import config, member_types, types
 from goldcrestridge_core.choice import Chooser
 from goldcrestridge_core.choice_simple import LeastLoaded
 from goldcrestridge_core.owner import REBUILD_MS, Owner
@@ -198,7 +198,7 @@
     # Guards against a mark of loss that outlives its cause.
     harness = Harness()
     grant = harness.grant()
-    harness.event(types.MemberDown(ENTRY))
+    harness.event(member_types.MemberDown(ENTRY))
     harness.send(report(grant))
     harness.wait(10_000.0)
     assert len(harness.owner.grants) == 1
@@ -445,10 +445,10 @@
 def test_grants_of_a_restarted_entry_that_sends_one_report_only_are_reclaimed() -> None:
     # Guards against slots that stay held until the restarted entry node gets a request again.
     harness = Harness(slots=2)
-    harness.event(types.MemberUp(member(1)))
+    harness.event(member_types.MemberUp(member(1)))
     harness.grant()
     harness.wait(2_000.0)
-    harness.event(types.MemberUp(member(7)))
+    harness.event(member_types.MemberUp(member(7)))
     harness.send(report())
     harness.wait(2_001.0)
     assert len(harness.owner.grants) == 0
@@ -457,14 +457,14 @@
 def test_a_node_that_only_refutes_a_suspicion_keeps_its_grants() -> None:
     # Guards against reclaiming the slot of a request that still runs.
     harness = Harness()
-    harness.event(types.MemberUp(member(1)))
+    harness.event(member_types.MemberUp(member(1)))
     grant = harness.grant()
     harness.wait(2_000.0)
-    harness.event(types.MemberUp(member(2)))
+    harness.event(member_types.MemberUp(member(2)))
     harness.send(report(grant))
     harness.wait(10_000.0)
     assert len(harness.owner.grants) == 1
 
 
-def member(incarnation: int) -> types.Member:
-    return types.Member(ENTRY, incarnation, types.MemberState.ALIVE, "dc", "peer")
+def member(incarnation: int) -> member_types.Member:
+    return member_types.Member(ENTRY, incarnation, member_types.MemberState.ALIVE, "dc", "peer")
--- a/tests/core/test_owner_machine.py
+++ b/tests/core/test_owner_machine.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from goldcrestridge_core import config, types
+from goldcrestridge_core import config, member_types, types
 from goldcrestridge_core.choice_simple import LeastLoaded
 from goldcrestridge_core.owner import REBUILD_MS, Owner
 
@@ -288,7 +288,7 @@
             if item[0] != stub.node and getattr(item[1], "entry", None) != stub.node
         ]
         self.known = {a: k for a, k in self.known.items() if k[0].entry != stub.node}
-        self.handle(types.MemberDown(stub.node))
+        self.handle(member_types.MemberDown(stub.node))
 
     def deliver_message(self, to: types.NodeId | None, message: Any) -> None:
         if to is not None:
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -11,25 +11,19 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from goldcrestridge_core.ownership import LEASE_MS, Ownership
-from goldcrestridge_core.shards import SHARD_UPSTREAMS, Ranking, split
-from goldcrestridge_core.types import (
-    AcquireLease,
-    LeaseResult,
+from goldcrestridge_core.member_types import (
     MemberDown,
     MemberLeaving,
     MemberUp,
-    NodeId,
     OwnershipGained,
     OwnershipLost,
-    ProposalDone,
-    ReleaseLease,
     ReleaseOwnership,
-    ShardId,
     ShardsChanged,
-    SubmitProposal,
-    UpstreamId,
 )
+from goldcrestridge_core.ownership import LEASE_MS, Ownership
+from goldcrestridge_core.shards import SHARD_UPSTREAMS, Ranking, split
+from goldcrestridge_core.store_types import AcquireLease, LeaseResult, ReleaseLease
+from goldcrestridge_core.types import NodeId, ProposalDone, ShardId, SubmitProposal, UpstreamId
 from goldcrestridge_lab.carrier_members import Carrier, Cuts, Host, member, node_id
 
 NODES = 4
--- a/tests/core/test_proposals.py
+++ b/tests/core/test_proposals.py
@@ -6,20 +6,10 @@
 from typing import Any
 
 from goldcrestridge_core import codec
+from goldcrestridge_core.log_types import Propose, ProposeReply, ReplicasKnown
 from goldcrestridge_core.proposals import REPEAT_MS, Proposals
-from goldcrestridge_core.types import (
-    LeaseResult,
-    NodeId,
-    ProposalDone,
-    Propose,
-    ProposeReply,
-    Receive,
-    ReleaseLease,
-    ReplicasKnown,
-    Send,
-    SubmitProposal,
-    Tick,
-)
+from goldcrestridge_core.store_types import LeaseResult, ReleaseLease
+from goldcrestridge_core.types import NodeId, ProposalDone, Receive, Send, SubmitProposal, Tick
 
 A, B, C = NodeId("a"), NodeId("b"), NodeId("c")
 RESULT = LeaseResult(False, None, 0)
--- a/tests/core/test_replica.py
+++ b/tests/core/test_replica.py
@@ -8,27 +8,21 @@
 from goldcrestridge_core import codec
 from goldcrestridge_core.log import open_log
 from goldcrestridge_core.log_records import Recovered
-from goldcrestridge_core.replica import Replica as ControlReplica
-from goldcrestridge_core.store import Store
-from goldcrestridge_core.types import (
-    AcquireLease,
-    ApplyConfig,
-    CommandRefused,
+from goldcrestridge_core.log_types import (
     LogSynced,
-    NodeId,
     Propose,
     ProposeReply,
     Query,
-    QueryLease,
     QueryReply,
-    Receive,
     Replica,
-    Send,
-    Tick,
     WallTime,
     WriteLog,
     WriteSnapshot,
 )
+from goldcrestridge_core.replica import Replica as ControlReplica
+from goldcrestridge_core.store import Store
+from goldcrestridge_core.store_types import AcquireLease, ApplyConfig, CommandRefused, QueryLease
+from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 from goldcrestridge_lab.store_machine import check_document
 
 NODE = NodeId("n1")
--- a/tests/core/test_request_cases.py
+++ b/tests/core/test_request_cases.py
@@ -13,28 +13,30 @@
 from tests.core.fleet import RETRY_SHARE, SHARD, WALL_MS, Caller, Fleet, Run, make_call, uuid7
 
 from goldcrestridge_core.attempts import Answer
-from goldcrestridge_core.idempotency import check_key
-from goldcrestridge_core.requests import UPSTREAM_SILENCE_MS
-from goldcrestridge_core.retries import RetryBudget
-from goldcrestridge_core.slots import Slots
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptFailed,
     AttemptHead,
     CallerGone,
     CallerRequest,
+    OwnerChanged,
+    RespondChunk,
+    RespondFailure,
+)
+from goldcrestridge_core.idempotency import check_key
+from goldcrestridge_core.requests import UPSTREAM_SILENCE_MS
+from goldcrestridge_core.retries import RetryBudget
+from goldcrestridge_core.slots import Slots
+from goldcrestridge_core.types import (
     Count,
     GrantEnd,
     GrantReport,
     NodeId,
     NotOwner,
     Outcome,
-    OwnerChanged,
     Reason,
     Receive,
     RequestId,
-    RespondChunk,
-    RespondFailure,
     ShardId,
     ShardSummary,
     SlotGrant,
--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -10,8 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from goldcrestridge_core import differences
-from goldcrestridge_core.spread import PAST_BYTES, PAST_VERSIONS, Spread
-from goldcrestridge_core.types import (
+from goldcrestridge_core.member_types import (
     ConfigCommitted,
     ConfigConfirmed,
     ConfigDelta,
@@ -19,11 +18,9 @@
     ConfigInForce,
     ConfigPull,
     MemberUp,
-    NodeId,
-    Receive,
-    Send,
-    Tick,
 )
+from goldcrestridge_core.spread import PAST_BYTES, PAST_VERSIONS, Spread
+from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 from goldcrestridge_lab.carrier_members import Carrier, Cuts, member, node_id, start_spread
 
 REPLICAS = 2
--- a/tests/core/test_store.py
+++ b/tests/core/test_store.py
@@ -10,7 +10,7 @@
 from goldcrestridge_core.exceptions import InvariantError
 from goldcrestridge_core.leases import LeaseTimer
 from goldcrestridge_core.store import Store
-from goldcrestridge_core.types import (
+from goldcrestridge_core.store_types import (
     AcquireLease,
     ApplyConfig,
     ApplyStatus,
@@ -21,12 +21,11 @@
     ExpireLease,
     FinishClaim,
     LeaseResult,
-    NodeId,
-    Outcome,
     QueryConfig,
     QueryLease,
     ReleaseLease,
 )
+from goldcrestridge_core.types import NodeId, Outcome
 from goldcrestridge_lab.store_machine import RETENTION_MS, START_MS, check_document
 
 HOLDER = NodeId("n1")
--- a/tests/node/forward.py
+++ b/tests/node/forward.py
@@ -8,9 +8,7 @@
 from anyio.abc import TaskStatus
 from attrs import define, field
 
-from goldcrestridge_core.classes import classify
-from goldcrestridge_core.config import Configuration
-from goldcrestridge_core.types import (
+from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptEnd,
     AttemptFailed,
@@ -19,15 +17,15 @@
     CallerGone,
     CallerRequest,
     CancelAttempt,
-    Outcome,
-    Reason,
-    RequestId,
     RespondChunk,
     RespondEnd,
     RespondFailure,
     RespondHead,
     StartAttempt,
 )
+from goldcrestridge_core.classes import classify
+from goldcrestridge_core.config import Configuration
+from goldcrestridge_core.types import Outcome, Reason, RequestId
 from goldcrestridge_node.edge import Edge, EdgeHooks, EdgeOptions, Page
 from goldcrestridge_node.server import ServerOptions, serve
 from goldcrestridge_node.upstream import AttemptEvent, UpstreamClient, UpstreamOptions
--- a/tests/node/test_answers.py
+++ b/tests/node/test_answers.py
@@ -6,14 +6,8 @@
 import anyio.lowlevel
 from tests.node.path_helpers import run, until
 
-from goldcrestridge_core.types import (
-    Outcome,
-    Reason,
-    RequestId,
-    RespondChunk,
-    RespondEnd,
-    RespondFailure,
-)
+from goldcrestridge_core.call_types import RespondChunk, RespondEnd, RespondFailure
+from goldcrestridge_core.types import Outcome, Reason, RequestId
 from goldcrestridge_node.answers import Answer
 
 ID = RequestId("r")
--- a/tests/node/test_disk.py
+++ b/tests/node/test_disk.py
@@ -15,20 +15,20 @@
 
 from goldcrestridge_core.exceptions import StorageError
 from goldcrestridge_core.log_records import Recovered
-from goldcrestridge_core.types import (
+from goldcrestridge_core.log_types import (
     EntryKind,
     HardState,
     LogEntry,
     LogFailed,
     LogMembership,
     LogSynced,
-    NodeId,
     Replica,
     Snapshot,
     TruncateLog,
     WriteLog,
     WriteSnapshot,
 )
+from goldcrestridge_core.types import NodeId
 from goldcrestridge_node.disk import Folder, open_folder, serve
 
 NODE = NodeId("n1")
--- a/tests/node/test_platform.py
+++ b/tests/node/test_platform.py
@@ -8,15 +8,8 @@
 import msgspec
 
 from goldcrestridge_core.config import Upstream
-from goldcrestridge_core.types import (
-    Member,
-    MemberState,
-    NodeId,
-    PlatformList,
-    PlatformVm,
-    UpstreamId,
-    UpstreamLeaving,
-)
+from goldcrestridge_core.member_types import Member, MemberState, PlatformList, PlatformVm
+from goldcrestridge_core.types import NodeId, UpstreamId, UpstreamLeaving
 from goldcrestridge_node.platform import Listing, Platform
 
 
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -18,7 +18,8 @@
 from tests.node.test_edge_faults import control
 from tests.node.test_edge_path import output
 
-from goldcrestridge_core.types import AttemptFailed, Call, CallKind, RequestId, StartAttempt
+from goldcrestridge_core.call_types import AttemptFailed, Call, CallKind, StartAttempt
+from goldcrestridge_core.types import RequestId
 from goldcrestridge_lab.simple_engine import expected_output
 from goldcrestridge_node.upstream import UpstreamClient, UpstreamOptions
 
