--- a/tests/core/test_choice.py
+++ b/tests/core/test_choice.py
@@ -166,6 +166,7 @@
 def test_prefix_index_agrees_with_plain_sets(
     steps: list[tuple[int, bool, list[int]]], prefix: list[int]
 ) -> None:
+    # Guards against an index whose matches drift from what the engines hold.
     index = PrefixIndex()
     model: dict[UpstreamId, set[int]] = {name: set() for name in NAMES}
     sequence: Counter[UpstreamId] = Counter()
@@ -184,6 +185,7 @@
 
 
 def test_gap_in_cache_events_makes_the_engine_uncertain_until_confirmed() -> None:
+    # Guards against matches that are trusted after an eviction was missed.
     index = PrefixIndex()
     index.events(CacheEvents(NAMES[0], 0, (1, 2), ()))
     index.events(CacheEvents(NAMES[1], 0, (1, 2), ()))
@@ -196,6 +198,7 @@
 
 
 def test_late_cache_events_are_ignored_and_a_restarted_engine_is_learned_anew() -> None:
+    # Guards against old events that undo newer ones, and an engine that is never learned again.
     index = PrefixIndex()
     index.events(CacheEvents(NAMES[0], 0, (1, 2, 3), ()))
     index.events(CacheEvents(NAMES[0], 0, (), (1,)))
@@ -207,6 +210,7 @@
 
 
 def test_prefix_index_keeps_its_bound_and_the_blocks_used_last() -> None:
+    # Guards against unbounded memory, and the loss of blocks in use.
     index = PrefixIndex(max_blocks=10)
     for start in range(0, 1_000, 5):
         index.touch(NAMES[0], tuple(range(start, start + 5)))
@@ -216,6 +220,7 @@
 
 
 def test_prefix_match_wins_within_the_load_bound_only() -> None:
+    # Guards against a popular prefix that overloads one engine.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS)
     chosen: Counter[UpstreamId] = Counter()
@@ -245,6 +250,7 @@
 
 @pytest.mark.parametrize("slow", [1, 2, 4])
 def test_ejection_never_exceeds_the_fixed_share(slow: int) -> None:
+    # Guards against a pool that ejects most of its upstreams at once.
     stragglers = Stragglers()
     stragglers.set_upstreams(NAMES)
     feed(stragglers, set(NAMES[:slow]), 0.0, 30)
@@ -254,6 +260,7 @@
 
 
 def test_straggler_gets_less_traffic_then_probes_and_recovers_by_them() -> None:
+    # Guards against a slow engine that keeps its share, or one that is shut out for ever.
     stragglers = Stragglers()
     stragglers.set_upstreams(NAMES)
     now_ms = feed(stragglers, {NAMES[0]}, 0.0, 20, factor=2.0)
@@ -265,6 +272,7 @@
 
 
 def test_ejected_upstream_gets_single_probes_at_growing_intervals() -> None:
+    # Guards against probes that are as many as normal traffic.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS)
     feed(chooser._stragglers, {NAMES[0]}, 0.0, 20)
@@ -286,6 +294,7 @@
 
 
 def test_straggler_is_found_by_the_progress_of_calls_that_have_not_ended() -> None:
+    # Guards against a slow engine that is noticed only when its long calls end.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS)
     grants = [held_grant(number, NAMES[number % 5], 1) for number in range(15)]
@@ -300,6 +309,7 @@
 
 
 def test_unreachable_upstream_backs_off_and_returns_with_one_call_at_a_time() -> None:
+    # Guards against a burst of calls to an upstream that may still be down.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS[:1])
     grant = held_grant(1, NAMES[0])
@@ -314,6 +324,7 @@
 
 
 def test_leaving_upstream_gets_nothing_until_it_reports_long_after() -> None:
+    # Guards against a lagging report that takes back the sign of leaving.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS[:1])
     chooser.load_report(LoadReport(NAMES[0], 0.0, 0, 0, SLOTS, leaving=True), 100.0)
@@ -325,6 +336,7 @@
 
 
 def test_upstream_removed_and_added_again_keeps_its_grants() -> None:
+    # Guards against slots that are granted twice after two changes of configuration.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS[:2])
     chooser.granted(held_grant(1, NAMES[0]), (), 10, 0.0)
@@ -335,6 +347,7 @@
 
 
 def test_grant_counted_twice_holds_one_slot() -> None:
+    # Guards against a repeated grant that costs a second slot.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS[:1])
     for _ in range(2):
@@ -343,6 +356,7 @@
 
 
 def test_removed_upstream_is_no_longer_matched_by_prefix() -> None:
+    # Guards against a choice of an upstream that the configuration no longer has.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS[:2])
     chooser.granted(held_grant(1, NAMES[0]), (1, 2), 10, 0.0)
@@ -351,6 +365,7 @@
 
 
 def test_prefix_in_constant_use_is_not_evicted_from_the_index() -> None:
+    # Guards against an index that forgets its most useful blocks.
     index = PrefixIndex(max_blocks=4)
     for blocks in ((1, 2), (10,), (11,), (1, 2), (12,), (13,)):
         index.touch(NAMES[0], blocks)
@@ -361,6 +376,7 @@
 def test_straggler_in_first_tokens_returns_once_its_last_probes_are_good(
     slow_rounds: int, probes: int
 ) -> None:
+    # Guards against old slow times that outweigh good probes for ever.
     stragglers = Stragglers()
     stragglers.set_upstreams(NAMES)
     now_ms = feed(stragglers, {NAMES[0]}, 0.0, slow_rounds)
@@ -379,6 +395,7 @@
 
 
 def test_engine_that_computes_new_prompts_is_not_taken_for_a_straggler() -> None:
+    # Guards against an ejection for long prompts instead of slowness.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS)
     for number in range(100):
@@ -393,6 +410,7 @@
 
 
 def test_slow_upstream_is_used_last_but_keeps_its_slots() -> None:
+    # Guards against capacity that is lost to an upstream that is only somewhat slow.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS)
     feed(chooser._stragglers, {NAMES[0]}, 0.0, 20, factor=2.6)
@@ -409,6 +427,7 @@
 
 
 def test_upstream_that_sends_no_first_token_is_found_before_its_calls_end() -> None:
+    # Guards against a hanging engine that takes new work until its calls time out.
     chooser = Chooser()
     chooser.set_upstreams(UPSTREAMS)
     stuck = [held_grant(number, NAMES[0]) for number in range(3)]
--- a/tests/core/test_request_cases.py
+++ b/tests/core/test_request_cases.py
@@ -91,6 +91,7 @@
 
 @pytest.mark.parametrize("delivered", range(6))
 def test_lost_stream_continues_on_another_engine_without_duplicate_or_gap(delivered: int) -> None:
+    # Guards against tokens that are doubled or lost where the attempts meet.
     fleet = ready()
     caller = fleet.request(entry(fleet), make_call())
     run = started(fleet, caller)
@@ -104,6 +105,7 @@
 
 
 def test_lost_stream_without_retry_budget_fails_and_never_looks_complete() -> None:
+    # Guards against repeats beyond the budget, and a cut stream that ends normally.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call())
     run = started(fleet, caller)
@@ -115,6 +117,7 @@
 
 
 def test_whole_answer_cut_in_its_body_is_repeated_and_not_mixed() -> None:
+    # Guards against a body made of two answers.
     fleet = ready()
     caller = fleet.request(entry(fleet), make_call(stream=False))
     run = started(fleet, caller)
@@ -128,6 +131,7 @@
 
 @pytest.mark.parametrize("action", ["connect", "leaving"])
 def test_attempt_that_did_not_run_moves_until_no_upstream_is_left(action: str) -> None:
+    # Guards against a failure while another upstream could serve, and moves without end.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call(plain=True, repeatable=False))
     tried = []
@@ -141,6 +145,7 @@
 
 
 def test_silent_upstream_is_cancelled_and_the_outcome_of_a_charge_is_unknown() -> None:
+    # Guards against a charge that is called not run although it may have run.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call(plain=True, repeatable=False, key=uuid7(1)))
     run = started(fleet, caller)
@@ -154,6 +159,7 @@
 
 
 def test_recorded_answer_is_replayed_to_the_same_workspace_only() -> None:
+    # Guards against an answer that reaches another workspace by the same key.
     fleet = ready(0)
     call = make_call(plain=True, repeatable=False, key=uuid7(1))
     finish(fleet, started(fleet, fleet.request(entry(fleet), call)))
@@ -168,6 +174,7 @@
 
 
 def test_key_in_other_letter_case_is_the_same_claim() -> None:
+    # Guards against a second run under another spelling of the key.
     fleet = ready(0)
     key = uuid7(0xABCDEF)
     for text in (key, key.upper()):
@@ -178,6 +185,7 @@
 
 
 def test_unreachable_claim_store_answers_not_run_and_frees_the_key_later() -> None:
+    # Guards against a key that stays claimed by a call that never ran.
     fleet = ready(0)
     call = make_call(plain=True, repeatable=False, key=uuid7(1))
     caller = fleet.request(entry(fleet), call)
@@ -190,6 +198,7 @@
 
 
 def test_claim_that_is_never_answered_ends_at_the_deadline_as_not_run() -> None:
+    # Guards against a caller that waits for ever for the claim store.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call(plain=True, repeatable=False, key=uuid7(1)))
     fleet.advance(4_000.0)
@@ -198,6 +207,7 @@
 
 
 def test_request_without_slot_ends_at_its_deadline() -> None:
+    # Guards against a request that waits for ever for a slot.
     fleet = ready(0)
     for _ in range(6):
         started(fleet, fleet.request(entry(fleet), make_call()))
@@ -211,6 +221,7 @@
 
 
 def test_without_owner_each_entry_admits_up_to_its_share_of_the_slots() -> None:
+    # Guards against a shard that stands still, or is overloaded, while it has no owner.
     fleet = Fleet()
     fleet.boot()
     for name in fleet.entries:
@@ -224,6 +235,7 @@
 
 
 def test_silent_owner_is_replaced_by_local_admission_within_two_seconds() -> None:
+    # Guards against requests that wait for an owner behind a partition.
     fleet = ready(0)
     fleet.request(entry(fleet), make_call())
     fleet.advance(2_000.0)
@@ -231,6 +243,7 @@
 
 
 def test_grant_of_an_older_epoch_and_a_late_grant_are_released_unused() -> None:
+    # Guards against a refused request that runs, and a slot that leaks.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call())
     fleet.deliver(0)
@@ -242,6 +255,7 @@
 
 
 def test_new_owner_hears_at_once_what_is_held_and_what_waits() -> None:
+    # Guards against a new owner that grants slots which are in use.
     fleet = ready(0)
     started(fleet, fleet.request(entry(fleet), make_call()))
     waiting = fleet.request(entry(fleet), make_call())
@@ -255,6 +269,7 @@
 
 
 def test_release_carries_first_token_and_inter_token_times() -> None:
+    # Guards against stragglers that stay unseen for want of times.
     fleet = ready(0)
     run = started(fleet, fleet.request(entry(fleet), make_call()))
     for delta_ms in (0.0, 5.0, 95.0, 30.0, 30.0, 0.0, 0.0):
@@ -267,6 +282,7 @@
 
 
 def test_drain_refuses_new_requests_and_ends_clean_when_all_have_ended() -> None:
+    # Guards against a drain that cuts a request or never ends.
     fleet = ready(0)
     name = next(iter(fleet.entries))
     run = started(fleet, fleet.request(name, make_call()))
@@ -292,17 +308,20 @@
     ],
 )
 def test_key_that_is_no_current_uuid7_is_refused(text: str) -> None:
+    # Guards against a key whose age is unknown, so that it could run again.
     assert isinstance(check_key(text, WALL_MS, RETENTION_MS), Failure)
 
 
 @pytest.mark.parametrize("offset_ms", [-RETENTION_MS, 0.0, 300_000.0])
 def test_key_within_retention_gives_its_issue_time(offset_ms: float) -> None:
+    # Guards against good keys that are refused.
     key = check_key(uuid7(7, WALL_MS + offset_ms), WALL_MS, RETENTION_MS).unwrap()
     assert key.issued_ms == WALL_MS + offset_ms
 
 
 @given(st.lists(st.tuples(st.booleans(), st.floats(0.0, 30_000.0))))
 def test_repeats_never_exceed_the_share_of_completions(steps: list[tuple[bool, float]]) -> None:
+    # Guards against a storm of repeats while upstreams fail.
     budget, now_ms, completed, spent = RetryBudget(RETRY_SHARE / 10), 0.0, 0, 0
     for complete, delta_ms in steps:
         now_ms += delta_ms
@@ -315,6 +334,7 @@
 
 
 def test_old_completions_no_longer_pay_for_repeats() -> None:
+    # Guards against a budget saved up over a quiet day.
     budget = RetryBudget(1.0)
     for _ in range(20):
         budget.completed("fast", 0.0)
@@ -323,6 +343,7 @@
 
 
 def test_grant_message_repeated_by_the_carrier_is_not_released() -> None:
+    # Guards against a running request whose slot is given away.
     fleet = ready(0)
     fleet.request(entry(fleet), make_call())
     while not isinstance(fleet.carrier[0][2], SlotGrant):
@@ -339,6 +360,7 @@
 
 
 def test_cancelled_request_releases_its_slot_at_once() -> None:
+    # Guards against slots that stay held by callers that left.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call())
     started(fleet, caller)
@@ -347,6 +369,7 @@
 
 
 def test_stream_that_cannot_continue_fails_once_its_caller_has_seen_data() -> None:
+    # Guards against a second answer behind the beginning of the first.
     fleet = ready()
     call = evolve(make_call(), continuable=False)
     caller = fleet.request(entry(fleet), call)
@@ -358,6 +381,7 @@
 
 @pytest.mark.parametrize("claimed", [False, True])
 def test_key_is_free_again_when_its_caller_leaves_before_the_call_runs(claimed: bool) -> None:
+    # Guards against a key that is lost although nothing ran.
     fleet = ready(0)
     call = make_call(plain=True, repeatable=False, key=uuid7(1))
     caller = fleet.request(entry(fleet), call)
@@ -370,6 +394,7 @@
 
 
 def test_fate_that_was_not_recorded_is_proposed_again() -> None:
+    # Guards against a completed call whose key stays in progress.
     fleet = ready(0)
     call = make_call(plain=True, repeatable=False, key=uuid7(1))
     finish(fleet, started(fleet, fleet.request(entry(fleet), call)))
@@ -382,6 +407,7 @@
 
 
 def test_refusal_as_leaving_after_the_head_is_not_taken_for_not_run() -> None:
+    # Guards against a call that ran in part and is called not run.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call(plain=True, repeatable=False))
     run = started(fleet, caller)
@@ -391,6 +417,7 @@
 
 
 def test_grant_of_a_lower_epoch_never_starts_an_attempt() -> None:
+    # Guards against work under an owner that was replaced.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call())
     old = SlotGrant(caller.request_id, 0, SHARD, fleet.epoch, 7, UpstreamId("u0"))
@@ -403,6 +430,7 @@
 
 @pytest.mark.parametrize("attempt", [0, 1])
 def test_grant_that_nobody_waits_for_is_released_to_its_sender(attempt: int) -> None:
+    # Guards against a slot that leaks at the owner that granted it.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call())
     if attempt == 0:
@@ -415,6 +443,7 @@
 
 
 def test_lost_slot_request_is_sent_again_with_the_times_moved_on() -> None:
+    # Guards against a lost message that costs the request its deadline.
     fleet = ready(0)
     fleet.request(entry(fleet), make_call())
     fleet.carrier.clear()
@@ -424,6 +453,7 @@
 
 
 def test_not_owner_answers_that_point_at_each_other_do_not_loop() -> None:
+    # Guards against a message storm between nodes with different views.
     fleet = ready(0)
     fleet.request(entry(fleet), make_call())
     fleet.carrier.clear()
@@ -434,6 +464,7 @@
 
 
 def test_not_owner_with_a_higher_epoch_is_followed_at_once() -> None:
+    # Guards against requests that wait for a former owner.
     fleet = ready(0)
     fleet.request(entry(fleet), make_call())
     fleet.carrier.clear()
@@ -443,6 +474,7 @@
 
 
 def test_reports_end_some_time_after_the_last_use_of_a_shard() -> None:
+    # Guards against reports of idle entries that fill the control budget.
     fleet = ready(0)
     finish(fleet, started(fleet, fleet.request(entry(fleet), make_call())))
     fleet.advance(60_000.0)
@@ -452,6 +484,7 @@
 
 
 def test_owner_is_told_that_an_upstream_is_leaving() -> None:
+    # Guards against other entries that go on using the upstream.
     fleet = ready(0)
     run = started(fleet, fleet.request(entry(fleet), make_call()))
     fleet.step(run, "leaving")
@@ -459,6 +492,7 @@
 
 
 def test_chunks_of_a_continuation_before_its_text_are_not_delivered_again() -> None:
+    # Guards against a second opening in the middle of a stream.
     answer = Answer(RequestId("r"), make_call())
     for attempt in (0, 1):
         answer.head(AttemptHead(RequestId("r"), attempt, 200, ()))
@@ -469,6 +503,7 @@
 
 
 def test_server_error_of_a_repeatable_call_is_repeated_within_the_budget_only() -> None:
+    # Guards against repeats of server errors that the budget does not cover.
     for completed in (0, 1):
         fleet = ready(completed)
         caller = fleet.request(entry(fleet), make_call(plain=True))
@@ -479,6 +514,7 @@
 
 
 def test_tokens_of_an_unfinished_answer_are_counted_as_waste() -> None:
+    # Guards against wasted work that the measures do not show.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call())
     run = started(fleet, caller)
@@ -490,6 +526,7 @@
 
 
 def test_prompt_computed_again_for_a_continuation_is_counted_as_waste() -> None:
+    # Guards against the cost of continuations that the measures do not show.
     fleet = ready()
     run = started(fleet, fleet.request(entry(fleet), make_call()))
     for _ in range(4):
@@ -501,6 +538,7 @@
 
 
 def test_two_random_choices_prefer_the_shard_with_more_room() -> None:
+    # Guards against requests that queue at a full shard beside a free one.
     slots = Slots(NodeId("e"), random.Random(1), lambda _: (), lambda: 1)
     shards = (ShardId("p/0"), ShardId("p/1"))
     for shard, free in zip(shards, (1, 5), strict=True):
@@ -510,6 +548,7 @@
 
 
 def test_late_grant_to_an_idle_entry_starts_reports_in_case_its_release_is_lost() -> None:
+    # Guards against a slot that stays held because an idle entry reports nothing.
     fleet = ready(0)
     fleet.advance(60_000.0)
     fleet.carrier.clear()
@@ -521,6 +560,7 @@
 
 
 def test_answer_that_ends_without_a_head_is_not_complete() -> None:
+    # Guards against an empty answer that looks complete.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), make_call(plain=True, repeatable=False))
     run = started(fleet, caller)
@@ -529,6 +569,7 @@
 
 
 def test_text_without_token_count_is_continued_and_not_started_afresh() -> None:
+    # Guards against text that is doubled because no tokens were counted.
     fleet = ready()
     caller = fleet.request(entry(fleet), make_call())
     run = started(fleet, caller)
@@ -539,6 +580,7 @@
 
 
 def test_long_answer_that_is_not_streamed_is_not_taken_for_a_silent_upstream() -> None:
+    # Guards against a running answer that is cancelled and paid for twice.
     fleet = ready(0)
     caller = fleet.request(entry(fleet), evolve(make_call(stream=False), max_tokens=2_000))
     run = started(fleet, caller)
@@ -549,6 +591,7 @@
 
 
 def test_drain_waits_for_claims_of_callers_that_left() -> None:
+    # Guards against a node that leaves before a key is free again.
     fleet = ready(0)
     name = entry(fleet)
     caller = fleet.request(name, make_call(plain=True, repeatable=False, key=uuid7(1)))
@@ -559,6 +602,7 @@
 
 
 def test_client_errors_earn_no_repeats() -> None:
+    # Guards against a budget that is filled by callers' mistakes.
     fleet = ready(0)
     run = started(fleet, fleet.request(entry(fleet), make_call(plain=True)))
     run.script[0] = evolve(run.script[0], status=404)
@@ -569,6 +613,7 @@
 
 
 def test_request_event_that_comes_twice_is_taken_in_once() -> None:
+    # Guards against one request that runs twice.
     fleet = ready(0)
     name = entry(fleet)
     caller = fleet.request(name, make_call())
@@ -577,6 +622,7 @@
 
 
 def test_late_events_of_an_old_attempt_do_not_touch_the_running_one() -> None:
+    # Guards against chunks of an old attempt in a new answer.
     fleet = ready()
     caller = fleet.request(entry(fleet), make_call())
     run = started(fleet, caller)
