Keep announcements of owners that arrive before the first configuration

Cause: a holder announces its shards to a node that starts, but the node dropped the announcement while it had no configuration; its first requests were then admitted locally, past the owner's order. Seen in make demo on a fresh clone: one of the requests after the restart of node-3 had no grant on the timeline. Change: such announcements are kept, at most 1,024, and applied with the shards. Conclusion: a restarted entry node asks the owner from its first request.

--- a/packages/core/src/goldcrestridge_core/ownership.py
+++ b/packages/core/src/goldcrestridge_core/ownership.py
@@ -47,6 +47,7 @@
 ORPHAN_MS = 1_500.0
 STANDBYS = 2
 ANNOUNCE_ROUNDS = 2
+MAX_EARLY = 1_024  # Several times the shards of the design size.
 
 
 def lease_resource(shard: ShardId) -> str:
@@ -104,6 +105,7 @@
     _shards: dict[ShardId, _Shard] = field(factory=dict)
     _nodes: dict[NodeId, None] = field(factory=dict)
     _proposals: dict[str, ShardId] = field(factory=dict)
+    _early: dict[ShardId, tuple[NodeId, int]] = field(factory=dict)
     _number: int = 0
     _released: bool = False
     _deadline_ms: float | None = None
@@ -175,6 +177,8 @@
                 self._shards[shard] = _Shard(Ranking(shard), now_ms)
                 for node in self._nodes:
                     self._shards[shard].ranking.add(node)
+                if shard in self._early:
+                    effects += self._learn(shard, *self._early.pop(shard), now_ms)
         return effects
 
     def _add(self, node: NodeId) -> list[Any]:
@@ -343,7 +347,10 @@
     def _learn(self, shard: ShardId, owner: NodeId, epoch: int, now_ms: float) -> list[Any]:
         """Take over a newer owner; the higher epoch wins, also over this node."""
         state = self._shards.get(shard)
-        if state is None or epoch < state.epoch:
+        if state is None:
+            self._keep_early(shard, owner, epoch)
+            return []
+        if epoch < state.epoch:
             return []
         state.heard_ms = now_ms
         if epoch == state.epoch:
@@ -353,6 +360,17 @@
         lost = self._lose(shard, state, "overruled") if overruled else []
         return [*lost, OwnerChanged(shard, owner, epoch)]
 
+    def _keep_early(self, shard: ShardId, owner: NodeId, epoch: int) -> None:
+        """Keep what is said of a shard that the configuration here does not have yet.
+
+        A holder announces itself to a node that starts, before that node has a configuration.
+        """
+        known = self._early.get(shard)
+        if known is None and len(self._early) >= MAX_EARLY:
+            return
+        if known is None or epoch > known[1]:
+            self._early[shard] = (owner, epoch)
+
     def _claimed(self, sender: NodeId, shard: ShardId, now_ms: float) -> list[Any]:
         """Hand a shard over to a node that ranks before this one."""
         state = self._shards.get(shard)
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -11,10 +11,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
+from goldcrestridge_core.call_types import OwnerChanged
 from goldcrestridge_core.member_types import (
     MemberDown,
     MemberLeaving,
     MemberUp,
+    OwnerAnnounce,
     OwnershipGained,
     OwnershipLost,
     ReleaseOwnership,
@@ -23,7 +25,14 @@
 from goldcrestridge_core.ownership import LEASE_MS, Ownership
 from goldcrestridge_core.shards import SHARD_UPSTREAMS, Ranking, split
 from goldcrestridge_core.store_types import AcquireLease, LeaseResult, ReleaseLease
-from goldcrestridge_core.types import NodeId, ProposalDone, ShardId, SubmitProposal, UpstreamId
+from goldcrestridge_core.types import (
+    NodeId,
+    ProposalDone,
+    Receive,
+    ShardId,
+    SubmitProposal,
+    UpstreamId,
+)
 from goldcrestridge_lab.carrier_members import Carrier, Cuts, Host, member, node_id
 
 NODES = 4
@@ -294,3 +303,12 @@
     proposal = role._shards[SHARDS[0]].proposal_id
     late = role.handle(ProposalDone(proposal, None), 200.0 + LEASE_MS - 1.0)
     assert OwnershipLost(SHARDS[0]) in late
+
+
+def test_an_announcement_before_the_first_configuration_is_not_lost() -> None:
+    # Guards against a started entry node that admits locally although its shard has an owner.
+    ownership = Ownership(node_id(1), "life", random.Random(1))
+    announce = OwnerAnnounce(SHARDS[0], node_id(2), 7)
+    assert ownership.handle(Receive(node_id(2), announce), 0.0) == []
+    effects = ownership.handle(ShardsChanged(SHARDS), 1.0)
+    assert OwnerChanged(SHARDS[0], node_id(2), 7) in effects
