Make idempotency keys in one place and drop an unused member field

Cause: four modules built UUIDs of version 7 on their own, and Member carried a configuration version that nothing filled or read since the command line asks each node. Change: goldcrestridge_lab.keys serves the demo, the machines and the tests; the field is gone. Conclusion: no behaviour changes; the membership record is smaller by a field.

--- a/packages/core/src/goldcrestridge_core/member_types.py
+++ b/packages/core/src/goldcrestridge_core/member_types.py
@@ -111,7 +111,6 @@
     peer_address: str
     caller_address: str = ""
     roles: tuple[str, ...] = ()
-    config_version: int = 0
     admin_address: str = ""
 
 
--- a/packages/lab/src/goldcrestridge_lab/bench_requests.py
+++ b/packages/lab/src/goldcrestridge_lab/bench_requests.py
@@ -19,6 +19,7 @@
 from goldcrestridge_core.types import LoadReport, NodeId, UpstreamId
 from goldcrestridge_lab import measure, traffic
 from goldcrestridge_lab.engine import Engine, EngineSpec, Finished, FirstToken, Job, Lost
+from goldcrestridge_lab.keys import uuid7
 from goldcrestridge_lab.node_config import (
     CLASSES,
     ENGINES,
@@ -26,7 +27,6 @@
     WORKSPACES,
     completion,
     order,
-    uuid7,
 )
 from goldcrestridge_lab.node_fleet import ENGINE_SHARD, Fleet, new_fleet
 from goldcrestridge_lab.node_machine import check_settled
--- a/packages/lab/src/goldcrestridge_lab/demo.py
+++ b/packages/lab/src/goldcrestridge_lab/demo.py
@@ -8,11 +8,9 @@
 from __future__ import annotations
 
 import os
-import secrets
 import subprocess
 import sys
 import time
-import uuid
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -22,7 +20,7 @@
 import openai
 from docopt import docopt
 
-from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_lab.keys import new_key
 
 CALLER_KEY = "demo-caller-key"
 ADMIN_URLS = tuple(f"http://127.0.0.1:{port}" for port in (17901, 17902, 17903))
@@ -44,13 +42,6 @@
     print(f"  ok: {message}")
 
 
-def uuid7() -> str:
-    """Return a UUID of version 7, whose first 48 bits are the wall time in milliseconds."""
-    value = int(time.time() * MS_PER_SECOND) << 80 | secrets.randbits(80)
-    value = value & ~(0xF << 76) | 7 << 76
-    return str(uuid.UUID(int=value & ~(0x3 << 62) | 2 << 62))
-
-
 def get_json(url: str, key: str = "") -> Any:
     """Return the JSON answer to GET."""
     headers: dict[str | bytes, str | bytes] = {"authorization": f"Bearer {key}"} if key else {}
@@ -130,7 +121,7 @@
 
 def check_service(address: str) -> None:
     """Send one call that may not be repeated twice with one key; it runs once."""
-    key = uuid7()
+    key = new_key()
     headers: dict[str | bytes, str | bytes] = {
         "authorization": f"Bearer {CALLER_KEY}",
         "idempotency-key": key,
--- a/packages/lab/src/goldcrestridge_lab/node_config.py
+++ b/packages/lab/src/goldcrestridge_lab/node_config.py
@@ -78,12 +78,6 @@
     return ConfigCheck("", checked.unwrap().claim_retention_ms)
 
 
-def uuid7(number: int, issued_ms: float) -> str:
-    """Return a UUID of version 7 with the given issue time."""
-    text = f"{int(issued_ms):012x}7000a{number:015x}"
-    return "-".join((text[:8], text[8:12], text[12:16], text[16:20], text[20:]))
-
-
 def completion(tier: int, workspace: str) -> Call:
     """Return a streamed call of a model."""
     return Call(
--- a/packages/lab/src/goldcrestridge_lab/node_machine.py
+++ b/packages/lab/src/goldcrestridge_lab/node_machine.py
@@ -9,6 +9,7 @@
 
 from goldcrestridge_core.exceptions import InvariantError
 from goldcrestridge_core.types import NodeId, UpstreamId
+from goldcrestridge_lab.keys import uuid7
 from goldcrestridge_lab.node_config import (
     ENGINES,
     LOWEST,
@@ -17,7 +18,6 @@
     WORKSPACES,
     completion,
     order,
-    uuid7,
 )
 from goldcrestridge_lab.node_fleet import Fleet, new_fleet
 
--- a/tests/core/fleet.py
+++ b/tests/core/fleet.py
@@ -59,6 +59,7 @@
     Tick,
     UpstreamId,
 )
+from goldcrestridge_lab import keys
 
 SHARD = ShardId("pool/0")
 TOKENS = 3
@@ -74,9 +75,8 @@
 
 
 def uuid7(number: int, issued_ms: float = WALL_MS) -> str:
-    """Return a UUID of version 7 with the given issue time."""
-    text = f"{int(issued_ms):012x}7000a{number:015x}"
-    return "-".join((text[:8], text[8:12], text[12:16], text[16:20], text[20:]))
+    """Return a key issued at the fleet's wall time, unless another time is given."""
+    return keys.uuid7(number, issued_ms)
 
 
 def make_call(
--- a/tests/node/cluster.py
+++ b/tests/node/cluster.py
@@ -8,7 +8,6 @@
 import json
 import os
 import re
-import secrets
 import shutil
 import signal
 import socket
@@ -16,7 +15,6 @@
 import sys
 import threading
 import time
-import uuid
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -50,13 +48,6 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def uuid7() -> str:
-    """Return an idempotency key issued now."""
-    value = int(time.time() * 1000) << 80 | secrets.randbits(80)
-    value = value & ~(0xF << 76) | 7 << 76
-    return str(uuid.UUID(int=value & ~(0x3 << 62) | 2 << 62))
-
-
 def request(
     method: str, url: str, key: str, body: bytes = b"", headers: dict[str, str] | None = None
 ) -> httpcore.Response:
--- a/tests/node/test_processes.py
+++ b/tests/node/test_processes.py
@@ -7,7 +7,9 @@
 from pathlib import Path
 from typing import Any
 
-from tests.node.cluster import OPERATOR_KEY, Cluster, cluster, request, uuid7, wait_until
+from tests.node.cluster import OPERATOR_KEY, Cluster, cluster, request, wait_until
+
+from goldcrestridge_lab.keys import new_key
 
 
 def others(deployment: Cluster, name: str) -> tuple[str, ...]:
@@ -18,7 +20,7 @@
     # Guards against committed state that only the leader held, and a claim that is forgotten.
     with cluster(tmp_path) as deployment:
         leader = deployment.leader(*deployment.names)
-        key = uuid7()
+        key = new_key()
         first = deployment.charge(leader, key)
         assert first.status == 200
         rest = others(deployment, leader)
@@ -116,7 +118,7 @@
         assert (answer["status"], answer["version"]) == ("accepted", 2)
         cut = deployment.apply("n3", 1, "cut", 700)
         assert cut["http_status"] == 503
-        key = uuid7()
+        key = new_key()
         refused = deployment.charge("n3", key)
         outcome = dict(refused.headers)[b"x-goldcrestridge-outcome"]
         assert refused.status >= 500
@@ -125,7 +127,7 @@
         assert deployment.status("n3")["config_version"] == 1
         deployment.partition.set()
         deployment.wait_version("n3", 2)
-        wait_until("a served call", lambda: deployment.charge("n3", uuid7()).status == 200)
+        wait_until("a served call", lambda: deployment.charge("n3", new_key()).status == 200)
 
 
 def test_a_drained_node_cuts_no_request_in_flight(tmp_path: Path) -> None:
@@ -134,7 +136,9 @@
         url = f"http://127.0.0.1:{deployment.service_port}/control"
         assert request("POST", url, "", b'{"delay_ms": 8000}').status == 200
         responses: list[Any] = []
-        caller = threading.Thread(target=lambda: responses.append(deployment.charge("n1", uuid7())))
+        caller = threading.Thread(
+            target=lambda: responses.append(deployment.charge("n1", new_key()))
+        )
         caller.start()
         wait_until("the call is in flight", lambda: deployment.status("n1")["in_flight"] == 1)
         admin = f"http://127.0.0.1:{deployment.admin['n1']}/v1/drain"
