--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -32,12 +32,23 @@
     accepting: bool
 
 
+@message
+@frozen
+class InstanceLoad:
+    """Requests in flight at one upstream instance, and those of them that tight streams are."""
+
+    instance: str
+    requests: int
+    tight: int
+
+
 @message
 @frozen
 class FollowRequest:
     """Ask the leader for what changed; ``have_...`` name what the asker holds already.
 
-    ``sequence`` returns in the reply, so that the asker knows when it asked.
+    ``sequence`` returns in the reply, so that the asker knows when it asked. ``loads`` are the
+    asker's own requests in flight.
     """
 
     sequence: int
@@ -45,6 +56,7 @@
     have_version: int
     have_instances: str
     have_entries: str
+    loads: tuple[InstanceLoad, ...] = ()
 
 
 @message
@@ -53,7 +65,8 @@
     """Answer to FollowRequest; empty or None where the asker holds the current state.
 
     Only a reply with ``leads`` says what was current when the request arrived. The digests are
-    empty while the leader does not know the lists yet.
+    empty while the leader does not know the lists yet. ``loads`` sum up the requests that all
+    other entry nodes had in flight when they last asked.
     """
 
     sequence: int
@@ -66,6 +79,7 @@
     entries_digest: str = ""
     entries: tuple[EntryStatus, ...] | None = None
     replicas: tuple[NodeId, ...] = ()
+    loads: tuple[InstanceLoad, ...] = ()
 
 
 @message
@@ -115,6 +129,13 @@
     entries: tuple[EntryStatus, ...]
 
 
+@frozen
+class LoadsReceived:
+    """Effect: requests in flight of all other entry nodes."""
+
+    loads: tuple[InstanceLoad, ...]
+
+
 @frozen
 class StatusChanged:
     """Event: this entry node starts or stops to accept callers."""
--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, evolve, field
@@ -20,15 +21,17 @@
     FollowHint,
     FollowReply,
     FollowRequest,
+    InstanceLoad,
     InstancesReceived,
+    LoadsReceived,
     RoutesReceived,
     StatusChanged,
 )
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
 
 # A change that no hint announced is found within this time; a fraction of the 2 s within which
-# an accepted version must be in force.
-POLL_INTERVAL_MS = 1_000.0
+# an accepted version must be in force. It is also the age of what is known of other nodes' load.
+POLL_INTERVAL_MS = 500.0
 # Many round trips within a region; a leader that is silent for longer is asked elsewhere.
 REPLY_TIMEOUT_MS = 350.0
 # Two nodes that name each other as leader must not cause a message storm.
@@ -42,12 +45,14 @@
     """Keep what the leader holds (a role).
 
     Events: Tick; Receive of FollowReply and FollowHint; StatusChanged; ControlAddresses.
-    Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, Emit.
+    Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, LoadsReceived, Emit.
+    ``loads`` returns this node's requests in flight.
     """
 
     status: EntryStatus
     seeds: tuple[NodeId, ...]
     rng: random.Random
+    loads: Callable[[], tuple[InstanceLoad, ...]] = tuple
     replicas: tuple[NodeId, ...] = ()
     version: int = 0
     confirmed_ms: float = -math.inf
@@ -133,6 +138,7 @@
         if reply.entries is not None:
             self.entries_digest = reply.entries_digest
             effects.append(EntriesReceived(reply.entries))
+        effects.append(LoadsReceived(reply.loads))
         return effects
 
     def _redirected(self, sender: NodeId, reply: FollowReply, now_ms: float) -> list[Any]:
@@ -181,5 +187,6 @@
             self.version,
             self.instances_digest,
             self.entries_digest,
+            self.loads(),
         )
         return [*effects, Send(self._target, request)]
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -2,6 +2,8 @@
 
 Load patterns that it answers:
 - prompts with shared parts: requests with the same part go to the same engine, which has read it;
+- long prompts beside streams with short pauses: while an engine reads a long prompt, the pauses of
+  its streams grow beyond what tight ones bear, so a few engines take the tight streams alone;
 - a part that gets much of the traffic: it spills over to the next engine in its order once the
   first is clearly busier than the others;
 - upstreams that fail, hang or crash while they are still listed: they get no request for a time
@@ -15,9 +17,9 @@
 from collections.abc import Collection, Iterable
 
 import xxhash
-from attrs import define, field
+from attrs import define, field, frozen
 
-from goldcrestridge_core.follow_types import UpstreamInstance
+from goldcrestridge_core.follow_types import InstanceLoad, UpstreamInstance
 
 # An instance that failed gets no request for this time, doubled with each further failure.
 FIRST_BLOCK_MS = 400.0
@@ -35,11 +37,35 @@
 FAILURE_MARGIN = 0.2
 
 
+# Engines that take tight streams alone hold this share of their slots with them, which leaves room
+# for a burst of twice the load.
+TIGHT_FILL = 0.4
+# At most this share of the engines is kept for tight streams, and none of fewer engines than this.
+TIGHT_SHARE = 1 / 3
+LEAST_ENGINES = 3
+# The number of such engines follows a mean over about this time, so that it does not alternate.
+TIGHT_MEAN_MS = 3_000.0
+
+
+@frozen
+class Demand:
+    """What placement needs to know of a request.
+
+    ``part`` names the part of the prompt that other requests share, or is empty. ``engine`` tells
+    whether the service is a model engine, ``tight`` whether the stream bears only short pauses.
+    """
+
+    part: str = ""
+    engine: bool = False
+    tight: bool = False
+
+
 @define
 class _Health:
     """What this node knows of one instance."""
 
     in_flight: int = 0
+    tight: int = 0
     failures_in_row: int = 0
     blocked_until_ms: float = 0.0
     failure_share: float = 0.0
@@ -47,6 +73,7 @@
     reported: int = 0  # Running and waiting requests by the last report.
     in_flight_then: int = 0
     reported_ms: float = float("-inf")
+    others: int = 0  # Requests of all other entry nodes when they last told.
     refused: bool = False  # It said that it takes no more work.
 
     def failing(self, now_ms: float) -> float:
@@ -70,6 +97,8 @@
     entries: int = 1
     _services: dict[str, tuple[UpstreamInstance, ...]] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
+    _tight_mean: dict[str, float] = field(factory=dict)
+    _tight_ms: float = 0.0
 
     def set_instances(self, instances: Iterable[UpstreamInstance]) -> None:
         """Take over the list of instances; forget those that are not listed any more."""
@@ -85,17 +114,16 @@
         }
 
     def choose(
-        self, service: str, part: str, excluded: Collection[str], now_ms: float
+        self, service: str, demand: Demand, excluded: Collection[str], now_ms: float
     ) -> UpstreamInstance | None:
-        """Return an instance for a request, or None if no instance may get one.
-
-        ``part`` names the part of the prompt that other requests share, or is empty.
-        """
+        """Return an instance for a request, or None if no instance may get one."""
         usable = self._usable(service, excluded, now_ms)
         if not usable:
             return None
-        if part:
-            return self._by_part(usable, part, now_ms)
+        if demand.engine:
+            usable = self._kept_for(service, usable, demand.tight)
+        if demand.part:
+            return self._by_part(usable, demand.part, now_ms)
         return min(
             usable,
             key=lambda item: (
@@ -121,6 +149,41 @@
         worst = min(shares.values()) + FAILURE_MARGIN
         return [item for item in sound if shares[item.instance] <= worst]
 
+    def _kept_for(
+        self, service: str, usable: list[UpstreamInstance], tight: bool
+    ) -> list[UpstreamInstance]:
+        """Return the engines that are kept for tight streams, or those for all others."""
+        mean = self._tight_mean.get(service, 0.0)
+        if len(usable) < LEAST_ENGINES or (not mean and not tight):
+            return usable
+        slots = sum(item.slots for item in usable) / len(usable)
+        wanted = math.ceil(mean / (slots * TIGHT_FILL))
+        count = max(1, min(wanted, int(len(usable) * TIGHT_SHARE)))
+        order = sorted(usable, key=lambda item: _weight("tight", item.instance))
+        return order[:count] if tight else order[count:]
+
+    def told_others(self, loads: Iterable[InstanceLoad], now_ms: float) -> None:
+        """Take over the requests in flight of all other entry nodes."""
+        known = {load.instance: load for load in loads}
+        weight = 1.0 - math.exp(-max(0.0, now_ms - self._tight_ms) / TIGHT_MEAN_MS)
+        self._tight_ms = now_ms
+        for service, items in self._services.items():
+            total = 0
+            for item in items:
+                health, load = self._of(item), known.get(item.instance)
+                health.others = load.requests if load else 0
+                total += health.tight + (load.tight if load else 0)
+            mean = self._tight_mean.get(service, 0.0)
+            self._tight_mean[service] = mean + (total - mean) * weight
+
+    def loads(self) -> tuple[InstanceLoad, ...]:
+        """Return this node's requests in flight."""
+        return tuple(
+            InstanceLoad(name, health.in_flight, health.tight)
+            for name, health in self._health.items()
+            if health.in_flight
+        )
+
     def _by_part(
         self, usable: list[UpstreamInstance], part: str, now_ms: float
     ) -> UpstreamInstance:
@@ -140,23 +203,28 @@
         health = self._health.get(instance)
         if health is None:
             return 0.0
+        known = health.in_flight + health.others
         if now_ms - health.reported_ms > REPORT_VALID_MS:
-            return float(health.in_flight * self.entries)
+            return float(known)
         since = health.in_flight - health.in_flight_then
-        return float(max(health.in_flight, health.reported + since))
+        return float(max(known, health.reported + since))
 
     def _of(self, item: UpstreamInstance) -> _Health:
         return self._health.setdefault(item.instance, _Health())
 
     # What became of requests.
 
-    def started(self, item: UpstreamInstance) -> None:
+    def started(self, item: UpstreamInstance, demand: Demand) -> None:
         """Note that a request was sent to an instance."""
-        self._of(item).in_flight += 1
+        health = self._of(item)
+        health.in_flight += 1
+        health.tight += demand.tight
 
-    def ended(self, item: UpstreamInstance) -> None:
+    def ended(self, item: UpstreamInstance, demand: Demand) -> None:
         """Note that a request has left an instance."""
-        self._of(item).in_flight -= 1
+        health = self._of(item)
+        health.in_flight -= 1
+        health.tight -= demand.tight
 
     def succeeded(self, item: UpstreamInstance, now_ms: float) -> None:
         """Note an answer."""
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -20,6 +20,7 @@
     FollowHint,
     FollowReply,
     FollowRequest,
+    InstanceLoad,
     InstancesListed,
     UpstreamInstance,
 )
@@ -27,10 +28,10 @@
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
 from goldcrestridge_core.versions import VersionedDocument
 
-# An entry node that missed two requests, with time for one repetition, is no longer named.
-ENTRY_LOST_MS = 2.5 * POLL_INTERVAL_MS
+# An entry node that missed some requests, each with a repetition, is no longer named.
+ENTRY_LOST_MS = 5.0 * POLL_INTERVAL_MS
 # A new leader names entry nodes only once all of them had the time to register.
-REGISTRATION_MS = 2.0 * POLL_INTERVAL_MS
+REGISTRATION_MS = 4.0 * POLL_INTERVAL_MS
 SWEEP_INTERVAL_MS = 500.0
 
 
@@ -48,6 +49,7 @@
 class _Entry:
     status: EntryStatus
     heard_ms: float
+    loads: tuple[InstanceLoad, ...] = ()
 
 
 @define
@@ -81,7 +83,7 @@
         effects: list[Any] = []
         match event:
             case Receive(sender=sender, message=FollowRequest() as request):
-                effects += self._register(request.status, now_ms)
+                effects += self._register(request, now_ms)
                 self._sweep(current, now_ms)
                 effects.append(Send(sender, self._answer(request, current)))
             case InstancesListed(instances=instances):
@@ -89,9 +91,10 @@
         self._sweep(current, now_ms)
         return effects + self._hints(current)
 
-    def _register(self, status: EntryStatus, now_ms: float) -> list[Any]:
+    def _register(self, request: FollowRequest, now_ms: float) -> list[Any]:
+        status = request.status
         known = self._entries.get(status.node)
-        self._entries[status.node] = _Entry(status, now_ms)
+        self._entries[status.node] = _Entry(status, now_ms, request.loads)
         if known is not None and known.status == status:
             return []
         self._sweep_ms = -math.inf
@@ -144,6 +147,7 @@
             "instances_digest": self._instances_digest,
             "entries_digest": self._named_digest,
             "replicas": current.replicas,
+            "loads": self._loads_of_others(request.status.node),
         }
         if held.version > request.have_version:
             reply["document"] = held.document
@@ -153,6 +157,17 @@
             reply["entries"] = self._named
         return FollowReply(request.sequence, True, **reply)  # type: ignore[arg-type]
 
+    def _loads_of_others(self, asker: NodeId) -> tuple[InstanceLoad, ...]:
+        """Return the requests in flight by instance, but for those of the asker."""
+        sums: dict[str, tuple[int, int]] = {}
+        for node, entry in self._entries.items():
+            if node == asker:
+                continue
+            for load in entry.loads:
+                requests, tight = sums.get(load.instance, (0, 0))
+                sums[load.instance] = (requests + load.requests, tight + load.tight)
+        return tuple(InstanceLoad(name, *counts) for name, counts in sorted(sums.items()))
+
     def _hints(self, current: Leadership) -> list[Any]:
         """Tell all entry nodes once of each change."""
         if not current.leads:
--- a/packages/core/src/goldcrestridge_core/routes.py
+++ b/packages/core/src/goldcrestridge_core/routes.py
@@ -7,6 +7,10 @@
 
 from attrs import field, frozen
 
+# One step of an engine that reads a part of a long prompt between the tokens of its streams: a
+# chunk of 1,024 tokens at 41 tokens a ms, attention to the tokens before it, and a margin.
+READING_STEP_MS = 45.0
+
 
 class RouteKind(enum.Enum):
     """How often a request of a route may run, and the form of its answer."""
@@ -69,10 +73,11 @@
 
 @frozen
 class EngineLimits:
-    """Size of a model engine: requests at once, and tokens in memory."""
+    """Size of a model engine: requests at once, tokens in memory, and tokens in one event."""
 
     slots: int
     memory_tokens: int
+    event_tokens: int = 1
 
 
 @frozen
@@ -133,6 +138,13 @@
             return None
         return next((routes[prefix] for prefix in _prefixes(path) if prefix in routes), None)
 
+    def is_tight(self, route: Route, service: str) -> bool:
+        """Tell whether pauses on an engine that reads long prompts are too long for a stream."""
+        engine = self.services[service].engine if service in self.services else None
+        if engine is None or not route.streams or not route.max_gap_ms:
+            return False
+        return route.max_gap_ms <= engine.event_tokens * READING_STEP_MS
+
     def workspace_of(self, key: str) -> RoutedWorkspace | None:
         """Return the workspace that holds a key, or None."""
         return self._keys.get(key)
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -12,7 +12,7 @@
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.forwarding import Decision, Fate, Forwarding, Step
-from goldcrestridge_core.placement import Placement
+from goldcrestridge_core.placement import Demand, Placement
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import Route, RoutedWorkspace, RouteTable
 from goldcrestridge_core.types import Headers, Outcome, RequestId
@@ -80,7 +80,7 @@
     route: Route
     workspace: RoutedWorkspace | None
     service: str
-    version: int
+    demand: Demand
 
 
 @define(eq=False)
@@ -199,7 +199,13 @@
                 return WRONG_KEY
             trail.workspace = workspace.name
         service = route.pick_service(self.parts.placement.rng.random())
-        return Admitted(route, workspace, service, table.version)
+        entry = table.services.get(service)
+        demand = Demand(
+            part=head.shared_part if route.cached else "",
+            engine=entry is not None and entry.engine is not None,
+            tight=table.is_tight(route, service),
+        )
+        return Admitted(route, workspace, service, demand)
 
     def may_still_send(self, admitted: Admitted, key: str | None) -> bool:
         """Tell whether the routes in force still allow a request that has waited."""
@@ -279,16 +285,16 @@
         )
 
     def _choose(self) -> UpstreamInstance | None:
-        part = self.out.head.shared_part if self.admitted.route.cached else ""
+        admitted = self.admitted
         return self.gateway.parts.placement.choose(
-            self.admitted.service, part, self._excluded, self._now_ms
+            admitted.service, admitted.demand, self._excluded, self._now_ms
         )
 
     async def _attempt(self, instance: UpstreamInstance) -> Decision:
         """Make one attempt and return what follows from it."""
         placement = self.gateway.parts.placement
         began_ms = self._now_ms
-        placement.started(instance)
+        placement.started(instance, self.admitted.demand)
         try:
             result = await self.gateway.parts.dispatcher.send(
                 self.out, instance, self._told(instance), self._wait_ms()
@@ -296,7 +302,7 @@
             if isinstance(result, Answer):
                 result = await self._pass_on(result)
         finally:
-            placement.ended(instance)
+            placement.ended(instance, self.admitted.demand)
         fate = result.fate if isinstance(result, Failed) else Fate.ANSWERED
         reason = result.reason if isinstance(result, Failed) else ""
         now_ms = self._now_ms
@@ -388,7 +394,7 @@
         tried = {*self._excluded, instance.instance}
         return (
             self.forwarding.wants_budget(Fate.ERROR, now_ms)
-            and parts.placement.choose(self.admitted.service, "", tried, now_ms) is not None
+            and parts.placement.choose(self.admitted.service, Demand(), tried, now_ms) is not None
             and parts.budget.spend(self.admitted.service, parts.placement.entries, now_ms)
         )
 
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -17,6 +17,7 @@
     EntriesReceived,
     EntryStatus,
     InstancesReceived,
+    LoadsReceived,
     RoutesReceived,
     StatusChanged,
 )
@@ -114,8 +115,8 @@
         cfg = self.settings
         rng = random.Random(secrets.randbits(64))
         status = EntryStatus(cfg.node, cfg.caller_address, cfg.data_centre, accepting=False)
-        self.follower = Follower(status, cfg.control, rng)
         self.placement = Placement(cfg.data_centre, rng)
+        self.follower = Follower(status, cfg.control, rng, self.placement.loads)
         self.routes = RoutesInForce(
             lease_ms=cfg.key_lease_ms, confirmed_ms=lambda: self.follower.confirmed_ms
         )
@@ -174,6 +175,8 @@
             case InstancesReceived(instances=instances):
                 self.placement.set_instances(instances)
                 self._log.info("upstreams_in_force", count=len(instances))
+            case LoadsReceived(loads=loads):
+                self.placement.told_others(loads, self.clock.now_ms())
             case EntriesReceived(entries=entries):
                 self.entries = entries
                 self.placement.entries = max(1, len(entries))
