--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -64,6 +64,7 @@
 class FollowReply:
     """Answer to FollowRequest; empty or None where the asker holds the current state.
 
+    ``document`` is packed with the document of ``base_version``, or with none if that is 0.
     Only a reply with ``leads`` says what was current when the request arrived. The digests are
     empty while the leader does not know the lists yet. ``loads`` sum up the requests that all
     other entry nodes had in flight when they last asked.
@@ -73,6 +74,7 @@
     leads: bool
     leader: NodeId | None = None
     version: int = 0
+    base_version: int = 0
     document: bytes = b""
     instances_digest: str = ""
     instances: tuple[UpstreamInstance, ...] | None = None
--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -14,6 +14,7 @@
 
 from attrs import define, evolve, field
 
+from goldcrestridge_core.deltas import unpack
 from goldcrestridge_core.follow_types import (
     ControlAddresses,
     EntriesReceived,
@@ -58,6 +59,7 @@
     confirmed_ms: float = -math.inf
     instances_digest: str = ""
     entries_digest: str = ""
+    _document: bytes = b""
     _target: NodeId | None = None
     _sequence: int = 0
     _sent_ms: float = -math.inf
@@ -127,9 +129,11 @@
     def _take(self, reply: FollowReply) -> list[Any]:
         """Take over what is new; an older version than the one held proves nothing."""
         effects: list[Any] = []
-        if reply.version > self.version:
+        if reply.version > self.version and reply.base_version in (0, self.version):
+            base = self._document if reply.base_version else b""
+            self._document = unpack(reply.document, base)
             self.version = reply.version
-            effects.append(RoutesReceived(reply.version, reply.document))
+            effects.append(RoutesReceived(reply.version, self._document))
         if reply.version == self.version:
             self.confirmed_ms = max(self.confirmed_ms, self._sent_ms)
         if reply.instances is not None:
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -41,7 +41,7 @@
 # for a burst of twice the load.
 TIGHT_FILL = 0.4
 # At most this share of the engines is kept for tight streams, and none of fewer engines than this.
-TIGHT_SHARE = 1 / 3
+TIGHT_SHARE = 1 / 2
 LEAST_ENGINES = 3
 # The number of such engines follows a mean over about this time, so that it does not alternate.
 TIGHT_MEAN_MS = 3_000.0
@@ -122,7 +122,7 @@
             return None
         if demand.engine:
             usable = self._kept_for(service, usable, demand.tight)
-        if demand.part:
+        if demand.part and not demand.tight:
             return self._by_part(usable, demand.part, now_ms)
         return min(
             usable,
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -15,6 +15,7 @@
 from attrs import define, field, frozen
 
 from goldcrestridge_core import codec
+from goldcrestridge_core.deltas import Deltas
 from goldcrestridge_core.follow_types import (
     EntryStatus,
     FollowHint,
@@ -66,6 +67,7 @@
     _named: tuple[EntryStatus, ...] = ()
     _named_digest: str = ""
     _leads_since_ms: float = math.inf
+    _deltas: Deltas = field(factory=Deltas)
     _hinted: tuple[int, str, str] = (0, "", "")
     _sweep_ms: float = -math.inf
 
@@ -150,7 +152,9 @@
             "loads": self._loads_of_others(request.status.node),
         }
         if held.version > request.have_version:
-            reply["document"] = held.document
+            self._deltas.hold(held.version, held.document)
+            packed = self._deltas.packed(request.have_version)
+            reply["base_version"], reply["document"] = packed
         if self._instances is not None and request.have_instances != self._instances_digest:
             reply["instances"] = self._instances
         if self._named_digest and request.have_entries != self._named_digest:
--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -33,7 +33,6 @@
 from goldcrestridge_core.store import Store
 from goldcrestridge_core.types import (
     Emit,
-    NodeId,
     ProposalDone,
     Send,
     SubmitProposal,
@@ -42,6 +41,7 @@
 from goldcrestridge_node import disk
 from goldcrestridge_node.logs import logger
 from goldcrestridge_node.metrics import Metrics
+from goldcrestridge_node.role_settings import ControlSettings
 from goldcrestridge_node.runtime import Driver, Outputs
 from goldcrestridge_node.server import listen, serve
 from goldcrestridge_node.settings import split_address
@@ -60,32 +60,14 @@
 LINGER_MS = 100.0
 WRITE_QUEUE = 1_024  # Batches; the log has one in flight, so this is never reached.
 
-# Slower than the defaults, since each heartbeat costs processor time on small VMs. A leader is
-# replaced within 2 s.
-HEARTBEAT_MS = 200.0
-ELECTION_TIMEOUT_MS = 800.0
+# A little slower than the defaults, since each heartbeat costs processor time on small VMs. A
+# leader is replaced within 1.5 s, also after all control nodes have restarted.
+HEARTBEAT_MS = 150.0
+ELECTION_TIMEOUT_MS = 600.0
 
 ListUpstreams = Callable[[], Awaitable[tuple[UpstreamInstance, ...] | None]]
 
 
-@frozen
-class ControlSettings:
-    """Checked settings of a control node; ``data_folder`` is None on a VM without a disk.
-
-    ``control`` names the first control nodes by their address. ``forms`` is true only at the
-    first start of a deployment. ``voters`` is the number of replicas that the log keeps up.
-    """
-
-    node: NodeId
-    data_centre: str
-    peer_address: str
-    operator_addresses: tuple[str, ...]
-    control: tuple[NodeId, ...]
-    forms: bool
-    voters: int
-    data_folder: Path | None = None
-
-
 @frozen
 class ControlHooks:
     """What a deployment's protocol brings: the operators' pages, the list, the settings.
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -25,8 +25,9 @@
 from goldcrestridge_node.request_log import RequestLog, Trail
 
 LEAST_PRIORITY = 9
-# A caller whose request met a node without routes returns once the node has learned them.
-NOT_READY_RETURN_MS = 300.0
+# A caller whose request met a node without current routes returns once an election and the next
+# request to the new leader are over.
+NOT_READY_RETURN_MS = 1_000.0
 # An upstream that was given the time left ends by itself; this node waits a little longer.
 UPSTREAM_GRACE_MS = 80.0
 
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -25,13 +25,14 @@
 from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import RouteTable
-from goldcrestridge_core.types import Emit, NodeId, Send
+from goldcrestridge_core.types import Emit, Send
 from goldcrestridge_node.dialect import Dialect
 from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.gateway import Gateway, GatewayParts, RoutesInForce
 from goldcrestridge_node.logs import logger
 from goldcrestridge_node.metrics import Metrics
 from goldcrestridge_node.request_log import RequestLog
+from goldcrestridge_node.role_settings import GatewaySettings
 from goldcrestridge_node.runtime import Driver, Outputs
 from goldcrestridge_node.server import ServerOptions, listen, serve
 from goldcrestridge_node.settings import split_address
@@ -50,29 +51,6 @@
 LINGER_MS = 100.0
 
 
-@frozen
-class GatewaySettings:
-    """Checked settings of an entry node that forwards along routes; durations in milliseconds.
-
-    ``control`` names the first control nodes by their address. ``key_lease_ms`` bounds the time
-    for which routes and keys are used after they were known to be current. ``grace_ms`` is the
-    time from SIGTERM to SIGKILL. Of the repeats, ``repeat_share`` of the requests and
-    ``repeat_extra`` more are allowed in each ``repeat_window_ms``, over all entry nodes.
-    """
-
-    node: NodeId
-    data_centre: str
-    peer_address: str
-    caller_address: str
-    side_addresses: tuple[str, ...]
-    control: tuple[NodeId, ...]
-    key_lease_ms: float
-    grace_ms: float
-    repeat_share: float
-    repeat_extra: float
-    repeat_window_ms: float
-
-
 @frozen
 class GatewayHooks:
     """What a deployment's protocol brings: its heads, its routes, its own pages, its settings.
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -65,5 +65,6 @@
             routes_version=trail.version,
             routes_age_ms=round(trail.age_ms),
             took_ms=round(took_ms, 1),
+            first_ms=None if trail.first_ms is None else round(trail.first_ms, 1),
             attempts=trail.attempts,
         )
--- /dev/null
+++ b/packages/node/src/goldcrestridge_node/role_settings.py
@@ -0,0 +1,54 @@
+"""Checked settings of the nodes that forward along routes.
+
+They have a module of their own, since a process imports the code of its own role only: the time
+until it is ready after a restart is mostly the time of its imports.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from attrs import frozen
+
+from goldcrestridge_core.types import NodeId
+
+
+@frozen
+class GatewaySettings:
+    """Checked settings of an entry node that forwards along routes; durations in milliseconds.
+
+    ``control`` names the first control nodes by their address. ``key_lease_ms`` bounds the time
+    for which routes and keys are used after they were known to be current. ``grace_ms`` is the
+    time from SIGTERM to SIGKILL. Of the repeats, ``repeat_share`` of the requests and
+    ``repeat_extra`` more are allowed in each ``repeat_window_ms``, over all entry nodes.
+    """
+
+    node: NodeId
+    data_centre: str
+    peer_address: str
+    caller_address: str
+    side_addresses: tuple[str, ...]
+    control: tuple[NodeId, ...]
+    key_lease_ms: float
+    grace_ms: float
+    repeat_share: float
+    repeat_extra: float
+    repeat_window_ms: float
+
+
+@frozen
+class ControlSettings:
+    """Checked settings of a control node; ``data_folder`` is None on a VM without a disk.
+
+    ``control`` names the first control nodes by their address. ``forms`` is true only at the
+    first start of a deployment. ``voters`` is the number of replicas that the log keeps up.
+    """
+
+    node: NodeId
+    data_centre: str
+    peer_address: str
+    operator_addresses: tuple[str, ...]
+    control: tuple[NodeId, ...]
+    forms: bool
+    voters: int
+    data_folder: Path | None = None
--- /dev/null
+++ b/tests/core/test_deltas.py
@@ -0,0 +1,46 @@
+"""Tests of compressed documents."""
+
+from __future__ import annotations
+
+import zlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from goldcrestridge_core.deltas import KEPT_VERSIONS, Deltas, pack, unpack
+
+
+@given(st.binary(max_size=2_000), st.binary(max_size=2_000))
+def test_a_packed_document_is_restored_with_its_base(document: bytes, base: bytes) -> None:
+    # Guards against a document that changes on its way to an entry node.
+    assert unpack(pack(document, base), base) == document
+
+
+def test_a_small_change_of_a_large_document_is_small() -> None:
+    # Load: manifests of many routes in quick succession, each for every entry node. Guards against
+    # whole documents that cross the data centres for every change.
+    routes = [f"route-{number * 7919 % 10_007}" for number in range(2_000)]
+    before = ",".join(routes).encode()
+    after = before.replace(b"route-7919,", b"route-changed,")
+    assert len(pack(after, before)) < len(after) / 50
+
+
+def test_a_receiver_gets_a_difference_only_from_what_it_holds() -> None:
+    # Guards against a difference that its receiver cannot apply.
+    deltas = Deltas()
+    documents = {version: b"document %d" % version * 20 for version in range(1, 20)}
+    for version, document in documents.items():
+        deltas.hold(version, document)
+    for have in range(25):
+        base, packed = deltas.packed(have)
+        assert base in (0, have)
+        assert unpack(packed, documents.get(base, b"")) == documents[19]
+    assert deltas.packed(19 - KEPT_VERSIONS)[0] == 0
+    assert deltas.packed(18)[0] == 18
+
+
+def test_a_wrong_base_is_noticed() -> None:
+    # Guards against a document that is restored from the wrong base.
+    with pytest.raises(zlib.error):
+        unpack(pack(b"text" * 50, b"base" * 50), b"other" * 50)
