Divide engines by the work of long and short prompts; name near entry nodes only

Callers were named entry nodes of all data centres, and half of the bytes between data centres were theirs.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import Factory, frozen
 
 from goldcrestridge_core.codec import message
 from goldcrestridge_core.types import NodeId
@@ -35,11 +35,32 @@
 @message
 @frozen
 class InstanceLoad:
-    """Requests in flight at one upstream instance, and those of them that tight streams are."""
+    """Requests in flight at one upstream instance."""
 
     instance: str
     requests: int
-    tight: int
+
+
+@message
+@frozen
+class ServiceWork:
+    """Work that came for an engine service of late, for short and for long prompts.
+
+    The unit is the time that an engine needs to read one prompt token.
+    """
+
+    service: str
+    short: float
+    long: float
+
+
+@message
+@frozen
+class Workload:
+    """What entry nodes tell each other of the load that they put on upstreams."""
+
+    loads: tuple[InstanceLoad, ...] = ()
+    works: tuple[ServiceWork, ...] = ()
 
 
 @message
@@ -47,8 +68,8 @@
 class FollowRequest:
     """Ask the leader for what changed; ``have_...`` name what the asker holds already.
 
-    ``sequence`` returns in the reply, so that the asker knows when it asked. ``loads`` are the
-    asker's own requests in flight.
+    ``sequence`` returns in the reply, so that the asker knows when it asked. ``workload`` is the
+    asker's own.
     """
 
     sequence: int
@@ -56,7 +77,7 @@
     have_version: int
     have_instances: str
     have_entries: str
-    loads: tuple[InstanceLoad, ...] = ()
+    workload: Workload = Factory(Workload)
 
 
 @message
@@ -66,8 +87,8 @@
 
     ``document`` is packed with the document of ``base_version``, or with none if that is 0.
     Only a reply with ``leads`` says what was current when the request arrived. The digests are
-    empty while the leader does not know the lists yet. ``loads`` sum up the requests that all
-    other entry nodes had in flight when they last asked.
+    empty while the leader does not know the lists yet. ``workload`` sums up what all
+    other entry nodes told when they last asked.
     """
 
     sequence: int
@@ -81,7 +102,7 @@
     entries_digest: str = ""
     entries: tuple[EntryStatus, ...] | None = None
     replicas: tuple[NodeId, ...] = ()
-    loads: tuple[InstanceLoad, ...] = ()
+    workload: Workload = Factory(Workload)
 
 
 @message
@@ -132,10 +153,10 @@
 
 
 @frozen
-class LoadsReceived:
-    """Effect: requests in flight of all other entry nodes."""
+class WorkloadReceived:
+    """Effect: the load that all other entry nodes put on upstreams."""
 
-    loads: tuple[InstanceLoad, ...]
+    workload: Workload
 
 
 @frozen
--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -22,11 +22,11 @@
     FollowHint,
     FollowReply,
     FollowRequest,
-    InstanceLoad,
     InstancesReceived,
-    LoadsReceived,
     RoutesReceived,
     StatusChanged,
+    Workload,
+    WorkloadReceived,
 )
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
 
@@ -46,14 +46,14 @@
     """Keep what the leader holds (a role).
 
     Events: Tick; Receive of FollowReply and FollowHint; StatusChanged; ControlAddresses.
-    Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, LoadsReceived, Emit.
-    ``loads`` returns this node's requests in flight.
+    Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, WorkloadReceived, Emit.
+    ``workload`` returns the load that this node puts on upstreams.
     """
 
     status: EntryStatus
     seeds: tuple[NodeId, ...]
     rng: random.Random
-    loads: Callable[[], tuple[InstanceLoad, ...]] = tuple
+    workload: Callable[[float], Workload] = lambda _now_ms: Workload()
     replicas: tuple[NodeId, ...] = ()
     version: int = 0
     confirmed_ms: float = -math.inf
@@ -142,7 +142,7 @@
         if reply.entries is not None:
             self.entries_digest = reply.entries_digest
             effects.append(EntriesReceived(reply.entries))
-        effects.append(LoadsReceived(reply.loads))
+        effects.append(WorkloadReceived(reply.workload))
         return effects
 
     def _redirected(self, sender: NodeId, reply: FollowReply, now_ms: float) -> list[Any]:
@@ -191,6 +191,6 @@
             self.version,
             self.instances_digest,
             self.entries_digest,
-            self.loads(),
+            self.workload(now_ms),
         )
         return [*effects, Send(self._target, request)]
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -2,8 +2,9 @@
 
 Load patterns that it answers:
 - prompts with shared parts: requests with the same part go to the same engine, which has read it;
-- long prompts beside streams with short pauses: while an engine reads a long prompt, the pauses of
-  its streams grow beyond what tight ones bear, so a few engines take the tight streams alone;
+- long prompts beside streams that bear only short pauses: while an engine reads a long prompt, the
+  pauses of its streams grow beyond that, so long prompts get engines of their own, as many as
+  their share of the work asks for;
 - a part that gets much of the traffic: it spills over to the next engine in its order once the
   first is clearly busier than the others;
 - upstreams that fail, hang or crash while they are still listed: they get no request for a time
@@ -12,6 +13,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
 from collections.abc import Collection, Iterable
@@ -19,7 +21,12 @@
 import xxhash
 from attrs import define, field, frozen
 
-from goldcrestridge_core.follow_types import InstanceLoad, UpstreamInstance
+from goldcrestridge_core.follow_types import (
+    InstanceLoad,
+    ServiceWork,
+    UpstreamInstance,
+    Workload,
+)
 
 # An instance that failed gets no request for this time, doubled with each further failure.
 FIRST_BLOCK_MS = 400.0
@@ -37,27 +44,58 @@
 FAILURE_MARGIN = 0.2
 
 
-# Engines that take tight streams alone hold this share of their slots with them, which leaves room
-# for a burst of twice the load.
-TIGHT_FILL = 0.4
-# At most this share of the engines is kept for tight streams, and none of fewer engines than this.
-TIGHT_SHARE = 1 / 2
+# A prompt of more tokens takes an engine more than four steps with a full chunk, which is longer
+# than any pause that a tight stream bears.
+LONG_PROMPT_TOKENS = 4_096
+# Reading again a part that is shorter than a chunk costs less than an uneven load.
+LEAST_SHARED_TOKENS = 1_024
+# Share of the shared parts that is read again, since they were evicted or moved.
+MISSED_SHARE = 0.15
+# Reading one token takes this much longer for each token before it, which is attention.
+CONTEXT_WORK = 2.4e-5
+# One output token takes about as much of an engine's time as reading this many: a step of 5 ms
+# shared by some 40 running requests, at 41 tokens a ms.
+OUTPUT_TOKEN_WORK = 3.0
+# Fewer engines than this are not divided.
 LEAST_ENGINES = 3
-# The number of such engines follows a mean over about this time, so that it does not alternate.
-TIGHT_MEAN_MS = 3_000.0
+# The division follows the work of about this time, and moves by one engine only once the share of
+# the work is clearly that of another number.
+WORK_MEAN_MS = 3_000.0
+DIVISION_MARGIN = 0.65
 
 
 @frozen
 class Demand:
     """What placement needs to know of a request.
 
-    ``part`` names the part of the prompt that other requests share, or is empty. ``engine`` tells
-    whether the service is a model engine, ``tight`` whether the stream bears only short pauses.
+    ``part`` names the part of the prompt that other requests share, or is empty. ``divided`` tells
+    whether long prompts of the service are kept apart, ``long`` whether this is one of them.
+    ``work`` is in prompt tokens that an engine reads.
     """
 
     part: str = ""
-    engine: bool = False
-    tight: bool = False
+    divided: bool = False
+    long: bool = False
+    work: float = 0.0
+
+
+def demand_of(
+    part: str, shared_tokens: int, prompt_tokens: int, output_tokens: int, tight: bool | None
+) -> Demand:
+    """Return the demand of a request for an engine.
+
+    ``tight`` tells whether the stream bears only short pauses, or is None if the service has no
+    such streams.
+    """
+    near = part if shared_tokens >= LEAST_SHARED_TOKENS else ""
+    unread = prompt_tokens - (1.0 - MISSED_SHARE) * shared_tokens
+    context = prompt_tokens - unread / 2
+    return Demand(
+        part=near,
+        divided=tight is not None,
+        long=not tight and prompt_tokens > LONG_PROMPT_TOKENS,
+        work=unread * (1.0 + CONTEXT_WORK * context) + OUTPUT_TOKEN_WORK * output_tokens,
+    )
 
 
 @define
@@ -65,7 +103,6 @@
     """What this node knows of one instance."""
 
     in_flight: int = 0
-    tight: int = 0
     failures_in_row: int = 0
     blocked_until_ms: float = 0.0
     failure_share: float = 0.0
@@ -88,6 +125,35 @@
         self.failure_ms = now_ms
 
 
+@define
+class _Work:
+    """Work that came of late for short and long prompts of one service, here and elsewhere."""
+
+    short: float = 0.0
+    long: float = 0.0
+    at_ms: float = 0.0
+    others_short: float = 0.0
+    others_long: float = 0.0
+    count: int = 0  # Engines for long prompts.
+
+    def fade(self, now_ms: float) -> None:
+        """Let older work weigh less."""
+        weight = math.exp(-max(0.0, now_ms - self.at_ms) / WORK_MEAN_MS)
+        self.short *= weight
+        self.long *= weight
+        self.at_ms = now_ms
+
+    def divide(self, engines: int) -> int:
+        """Return how many of the engines take long prompts."""
+        long = self.long + self.others_long
+        total = long + self.short + self.others_short
+        wanted = engines * long / total if total else 0.0
+        if abs(wanted - self.count) > DIVISION_MARGIN or not 0 < self.count < engines:
+            self.count = round(wanted)
+        self.count = min(max(self.count, 1), engines - 1)
+        return self.count
+
+
 @define
 class Placement:
     """Choose an instance for each request; holds what this node saw of every instance."""
@@ -97,8 +163,7 @@
     entries: int = 1
     _services: dict[str, tuple[UpstreamInstance, ...]] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
-    _tight_mean: dict[str, float] = field(factory=dict)
-    _tight_ms: float = 0.0
+    _works: dict[str, _Work] = field(factory=dict)
 
     def set_instances(self, instances: Iterable[UpstreamInstance]) -> None:
         """Take over the list of instances; forget those that are not listed any more."""
@@ -120,9 +185,9 @@
         usable = self._usable(service, excluded, now_ms)
         if not usable:
             return None
-        if demand.engine:
-            usable = self._kept_for(service, usable, demand.tight)
-        if demand.part and not demand.tight:
+        if demand.divided:
+            usable = self._side(service, usable, demand.long)
+        if demand.part:
             return self._by_part(usable, demand.part, now_ms)
         return min(
             usable,
@@ -149,39 +214,51 @@
         worst = min(shares.values()) + FAILURE_MARGIN
         return [item for item in sound if shares[item.instance] <= worst]
 
-    def _kept_for(
-        self, service: str, usable: list[UpstreamInstance], tight: bool
+    def _side(
+        self, service: str, usable: list[UpstreamInstance], long: bool
     ) -> list[UpstreamInstance]:
-        """Return the engines that are kept for tight streams, or those for all others."""
-        mean = self._tight_mean.get(service, 0.0)
-        if len(usable) < LEAST_ENGINES or (not mean and not tight):
+        """Return the engines for long prompts, or those for all other requests."""
+        work = self._works.get(service)
+        if work is None or len(usable) < LEAST_ENGINES or not work.long + work.others_long:
             return usable
-        slots = sum(item.slots for item in usable) / len(usable)
-        wanted = math.ceil(mean / (slots * TIGHT_FILL))
-        count = max(1, min(wanted, int(len(usable) * TIGHT_SHARE)))
-        order = sorted(usable, key=lambda item: _weight("tight", item.instance))
-        return order[:count] if tight else order[count:]
-
-    def told_others(self, loads: Iterable[InstanceLoad], now_ms: float) -> None:
-        """Take over the requests in flight of all other entry nodes."""
-        known = {load.instance: load for load in loads}
-        weight = 1.0 - math.exp(-max(0.0, now_ms - self._tight_ms) / TIGHT_MEAN_MS)
-        self._tight_ms = now_ms
-        for service, items in self._services.items():
-            total = 0
-            for item in items:
-                health, load = self._of(item), known.get(item.instance)
-                health.others = load.requests if load else 0
-                total += health.tight + (load.tight if load else 0)
-            mean = self._tight_mean.get(service, 0.0)
-            self._tight_mean[service] = mean + (total - mean) * weight
-
-    def loads(self) -> tuple[InstanceLoad, ...]:
-        """Return this node's requests in flight."""
-        return tuple(
-            InstanceLoad(name, health.in_flight, health.tight)
-            for name, health in self._health.items()
-            if health.in_flight
+        count = work.divide(len(usable))
+        order = sorted(usable, key=lambda item: _weight("long prompts", item.instance))
+        return order[:count] if long else order[count:]
+
+    def arrived(self, service: str, demand: Demand, now_ms: float) -> None:
+        """Count the work of a request that came for an engine."""
+        if not demand.divided:
+            return
+        work = self._works.setdefault(service, _Work(at_ms=now_ms))
+        work.fade(now_ms)
+        if demand.long:
+            work.long += demand.work
+        else:
+            work.short += demand.work
+
+    def told_others(self, workload: Workload) -> None:
+        """Take over the load that all other entry nodes put on upstreams."""
+        loads = {load.instance: load.requests for load in workload.loads}
+        for item in itertools.chain.from_iterable(self._services.values()):
+            self._of(item).others = loads.get(item.instance, 0)
+        for told in workload.works:
+            work = self._works.setdefault(told.service, _Work())
+            work.others_short, work.others_long = told.short, told.long
+
+    def workload(self, now_ms: float) -> Workload:
+        """Return the load that this node puts on upstreams."""
+        for work in self._works.values():
+            work.fade(now_ms)
+        return Workload(
+            tuple(
+                InstanceLoad(name, health.in_flight)
+                for name, health in self._health.items()
+                if health.in_flight
+            ),
+            tuple(
+                ServiceWork(service, round(work.short), round(work.long))
+                for service, work in self._works.items()
+            ),
         )
 
     def _by_part(
@@ -214,17 +291,13 @@
 
     # What became of requests.
 
-    def started(self, item: UpstreamInstance, demand: Demand) -> None:
+    def started(self, item: UpstreamInstance) -> None:
         """Note that a request was sent to an instance."""
-        health = self._of(item)
-        health.in_flight += 1
-        health.tight += demand.tight
+        self._of(item).in_flight += 1
 
-    def ended(self, item: UpstreamInstance, demand: Demand) -> None:
+    def ended(self, item: UpstreamInstance) -> None:
         """Note that a request has left an instance."""
-        health = self._of(item)
-        health.in_flight -= 1
-        health.tight -= demand.tight
+        self._of(item).in_flight -= 1
 
     def succeeded(self, item: UpstreamInstance, now_ms: float) -> None:
         """Note an answer."""
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -23,7 +23,9 @@
     FollowRequest,
     InstanceLoad,
     InstancesListed,
+    ServiceWork,
     UpstreamInstance,
+    Workload,
 )
 from goldcrestridge_core.follower import POLL_INTERVAL_MS
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
@@ -50,7 +52,7 @@
 class _Entry:
     status: EntryStatus
     heard_ms: float
-    loads: tuple[InstanceLoad, ...] = ()
+    workload: Workload
 
 
 @define
@@ -96,7 +98,7 @@
     def _register(self, request: FollowRequest, now_ms: float) -> list[Any]:
         status = request.status
         known = self._entries.get(status.node)
-        self._entries[status.node] = _Entry(status, now_ms, request.loads)
+        self._entries[status.node] = _Entry(status, now_ms, request.workload)
         if known is not None and known.status == status:
             return []
         self._sweep_ms = -math.inf
@@ -149,7 +151,7 @@
             "instances_digest": self._instances_digest,
             "entries_digest": self._named_digest,
             "replicas": current.replicas,
-            "loads": self._loads_of_others(request.status.node),
+            "workload": self._workload_of_others(request.status.node),
         }
         if held.version > request.have_version:
             self._deltas.hold(held.version, held.document)
@@ -161,16 +163,22 @@
             reply["entries"] = self._named
         return FollowReply(request.sequence, True, **reply)  # type: ignore[arg-type]
 
-    def _loads_of_others(self, asker: NodeId) -> tuple[InstanceLoad, ...]:
-        """Return the requests in flight by instance, but for those of the asker."""
-        sums: dict[str, tuple[int, int]] = {}
+    def _workload_of_others(self, asker: NodeId) -> Workload:
+        """Return the sum of what all entry nodes but the asker put on upstreams."""
+        loads: dict[str, int] = {}
+        works: dict[str, tuple[float, float]] = {}
         for node, entry in self._entries.items():
             if node == asker:
                 continue
-            for load in entry.loads:
-                requests, tight = sums.get(load.instance, (0, 0))
-                sums[load.instance] = (requests + load.requests, tight + load.tight)
-        return tuple(InstanceLoad(name, *counts) for name, counts in sorted(sums.items()))
+            for load in entry.workload.loads:
+                loads[load.instance] = loads.get(load.instance, 0) + load.requests
+            for work in entry.workload.works:
+                short, long = works.get(work.service, (0.0, 0.0))
+                works[work.service] = (short + work.short, long + work.long)
+        return Workload(
+            tuple(InstanceLoad(name, count) for name, count in sorted(loads.items())),
+            tuple(ServiceWork(name, *sums) for name, sums in sorted(works.items())),
+        )
 
     def _hints(self, current: Leadership) -> list[Any]:
         """Tell all entry nodes once of each change."""
--- a/packages/core/src/goldcrestridge_core/routes.py
+++ b/packages/core/src/goldcrestridge_core/routes.py
@@ -120,6 +120,17 @@
     _hosts: dict[str, dict[str, Route]] = field(init=False, eq=False, repr=False)
     _keys: dict[str, RoutedWorkspace] = field(init=False, eq=False, repr=False)
 
+    _tight: frozenset[str] = field(init=False, eq=False, repr=False)
+
+    @_tight.default
+    def _find_tight(self) -> frozenset[str]:
+        return frozenset(
+            share.service
+            for route in self.routes
+            for share in route.services
+            if self.is_tight(route, share.service)
+        )
+
     @_hosts.default
     def _index_hosts(self) -> dict[str, dict[str, Route]]:
         hosts: dict[str, dict[str, Route]] = {}
@@ -145,6 +156,10 @@
             return False
         return route.max_gap_ms <= engine.event_tokens * READING_STEP_MS
 
+    def has_tight(self, service: str) -> bool:
+        """Tell whether a service has streams that bear only short pauses."""
+        return service in self._tight
+
     def workspace_of(self, key: str) -> RoutedWorkspace | None:
         """Return the workspace that holds a key, or None."""
         return self._keys.get(key)
--- a/packages/node/src/goldcrestridge_node/dialect.py
+++ b/packages/node/src/goldcrestridge_node/dialect.py
@@ -15,7 +15,8 @@
 
     ``passed`` holds the headers that go to the upstream as they came. ``key`` is None without a
     key. ``shared_part`` names the longest part of the prompt that other requests share, or is
-    empty. ``after_event`` is the id of the event after which a resumed stream goes on.
+    empty; with the parts before it, it has ``shared_tokens``. ``after_event`` is the id of the
+    event after which a resumed stream goes on.
     """
 
     request_id: bytes
@@ -23,6 +24,7 @@
     key: str | None = None
     time_limit_ms: float | None = None
     shared_part: str = ""
+    shared_tokens: int = 0
     prompt_tokens: int = 0
     output_tokens: int = 0
     after_event: int | None = None
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -12,7 +12,7 @@
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.forwarding import Decision, Fate, Forwarding, Step
-from goldcrestridge_core.placement import Demand, Placement
+from goldcrestridge_core.placement import Demand, Placement, demand_of
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import Route, RoutedWorkspace, RouteTable
 from goldcrestridge_core.types import Headers, Outcome, RequestId
@@ -201,11 +201,12 @@
             trail.workspace = workspace.name
         service = route.pick_service(self.parts.placement.rng.random())
         entry = table.services.get(service)
-        demand = Demand(
-            part=head.shared_part if route.cached else "",
-            engine=entry is not None and entry.engine is not None,
-            tight=table.is_tight(route, service),
-        )
+        demand = Demand()
+        if entry is not None and entry.engine is not None:
+            tight = table.is_tight(route, service) if table.has_tight(service) else None
+            part, shared = (head.shared_part, head.shared_tokens) if route.cached else ("", 0)
+            demand = demand_of(part, shared, head.prompt_tokens, head.output_tokens, tight)
+        self.parts.placement.arrived(service, demand, now_ms)
         return Admitted(route, workspace, service, demand)
 
     def may_still_send(self, admitted: Admitted, key: str | None) -> bool:
@@ -295,7 +296,7 @@
         """Make one attempt and return what follows from it."""
         placement = self.gateway.parts.placement
         began_ms = self._now_ms
-        placement.started(instance, self.admitted.demand)
+        placement.started(instance)
         try:
             result = await self.gateway.parts.dispatcher.send(
                 self.out, instance, self._told(instance), self._wait_ms()
@@ -303,7 +304,7 @@
             if isinstance(result, Answer):
                 result = await self._pass_on(result)
         finally:
-            placement.ended(instance, self.admitted.demand)
+            placement.ended(instance)
         fate = result.fate if isinstance(result, Failed) else Fate.ANSWERED
         reason = result.reason if isinstance(result, Failed) else ""
         now_ms = self._now_ms
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -17,9 +17,9 @@
     EntriesReceived,
     EntryStatus,
     InstancesReceived,
-    LoadsReceived,
     RoutesReceived,
     StatusChanged,
+    WorkloadReceived,
 )
 from goldcrestridge_core.follower import Follower
 from goldcrestridge_core.placement import Placement
@@ -47,6 +47,8 @@
 DRAIN_MARGIN_MS = 400.0
 # Callers reuse connections up to their idle limit; the node closes them a little later.
 IDLE_MARGIN_MS = 2_000.0
+# With so many entry nodes in its own data centre, a caller survives the loss of one of them.
+LEAST_NEAR_ADDRESSES = 2
 # Last messages get this long to reach the network.
 LINGER_MS = 100.0
 
@@ -94,7 +96,7 @@
         rng = random.Random(secrets.randbits(64))
         status = EntryStatus(cfg.node, cfg.caller_address, cfg.data_centre, accepting=False)
         self.placement = Placement(cfg.data_centre, rng)
-        self.follower = Follower(status, cfg.control, rng, self.placement.loads)
+        self.follower = Follower(status, cfg.control, rng, self.placement.workload)
         self.routes = RoutesInForce(
             lease_ms=cfg.key_lease_ms, confirmed_ms=lambda: self.follower.confirmed_ms
         )
@@ -130,13 +132,18 @@
         return not self.draining and self.routes.fresh(self.clock.now_ms())
 
     def addresses(self, data_centre: str) -> list[str]:
-        """Return the caller addresses of the entry nodes that accept callers, near ones first."""
+        """Return the caller addresses of the entry nodes that accept callers.
+
+        Callers pick one at random, so those of other data centres are left out while the caller's
+        own has some to choose from.
+        """
         named = [entry for entry in self.entries if entry.node != self.settings.node]
         if self.ready:
             own = self.follower.status
             named.append(evolve(own, accepting=True))
-        named.sort(key=lambda entry: (entry.data_centre != data_centre, entry.node))
-        return [entry.caller_address for entry in named]
+        near = [entry for entry in named if entry.data_centre == data_centre]
+        chosen = near if len(near) >= LEAST_NEAR_ADDRESSES else named
+        return sorted(entry.caller_address for entry in chosen)
 
     # Effects of the core.
 
@@ -153,8 +160,8 @@
             case InstancesReceived(instances=instances):
                 self.placement.set_instances(instances)
                 self._log.info("upstreams_in_force", count=len(instances))
-            case LoadsReceived(loads=loads):
-                self.placement.told_others(loads, self.clock.now_ms())
+            case WorkloadReceived(workload=workload):
+                self.placement.told_others(workload)
             case EntriesReceived(entries=entries):
                 self.entries = entries
                 self.placement.entries = max(1, len(entries))
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -5,8 +5,8 @@
 import random
 from collections import Counter
 
-from goldcrestridge_core.follow_types import InstanceLoad, UpstreamInstance
-from goldcrestridge_core.placement import SPILL_FACTOR, SPILL_REQUESTS, Demand, Placement
+from goldcrestridge_core.follow_types import ServiceWork, UpstreamInstance, Workload
+from goldcrestridge_core.placement import SPILL_FACTOR, SPILL_REQUESTS, Demand, Placement, demand_of
 
 
 def engines(count: int, slots: int = 96, leaving: int = 0) -> list[UpstreamInstance]:
@@ -38,7 +38,7 @@
     for _ in range(200):
         chosen = node.choose("llm", Demand("hot"), (), 0.0)
         assert chosen is not None
-        node.started(chosen, Demand())
+        node.started(chosen)
     loads = [node.load(item.instance, 0.0) for item in engines(5)]
     assert max(loads) <= SPILL_FACTOR * sum(loads) / len(loads) + SPILL_REQUESTS + 1
     assert sum(load > 0 for load in loads) >= 4
@@ -94,7 +94,7 @@
     for _ in range(12):
         chosen = node.choose("llm", Demand(), (), 0.0)
         assert chosen is not None
-        node.started(chosen, Demand())
+        node.started(chosen)
     assert max(node.load(item.instance, 0.0) for item in engines(3)) <= 6
 
 
@@ -107,27 +107,55 @@
     assert node.choose("llm", Demand(), (), 5_000.0) == near
 
 
-def test_tight_streams_get_engines_of_their_own_while_there_are_any() -> None:
-    # Load: long prompts beside streams that bear only short pauses. Guards against streams whose
-    # pauses grow with every prompt that their engine reads, and against idle engines kept for them.
+def test_long_prompts_get_engines_of_their_own_by_their_share_of_the_work() -> None:
+    # Load: long prompts beside streams that bear only short pauses, in changing proportion. Guards
+    # against streams whose pauses grow with every prompt that their engine reads, against idle
+    # engines kept for either, and against nodes that divide the engines differently.
     nodes = [placement(engines(6), seed) for seed in range(3)]
-    tight = Demand(engine=True, tight=True)
-    long = Demand("p", engine=True)
-    quiet = {nodes[0].choose("llm", Demand(str(n), engine=True), (), 0.0) for n in range(60)}
-    assert len(quiet) == 6
-    for node in nodes:
-        node.told_others([InstanceLoad(item.instance, 9, 9) for item in engines(6)], 60_000.0)
-    kept = {node.choose("llm", tight, (), 0.0) for node in nodes for _ in range(20)}
-    used = {
-        node.choose("llm", Demand(str(n), engine=True), (), 0.0)
-        for n in range(60)
-        for node in nodes
-    }
-    assert len(kept) == 2
-    assert len(used) == 4
-    assert not kept & used
-    few = placement(engines(2))
-    few.told_others([InstanceLoad("i0", 9, 9)], 60_000.0)
-    assert {few.choose("llm", tight, {"i0"}, 0.0), few.choose("llm", long, {"i0"}, 0.0)} == {
-        engines(2)[1]
+    short = Demand(divided=True, work=1_000.0)
+    long = [Demand(str(n), divided=True, long=True, work=3_000.0) for n in range(60)]
+    everywhere = {nodes[0].choose("llm", short, (), 0.0) for _ in range(60)}
+    assert len(everywhere) > 1
+    for share, expected in ((0.5, 3), (0.3, 2), (0.02, 1), (0.98, 5)):
+        work = ServiceWork("llm", 1e6 * (1 - share), 1e6 * share)
+        for node in nodes:
+            node.told_others(Workload((), (work,)))
+        used = {node.choose("llm", demand, (), 0.0) for node in nodes for demand in long}
+        assert len(used) == expected
+        for node in nodes:
+            assert node.choose("llm", short, (), 0.0) not in used
+
+
+def test_a_small_change_of_the_work_does_not_move_the_division() -> None:
+    # Load: work that swings around the middle between two divisions. Guards against parts of
+    # prompts that are read again on another engine at every swing.
+    node = placement(engines(6))
+    demands = [Demand(str(n), divided=True, long=True) for n in range(60)]
+    divisions = set()
+    for share in (0.40, 0.43, 0.40, 0.44, 0.41):
+        node.told_others(Workload((), (ServiceWork("llm", 1 - share, share),)))
+        divisions.add(frozenset(node.choose("llm", demand, (), 0.0) for demand in demands))
+    assert len(divisions) == 1
+
+
+def test_two_engines_are_not_divided() -> None:
+    # Guards against a service that is left with one engine for each kind after losses.
+    node = placement(engines(3))
+    node.told_others(Workload((), (ServiceWork("llm", 1.0, 1.0),)))
+    left = {
+        node.choose("llm", Demand(divided=True, long=n % 2 == 0), {"i0"}, 0.0) for n in range(40)
     }
+    assert len(left) == 2
+
+
+def test_the_demand_of_a_request_follows_its_tokens() -> None:
+    # Guards against tight streams that are taken for long prompts, and short parts that bind.
+    long = demand_of("p", 6_300, 9_190, 52, tight=False)
+    short = demand_of("p", 568, 2_368, 24, tight=False)
+    assert (long.part, long.divided, long.long) == ("p", True, True)
+    assert (short.part, short.divided, short.long) == ("", True, False)
+    # Reading what is not cached dominates; long contexts cost more for each token.
+    assert 2_890 * 1.15 < long.work < 2 * 2_890
+    assert 1_800 < short.work < 1.2 * 1_800
+    assert not demand_of("p", 0, 9_000, 10, tight=True).long
+    assert not demand_of("p", 0, 9_000, 10, tight=None).divided
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -22,8 +22,8 @@
     # Guards against a key, limit or prompt part that is read wrongly.
     head = read_caller(CALLER)
     assert (head.request_id, head.key, head.time_limit_ms) == (b"r1", "secret", 5_000)
-    assert (head.prompt_tokens, head.output_tokens) == (1_460, 80)
-    assert head.shared_part == "91bd3f06"
+    assert (head.prompt_tokens, head.output_tokens) == (1_460, 40)
+    assert (head.shared_part, head.shared_tokens) == ("91bd3f06", 1_210)
     assert read_caller(((b"x-goldcrestridge-prompt-prefix", b"ab:3"),)).shared_part == "ab"
     assert read_caller(()).shared_part == ""
 
