--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -56,6 +56,9 @@
 # One output token takes about as much of an engine's time as reading this many: a step of 5 ms
 # shared by some 40 running requests, at 41 tokens a ms.
 OUTPUT_TOKEN_WORK = 3.0
+# A long prompt waits for whole long prompts before it, so that at the same share of busy time its
+# delay is longer than that of a short one. Engines for long prompts are kept a little less busy.
+LONG_WEIGHT = 1.15
 # Fewer engines than this are not divided.
 LEAST_ENGINES = 3
 # The division follows the work of about this time, and moves by one engine only once the share of
@@ -145,7 +148,7 @@
 
     def divide(self, engines: int) -> int:
         """Return how many of the engines take long prompts."""
-        long = self.long + self.others_long
+        long = LONG_WEIGHT * (self.long + self.others_long)
         total = long + self.short + self.others_short
         wanted = engines * long / total if total else 0.0
         if abs(wanted - self.count) > DIVISION_MARGIN or not 0 < self.count < engines:
@@ -156,17 +159,22 @@
 
 @define
 class Placement:
-    """Choose an instance for each request; holds what this node saw of every instance."""
+    """Choose an instance for each request; holds what this node saw of every instance.
+
+    ``listed`` tells whether the list of instances has been received.
+    """
 
     data_centre: str
     rng: random.Random
     entries: int = 1
+    listed: bool = False
     _services: dict[str, tuple[UpstreamInstance, ...]] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
     _works: dict[str, _Work] = field(factory=dict)
 
     def set_instances(self, instances: Iterable[UpstreamInstance]) -> None:
         """Take over the list of instances; forget those that are not listed any more."""
+        self.listed = True
         services: dict[str, list[UpstreamInstance]] = {}
         for item in instances:
             services.setdefault(item.service, []).append(item)
--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -55,6 +55,7 @@
 # known on all entry nodes within 3 s of its appearance on the list.
 LIST_INTERVAL_MS = 1_000.0
 LIST_RETRY_MS = 300.0
+LEADER_CHECK_MS = 50.0
 WALL_INTERVAL_MS = 1_000.0
 REOPEN_INTERVAL_MS = 500.0
 LINGER_MS = 100.0
@@ -286,12 +287,12 @@
     async def _poll_list(self) -> None:
         """Read the list of upstreams while this node leads."""
         while True:
-            wait_ms = LIST_RETRY_MS
+            wait_ms = LEADER_CHECK_MS
             if self.node.publisher.leads(self.clock.now_ms()):
                 instances = await self.hooks.list_upstreams()
                 if instances is not None:
                     self.driver.post(InstancesListed(instances))
-                    wait_ms = LIST_INTERVAL_MS
+                wait_ms = LIST_RETRY_MS if instances is None else LIST_INTERVAL_MS
             await anyio.sleep(wait_ms / MS_PER_SECOND)
 
 
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -181,7 +181,7 @@
         routes = self.parts.routes
         now_ms = self.parts.clock.now_ms()
         table = routes.table
-        if table is None:
+        if table is None or not self.parts.placement.listed:
             return NOT_READY
         trail.version, trail.age_ms = table.version, routes.age_ms(now_ms)
         fresh = routes.fresh(now_ms)
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -129,7 +129,8 @@
     @property
     def ready(self) -> bool:
         """Tell whether callers should be sent to this node."""
-        return not self.draining and self.routes.fresh(self.clock.now_ms())
+        fresh = self.routes.fresh(self.clock.now_ms())
+        return fresh and self.placement.listed and not self.draining
 
     def addresses(self, data_centre: str) -> list[str]:
         """Return the caller addresses of the entry nodes that accept callers.
