--- a/packages/core/src/goldcrestridge_core/control.py
+++ b/packages/core/src/goldcrestridge_core/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from typing import Any
@@ -9,11 +10,18 @@
 from attrs import define, evolve, field, frozen
 
 from goldcrestridge_core import codec
-from goldcrestridge_core.follow_types import FollowRequest, FormationPlan, InstancesListed
+from goldcrestridge_core.follow_types import (
+    ControlNotice,
+    FollowRequest,
+    FormationPlan,
+    InstancesListed,
+)
 from goldcrestridge_core.log_members import is_fresh
 from goldcrestridge_core.log_types import (
     JoinReplica,
+    Propose,
     ProposeReply,
+    Query,
     QueryReply,
     ReplicasKnown,
     WallTime,
@@ -38,6 +46,8 @@
 # Processes of a new deployment start within 0.3 s and need about 0.5 s more to be ready. A plan
 # waits for all voters that it should have, and after this time takes those that came.
 FORMATION_WAIT_MS = 4_000.0
+# A control node without a replica learns within this time where the leader is.
+NOTICE_INTERVAL_MS = 1_000.0
 
 
 @frozen
@@ -82,6 +92,7 @@
     _joining: dict[NodeId, float] = field(factory=dict)
     _plan: FormationPlan | None = None
     _leading: bool = False
+    _notice_ms: float = -math.inf
     _inbox: deque[Any] = field(factory=deque)
     _out: list[Any] = field(factory=list)
 
@@ -153,6 +164,15 @@
             case JoinReplica():
                 self._plan_formation(sender, message, now_ms)
                 self._run(self.replica, event, now_ms)
+            case ControlNotice() if self.replica is None:
+                self.proposals.leader = self.queries.leader = message.leader
+                self._know(message.replicas, now_ms)
+            case Propose(proposal_id=name) if self.replica is None:
+                reply = ProposeReply(name, False, b"", self.proposals.leader)
+                self._out.append(Send(sender, reply))
+            case Query(query_id=name) if self.replica is None:
+                hint = QueryReply(name, False, b"", self.proposals.leader)
+                self._out.append(Send(sender, hint))
             case _:
                 self._run(self.replica, event, now_ms)
 
@@ -213,7 +233,9 @@
         if self.replica is None:
             return
         voters = self.replica.log.state.membership.voters
-        nodes = tuple(voter.node for voter in voters)
+        self._know(tuple(voter.node for voter in voters), now_ms)
+
+    def _know(self, nodes: tuple[NodeId, ...], now_ms: float) -> None:
         if nodes and nodes != self._known:
             self._known = nodes
             self._run(self.proposals, ReplicasKnown(nodes), now_ms)
@@ -224,6 +246,11 @@
         if leads != self._leading:
             self._leading = leads
             self._out.append(Emit("leadership_gained" if leads else "leadership_lost"))
+        if leads and now_ms >= self._notice_ms + NOTICE_INTERVAL_MS:
+            self._notice_ms = now_ms
+            notice = ControlNotice(self.identity.node, self._known)
+            others = (node for node in self.identity.seeds if node not in self._known)
+            self._out.extend(Send(node, notice) for node in others)
 
 
 def read_document(query_id: str, timeout_ms: float) -> SubmitQuery:
--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -115,6 +115,15 @@
     entries_digest: str
 
 
+@message
+@frozen
+class ControlNotice:
+    """Tell control nodes without a replica who leads and which replicas there are."""
+
+    leader: NodeId
+    replicas: tuple[NodeId, ...]
+
+
 @message
 @frozen
 class FormationPlan:
--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -33,6 +33,10 @@
 # A change that no hint announced is found within this time; a fraction of the 2 s within which
 # an accepted version must be in force. It is also the age of what is known of other nodes' load.
 POLL_INTERVAL_MS = 500.0
+# In a large fleet each node asks less often, so that the leader takes some 100 requests a second,
+# but still two or three times within the time for which routes are used.
+POLL_PER_ENTRY_MS = 10.0
+LONGEST_POLL_MS = 1_500.0
 # Many round trips within a region; a leader that is silent for longer is asked elsewhere.
 REPLY_TIMEOUT_MS = 350.0
 # Two nodes that name each other as leader must not cause a message storm.
@@ -41,6 +45,11 @@
 LOST_AFTER = 3
 
 
+def poll_interval_ms(entries: int) -> float:
+    """Return the time between two requests of one of so many entry nodes."""
+    return min(LONGEST_POLL_MS, max(POLL_INTERVAL_MS, POLL_PER_ENTRY_MS * entries))
+
+
 @define
 class Follower:
     """Keep what the leader holds (a role).
@@ -68,6 +77,7 @@
     _due_ms: float = -math.inf
     _unanswered: int = 0
     _lost: bool = field(default=True)
+    _poll_ms: float = POLL_INTERVAL_MS
 
     def next_deadline_ms(self) -> float | None:
         """Return when a request is due or given up."""
@@ -115,7 +125,7 @@
         if not reply.leads:
             return self._redirected(sender, reply, now_ms)
         self._target = sender
-        self._due_ms = now_ms if self._again else now_ms + POLL_INTERVAL_MS
+        self._due_ms = now_ms if self._again else now_ms + self._poll_ms
         self._again = False
         return [*self._found(sender), *self._take(reply)]
 
@@ -141,6 +151,7 @@
             effects.append(InstancesReceived(reply.instances))
         if reply.entries is not None:
             self.entries_digest = reply.entries_digest
+            self._poll_ms = poll_interval_ms(len(reply.entries))
             effects.append(EntriesReceived(reply.entries))
         effects.append(WorkloadReceived(reply.workload))
         return effects
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -27,14 +27,15 @@
     UpstreamInstance,
     Workload,
 )
-from goldcrestridge_core.follower import POLL_INTERVAL_MS
+from goldcrestridge_core.follower import poll_interval_ms
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
 from goldcrestridge_core.versions import VersionedDocument
 
-# An entry node that missed some requests, each with a repetition, is no longer named.
-ENTRY_LOST_MS = 5.0 * POLL_INTERVAL_MS
+# An entry node that missed two requests, each with a repetition, is no longer named.
+LOST_POLLS = 2.0
+LOST_MARGIN_MS = 1_500.0
 # A new leader names entry nodes only once all of them had the time to register.
-REGISTRATION_MS = 4.0 * POLL_INTERVAL_MS
+REGISTRATION_MS = 2_000.0
 SWEEP_INTERVAL_MS = 500.0
 
 
@@ -130,7 +131,7 @@
         if now_ms < self._sweep_ms + SWEEP_INTERVAL_MS:
             return
         self._sweep_ms = now_ms
-        oldest_ms = now_ms - ENTRY_LOST_MS
+        oldest_ms = now_ms - LOST_POLLS * poll_interval_ms(len(self._entries)) - LOST_MARGIN_MS
         self._entries = {
             node: entry for node, entry in self._entries.items() if entry.heard_ms >= oldest_ms
         }
--- a/tests/core/test_control.py
+++ b/tests/core/test_control.py
@@ -51,6 +51,28 @@
     assert net.document(name) == VersionedDocument(4, b"v4")
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_seeds_without_disks_lead_to_a_log_on_the_nodes_with_disks(seed: int) -> None:
+    # Guards against a deployment whose settings name only control nodes without a disk.
+    seeds = tuple(map(NodeId, ("p:1", "q:1", "r:1")))
+    net = Net(seed, seeds)
+    for node in (A, seeds[1], B, seeds[0], C, seeds[2]):
+        net.start_control(node, forms=True, disk=node in SEEDS)
+    entry = net.start_follower(NodeId("x:2"), seeds)
+    net.run(FORMED_MS)
+    assert net.voters_of(net.leaders()[0]) == set(SEEDS)
+    accept(net, seeds[2], 1)
+    assert entry.version == 1
+    # A seed that starts again knows nothing but the other seeds.
+    for node in seeds:
+        net.kill(node)
+        net.start_control(node, forms=False, disk=False)
+    other = net.start_follower(NodeId("y:2"), seeds)
+    net.run(4_000.0)
+    assert other.version == 1
+    accept(net, seeds[1], 2)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_a_spare_replaces_a_lost_replica_and_then_a_second_one_may_be_lost(seed: int) -> None:
     # Guards against a log that stays one loss away from standstill after a VM was replaced.
