--- a/packages/core/src/goldcrestridge_core/forwarding.py
+++ b/packages/core/src/goldcrestridge_core/forwarding.py
@@ -8,7 +8,7 @@
 
 import enum
 
-from attrs import define, evolve, frozen
+from attrs import define, frozen
 
 from goldcrestridge_core.routes import Route
 
@@ -16,8 +16,6 @@
 MAX_TRIES = 4
 # With less time left an upstream could not answer, and would be asked in vain.
 LEAST_TIME_MS = 15.0
-# A request that is late already may wait for this share of the time it has left.
-LATE_SHARE = 0.3
 # A caller that was refused returns after this time: the time in which an upstream ends about one
 # request, or a restarted node learns the routes.
 RETURN_MS = 250.0
@@ -58,23 +56,10 @@
 
     route: Route
     deadline_ms: float
-    limit_ms: float = 0.0
     may_have_run: int = 0
     tries: int = 0
     streaming: bool = False  # Events have been passed on to the caller.
 
-    def target_left_ms(self, now_ms: float) -> float:
-        """Return the time until the answer would be late, or for late ones a part of that left."""
-        target_ms = self.deadline_ms - self.limit_ms + self.route.target_latency_ms - now_ms
-        return max(target_ms, LATE_SHARE * self.left_ms(now_ms))
-
-    def denied(self, wait_ms: float) -> Decision:
-        """Return the final answer if no engine could begin in time; one may be free in a while."""
-        decision = self.give_up(f"no engine can begin within {wait_ms:.0f} ms")
-        if decision.step is Step.REFUSE:
-            return evolve(decision, retry_after_ms=max(RETURN_MS, wait_ms))
-        return decision
-
     def left_ms(self, now_ms: float) -> float:
         """Return the time left."""
         return self.deadline_ms - now_ms
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -59,8 +59,6 @@
 # A long prompt waits for whole long prompts before it, so that at the same share of busy time its
 # delay is longer than that of a short one. Engines for long prompts are kept a little less busy.
 LONG_WEIGHT = 1.15
-# Engines that a request asks for admission, one after the other.
-CANDIDATES = 3
 # Fewer engines than this are not divided.
 LEAST_ENGINES = 3
 # The division follows the work of about this time, and moves by one engine only once the share of
@@ -75,16 +73,13 @@
 
     ``part`` names the part of the prompt that other requests share, or is empty. ``divided`` tells
     whether long prompts of the service are kept apart, ``long`` whether this is one of them.
-    ``work`` is in prompt tokens that an engine reads, ``cold_work`` the same where it has read no
-    part before. ``memory`` is in tokens, without the parts that requests share.
+    ``work`` is in prompt tokens that an engine reads.
     """
 
     part: str = ""
     divided: bool = False
     long: bool = False
     work: float = 0.0
-    cold_work: float = 0.0
-    memory: float = 0.0
 
 
 def demand_of(
@@ -96,18 +91,13 @@
     such streams.
     """
     near = part if shared_tokens >= LEAST_SHARED_TOKENS else ""
-
-    def work(unread: float) -> float:
-        context = prompt_tokens - unread / 2
-        return unread * (1.0 + CONTEXT_WORK * context) + OUTPUT_TOKEN_WORK * output_tokens
-
+    unread = prompt_tokens - (1.0 - MISSED_SHARE) * shared_tokens
+    context = prompt_tokens - unread / 2
     return Demand(
         part=near,
         divided=tight is not None,
         long=not tight and prompt_tokens > LONG_PROMPT_TOKENS,
-        work=work(prompt_tokens - (1.0 - MISSED_SHARE) * shared_tokens),
-        cold_work=work(prompt_tokens),
-        memory=float(prompt_tokens - shared_tokens + output_tokens),
+        work=unread * (1.0 + CONTEXT_WORK * context) + OUTPUT_TOKEN_WORK * output_tokens,
     )
 
 
@@ -207,33 +197,14 @@
             usable = self._side(service, usable, demand.long)
         if demand.part:
             return self._by_part(usable, demand.part, now_ms)
-        return min(usable, key=lambda item: self._order(item, now_ms))
-
-    def candidates(
-        self, service: str, demand: Demand, excluded: Collection[str], now_ms: float
-    ) -> list[UpstreamInstance]:
-        """Return the engines that a request may ask for admission, the best first."""
-        usable = self._usable(service, excluded, now_ms)
-        side = self._side(service, usable, demand.long) if demand.divided else usable
-        if demand.part:
-            near = sorted(side, key=lambda item: _weight(demand.part, item.instance), reverse=True)
-        else:
-            near = sorted(side, key=lambda item: self._order(item, now_ms))
-        chosen = near[: CANDIDATES - 1]
-        rest = near[CANDIDATES - 1 :]
-        if rest:
-            # The least busy of all others, since the owners of the first may have no room.
-            chosen.append(min(rest, key=lambda item: self._order(item, now_ms)))
-        others = [item for item in usable if item not in side]
-        if others and not demand.long:
-            # What is more urgent than long prompts must not fail while those are served.
-            chosen.append(min(others, key=lambda item: self._order(item, now_ms)))
-        return chosen
-
-    def _order(self, item: UpstreamInstance, now_ms: float) -> tuple[float, bool, float]:
-        """Return what orders instances by load, then by distance, then at random."""
-        far = item.data_centre != self.data_centre
-        return (self._pressure(item, now_ms), far, self.rng.random())
+        return min(
+            usable,
+            key=lambda item: (
+                self._pressure(item, now_ms),
+                item.data_centre != self.data_centre,
+                self.rng.random(),
+            ),
+        )
 
     def _usable(
         self, service: str, excluded: Collection[str], now_ms: float
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Callable
 from contextlib import aclosing
 from typing import Any
@@ -11,16 +10,14 @@
 from attrs import Factory, define, field, frozen
 
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
-from goldcrestridge_core.engine_types import Candidate, EngineDenied, SeekEngine
 from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.forwarding import Decision, Fate, Forwarding, Step
 from goldcrestridge_core.placement import Demand, Placement, demand_of
 from goldcrestridge_core.retries import WindowBudget
-from goldcrestridge_core.routes import EngineLimits, Route, RoutedWorkspace, RouteTable
+from goldcrestridge_core.routes import Route, RoutedWorkspace, RouteTable
 from goldcrestridge_core.types import Headers, Outcome, RequestId
 from goldcrestridge_node.dialect import CallerHead, Dialect, SendHead
 from goldcrestridge_node.dispatch import Answer, BrokenAnswerError, Dispatcher, Failed, Outgoing
-from goldcrestridge_node.engines import Engines
 from goldcrestridge_node.event_stream import EventSplitter
 from goldcrestridge_node.exchange import EdgeOptions, Exchange, Receive, Scope, Send
 from goldcrestridge_node.headers import values
@@ -75,8 +72,6 @@
     budget: WindowBudget
     routes: RoutesInForce
     log: RequestLog
-    engines: Engines | None = None
-    name: str = ""  # Differs for each start of a node.
 
 
 @frozen
@@ -87,7 +82,6 @@
     workspace: RoutedWorkspace | None
     service: str
     demand: Demand
-    engine: EngineLimits | None = None
 
 
 @define(eq=False)
@@ -97,7 +91,6 @@
     parts: GatewayParts
     options: EdgeOptions = Factory(EdgeOptions)
     draining: bool = False
-    _tickets: Any = field(factory=itertools.count)
     in_flight: int = 0
     _held_bytes: int = 0
     _idle: anyio.Event = field(factory=anyio.Event)
@@ -123,10 +116,6 @@
                 self._idle.set()
             self.parts.log.write(trail, self.parts.clock.now_ms())
 
-    def next_ticket(self) -> str:
-        """Return a name for an attempt that no other attempt of any node has."""
-        return f"{self.parts.name} {next(self._tickets)}"
-
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
         while self.in_flight:
@@ -174,7 +163,7 @@
         limit_ms = admitted.route.timeout_ms
         if head.time_limit_ms is not None:
             limit_ms = min(limit_ms, head.time_limit_ms)
-        forwarding = Forwarding(admitted.route, started_ms + limit_ms, limit_ms)
+        forwarding = Forwarding(admitted.route, started_ms + limit_ms)
         out = Outgoing(
             exchange.scope["method"],
             _target(exchange.scope),
@@ -218,8 +207,7 @@
             part, shared = (head.shared_part, head.shared_tokens) if route.cached else ("", 0)
             demand = demand_of(part, shared, head.prompt_tokens, head.output_tokens, tight)
         self.parts.placement.arrived(service, demand, now_ms)
-        engine = entry.engine if entry is not None else None
-        return Admitted(route, workspace, service, demand, engine)
+        return Admitted(route, workspace, service, demand)
 
     def may_still_send(self, admitted: Admitted, key: str | None) -> bool:
         """Tell whether the routes in force still allow a request that has waited."""
@@ -267,7 +255,6 @@
     trail: Trail
     _excluded: set[str] = field(factory=set)
     _error: tuple[Answer, bytes] | None = None
-    _ticket: str | None = None
     _splitter: EventSplitter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -280,18 +267,8 @@
 
     async def run(self) -> None:
         """Send the request until an answer is passed on or no further attempt is allowed."""
-        try:
-            await self._run()
-        finally:
-            self._end_ticket()
-
-    async def _run(self) -> None:
         while True:
-            placed = await self._place()
-            if isinstance(placed, Decision):
-                await self._finish(placed)
-                return
-            instance = placed
+            instance = self._choose()
             decision = self.forwarding.before_send(self._now_ms, instance is not None)
             if decision.step is Step.SEND and not self._allowed():
                 await self.gateway.refuse(self.exchange, NOT_READY, self.trail)
@@ -315,49 +292,6 @@
             admitted.service, admitted.demand, self._excluded, self._now_ms
         )
 
-    async def _place(self) -> UpstreamInstance | Decision | None:
-        """Return the upstream for the next attempt; wait for its admission if it is an engine."""
-        engines, admitted = self.gateway.parts.engines, self.admitted
-        if engines is None or admitted.engine is None:
-            return self._choose()
-        listed = self.gateway.parts.placement.candidates(
-            admitted.service, admitted.demand, self._excluded, self._now_ms
-        )
-        if not listed:
-            return None
-        seek = self._seek(listed, admitted.engine)
-        self._ticket = seek.request_id
-        found = await engines.seek(seek)
-        if isinstance(found, EngineDenied):
-            self._ticket = None
-            self.trail.attempt(listed[0].instance, "denied", "", found.wait_ms)
-            return self.forwarding.denied(found.wait_ms)
-        return next(item for item in listed if item.instance == found.instance)
-
-    def _seek(self, listed: list[UpstreamInstance], engine: EngineLimits) -> SeekEngine:
-        """Return the question for an admission to one of the engines."""
-        demand, now_ms = self.admitted.demand, self._now_ms
-        candidates = tuple(
-            Candidate(
-                item.instance,
-                demand.cold_work if demand.part and number else demand.work,
-                demand.memory,
-                engine.memory_tokens,
-                engine.slots,
-            )
-            for number, item in enumerate(listed)
-        )
-        left_ms = self.forwarding.left_ms(now_ms)
-        # A stream that goes on has been waited for already.
-        priority = -1 if self.forwarding.streaming else self._priority
-        return SeekEngine(
-            self.gateway.next_ticket(),
-            candidates,
-            priority,
-            self.forwarding.target_left_ms(now_ms),
-            left_ms,
-        )
-
     async def _attempt(self, instance: UpstreamInstance) -> Decision:
         """Make one attempt and return what follows from it."""
         placement = self.gateway.parts.placement
@@ -371,7 +305,6 @@
                 result = await self._pass_on(result)
         finally:
             placement.ended(instance)
-            self._end_ticket()
         fate = result.fate if isinstance(result, Failed) else Fate.ANSWERED
         reason = result.reason if isinstance(result, Failed) else ""
         now_ms = self._now_ms
@@ -397,27 +330,16 @@
         self._excluded.add(instance.instance)
         return self.forwarding.after(fate, now_ms, afford)
 
-    def _end_ticket(self) -> None:
-        """Give the admission to the engine back."""
-        engines = self.gateway.parts.engines
-        if engines is not None and self._ticket is not None:
-            engines.ended(self._ticket)
-            self._ticket = None
-
-    @property
-    def _priority(self) -> int:
-        workspace = self.admitted.workspace
-        if workspace is not None and workspace.priority is not None:
-            return workspace.priority
-        return self.admitted.route.priority
-
     def _told(self, instance: UpstreamInstance) -> SendHead:
         workspace = self.admitted.workspace
+        priority = self.admitted.route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
         return SendHead(
             instance.instance,
             max(1, int(self.forwarding.left_ms(self._now_ms))),
             workspace.name if workspace is not None else "",
-            min(LEAST_PRIORITY, max(0, self._priority)),
+            min(LEAST_PRIORITY, max(0, priority)),
             self._splitter.last_id,
         )
 
@@ -498,8 +420,6 @@
         if not self.exchange.started:
             self.trail.first_ms = self._now_ms - self.trail.started_ms
             await self._start_stream(answer)
-        if self._ticket is not None and self.gateway.parts.engines is not None:
-            self.gateway.parts.engines.started(self._ticket)
         self.forwarding.streaming = True
         await self.exchange.write(events, more=True)
 
