Give short prompts the engines that their requests in flight need, tight streams their own in large fleets

Change: a floor for the engines of short prompts by the slots that are in use; from four such engines on, some take tight streams alone.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -46,12 +46,14 @@
 class ServiceWork:
     """Work that came for an engine service of late, for short and for long prompts.
 
-    The unit is the time that an engine needs to read one prompt token.
+    The unit is the time that an engine needs to read one prompt token. Of ``short``, ``tight`` is
+    that of streams that bear only short pauses.
     """
 
     service: str
     short: float
     long: float
+    tight: float = 0.0
 
 
 @message
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -59,6 +59,13 @@
 # A long prompt waits for whole long prompts before it, so that at the same share of busy time its
 # delay is longer than that of a short one. Engines for long prompts are kept a little less busy.
 LONG_WEIGHT = 1.15
+# Engines for short prompts, which are the more urgent ones, are not filled beyond this share of
+# their slots while engines for long prompts could help out.
+SHORT_FILL = 0.8
+# Of so many engines for short prompts, some take tight streams alone; they are filled less, since
+# each running request makes all pauses longer.
+LEAST_SHORT_ENGINES = 4
+TIGHT_FILL = 0.6
 # Fewer engines than this are not divided.
 LEAST_ENGINES = 3
 # The division follows the work of about this time, and moves by one engine only once the share of
@@ -73,13 +80,15 @@
 
     ``part`` names the part of the prompt that other requests share, or is empty. ``divided`` tells
     whether long prompts of the service are kept apart, ``long`` whether this is one of them.
-    ``work`` is in prompt tokens that an engine reads.
+    ``tight`` tells whether the stream bears only short pauses. ``work`` is in prompt tokens that
+    an engine reads.
     """
 
     part: str = ""
     divided: bool = False
     long: bool = False
     work: float = 0.0
+    tight: bool = False
 
 
 def demand_of(
@@ -98,6 +107,7 @@
         divided=tight is not None,
         long=not tight and prompt_tokens > LONG_PROMPT_TOKENS,
         work=unread * (1.0 + CONTEXT_WORK * context) + OUTPUT_TOKEN_WORK * output_tokens,
+        tight=bool(tight),
     )
 
 
@@ -134,27 +144,35 @@
 
     short: float = 0.0
     long: float = 0.0
+    tight: float = 0.0
     at_ms: float = 0.0
-    others_short: float = 0.0
-    others_long: float = 0.0
+    others: ServiceWork = field(factory=lambda: ServiceWork("", 0.0, 0.0))
     count: int = 0  # Engines for long prompts.
+    tight_count: int = 0  # Engines for tight streams alone.
 
     def fade(self, now_ms: float) -> None:
         """Let older work weigh less."""
         weight = math.exp(-max(0.0, now_ms - self.at_ms) / WORK_MEAN_MS)
         self.short *= weight
         self.long *= weight
+        self.tight *= weight
         self.at_ms = now_ms
 
-    def divide(self, engines: int) -> int:
-        """Return how many of the engines take long prompts."""
-        long = LONG_WEIGHT * (self.long + self.others_long)
-        total = long + self.short + self.others_short
+    def divide(self, engines: int, least_short: int) -> int:
+        """Return how many engines take long prompts; ``least_short`` are needed by others."""
+        long = LONG_WEIGHT * (self.long + self.others.long)
+        total = long + self.short + self.others.short
         wanted = engines * long / total if total else 0.0
         if abs(wanted - self.count) > DIVISION_MARGIN or not 0 < self.count < engines:
             self.count = round(wanted)
         self.count = min(max(self.count, 1), engines - 1)
-        return self.count
+        return max(1, min(self.count, engines - least_short))
+
+    def tight_engines(self, engines: int, least: int) -> int:
+        """Return how many engines for short prompts take tight streams alone."""
+        short = self.short + self.others.short
+        share = (self.tight + self.others.tight) / short if short else 0.0
+        return max(1, min(max(round(engines * share), least), engines - 1))
 
 
 @define
@@ -194,7 +212,7 @@
         if not usable:
             return None
         if demand.divided:
-            usable = self._side(service, usable, demand.long)
+            usable = self._side(service, usable, demand, now_ms)
         if demand.part:
             return self._by_part(usable, demand.part, now_ms)
         return min(
@@ -223,15 +241,32 @@
         return [item for item in sound if shares[item.instance] <= worst]
 
     def _side(
-        self, service: str, usable: list[UpstreamInstance], long: bool
+        self, service: str, usable: list[UpstreamInstance], demand: Demand, now_ms: float
     ) -> list[UpstreamInstance]:
-        """Return the engines for long prompts, or those for all other requests."""
+        """Return the engines for long prompts, for tight streams, or for all other requests."""
         work = self._works.get(service)
-        if work is None or len(usable) < LEAST_ENGINES or not work.long + work.others_long:
+        if work is None or len(usable) < LEAST_ENGINES or not work.long + work.others.long:
             return usable
-        count = work.divide(len(usable))
         order = sorted(usable, key=lambda item: _weight("long prompts", item.instance))
-        return order[:count] if long else order[count:]
+        count = work.divide(len(usable), self._needed(order[work.count :], SHORT_FILL, now_ms))
+        if demand.long:
+            return order[:count]
+        short = order[count:]
+        if len(short) < LEAST_SHORT_ENGINES:
+            return short
+        # The engines at the end change sides last, so that tight streams stay where they are.
+        last = short[-work.tight_count :] if work.tight_count else []
+        least = self._needed(last, TIGHT_FILL, now_ms)
+        work.tight_count = work.tight_engines(len(short), least)
+        return short[-work.tight_count :] if demand.tight else short[: -work.tight_count]
+
+    def _needed(self, engines: list[UpstreamInstance], fill: float, now_ms: float) -> int:
+        """Return how many engines the requests in flight on some would fill to a share."""
+        slots = sum(item.slots for item in engines)
+        if not slots:
+            return 0
+        load = sum(self.load(item.instance, now_ms) for item in engines)
+        return math.ceil(load * len(engines) / (slots * fill))
 
     def arrived(self, service: str, demand: Demand, now_ms: float) -> None:
         """Count the work of a request that came for an engine."""
@@ -243,6 +278,7 @@
             work.long += demand.work
         else:
             work.short += demand.work
+            work.tight += demand.work if demand.tight else 0.0
 
     def told_others(self, workload: Workload) -> None:
         """Take over the load that all other entry nodes put on upstreams."""
@@ -251,7 +287,7 @@
             self._of(item).others = loads.get(item.instance, 0)
         for told in workload.works:
             work = self._works.setdefault(told.service, _Work())
-            work.others_short, work.others_long = told.short, told.long
+            work.others = told
 
     def workload(self, now_ms: float) -> Workload:
         """Return the load that this node puts on upstreams."""
@@ -264,7 +300,7 @@
                 if health.in_flight
             ),
             tuple(
-                ServiceWork(service, round(work.short), round(work.long))
+                ServiceWork(service, round(work.short), round(work.long), round(work.tight))
                 for service, work in self._works.items()
             ),
         )
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -167,18 +167,19 @@
     def _workload_of_others(self, asker: NodeId) -> Workload:
         """Return the sum of what all entry nodes but the asker put on upstreams."""
         loads: dict[str, int] = {}
-        works: dict[str, tuple[float, float]] = {}
+        works: dict[str, tuple[float, float, float]] = {}
         for node, entry in self._entries.items():
             if node == asker:
                 continue
             for load in entry.workload.loads:
                 loads[load.instance] = loads.get(load.instance, 0) + load.requests
             for work in entry.workload.works:
-                short, long = works.get(work.service, (0.0, 0.0))
-                works[work.service] = (short + work.short, long + work.long)
+                short, long, tight = works.get(work.service, (0.0, 0.0, 0.0))
+                sums = (short + work.short, long + work.long, tight + work.tight)
+                works[work.service] = sums
         return Workload(
             tuple(InstanceLoad(name, count) for name, count in sorted(loads.items())),
-            tuple(ServiceWork(name, *sums) for name, sums in sorted(works.items())),
+            tuple(ServiceWork(name, *total) for name, total in sorted(works.items())),
         )
 
     def _hints(self, current: Leadership) -> list[Any]:
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections import Counter
 
-from goldcrestridge_core.follow_types import ServiceWork, UpstreamInstance, Workload
+from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
 from goldcrestridge_core.placement import (
     LONG_WEIGHT,
     SPILL_FACTOR,
@@ -167,3 +168,43 @@
     assert 1_800 < short.work < 1.2 * 1_800
     assert not demand_of("p", 0, 9_000, 10, tight=True).long
     assert not demand_of("p", 0, 9_000, 10, tight=None).divided
+
+
+def test_full_engines_for_short_prompts_take_over_some_of_the_others() -> None:
+    # Load: a burst of short, urgent streams fills the slots of their engines while long prompts
+    # have the larger share of the work. Guards against urgent requests that queue behind each
+    # other while less urgent ones are served.
+    node = placement(engines(10, slots=24))
+    work = ServiceWork("llm", 3e5, 7e5 / LONG_WEIGHT)
+    long = [Demand(str(n), divided=True, long=True) for n in range(200)]
+    node.told_others(Workload((), (work,)))
+    before = {node.choose("llm", demand, (), 0.0).instance for demand in long}  # type: ignore[union-attr]
+    assert len(before) == 7
+    short = [item.instance for item in engines(10) if item.instance not in before]
+    full = tuple(InstanceLoad(instance, 40) for instance in short)
+    node.told_others(Workload(full, (work,)))
+    after = {node.choose("llm", demand, (), 0.0).instance for demand in long}  # type: ignore[union-attr]
+    assert after < before
+    assert len(after) == 10 - 7
+
+
+def test_tight_streams_have_engines_of_their_own_in_a_large_fleet() -> None:
+    # Load: short prompts that come without a pause beside tight streams. Guards against streams
+    # whose every step reads a chunk of another prompt.
+    work = ServiceWork("llm", 5e5, 5e5 / LONG_WEIGHT, 2e5)
+    used: dict[str, set[str]] = {"long": set(), "short": set(), "tight": set()}
+    for data_centre, number in itertools.product(("dc0", "dc1", "dc2"), range(100)):
+        node = Placement(data_centre, random.Random(number))
+        node.set_instances(engines(20, slots=32))
+        node.told_others(Workload((), (work,)))
+        for name, demand in (
+            ("long", Demand(str(number), divided=True, long=True)),
+            ("short", Demand(divided=True)),
+            ("tight", Demand(divided=True, tight=True)),
+        ):
+            chosen = node.choose("llm", demand, (), 0.0)
+            assert chosen is not None
+            used[name].add(chosen.instance)
+    sizes = {name: len(instances) for name, instances in used.items()}
+    assert sizes == {"long": 10, "short": 6, "tight": 4}
+    assert not used["tight"] & (used["short"] | used["long"])
