--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -26,7 +26,7 @@
     connect_timeout_ms: float = 500.0
     # Idle connections are closed before most servers do, so that few are found closed.
     max_idle_ms: float = 4_000.0
-    # Connections to one upstream from this node, unless the routes allow fewer.
+    # Connections to one upstream from this node; more requests than that wait for one of them.
     max_open: int = 128
 
 
