--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, evolve
 
 from goldcrestridge_core.deltas import unpack
 from goldcrestridge_core.follow_types import (
@@ -76,7 +76,7 @@
     _again: bool = False
     _due_ms: float = -math.inf
     _unanswered: int = 0
-    _lost: bool = field(default=True)
+    _lost: bool = True
     _poll_ms: float = POLL_INTERVAL_MS
 
     def next_deadline_ms(self) -> float | None:
--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -43,10 +43,9 @@
 from goldcrestridge_node.metrics import Metrics
 from goldcrestridge_node.role_settings import ControlSettings
 from goldcrestridge_node.runtime import Driver, Outputs
-from goldcrestridge_node.server import listen, serve
-from goldcrestridge_node.settings import split_address
+from goldcrestridge_node.server import listen_at, serve
 from goldcrestridge_node.tasks import log_event, take_signals, watch_file
-from goldcrestridge_node.transport import Transport
+from goldcrestridge_node.transport import Transport, addressed_transport
 
 # A change that was not committed in this time is left open; the operator sends it again.
 APPLY_TIMEOUT_MS = 3_000.0
@@ -114,15 +113,7 @@
             write=self._write,
         )
         self.driver = Driver(self.node, self.clock, outputs)
-        self.transport = Transport(
-            cfg.node,
-            cfg.peer_address,
-            self.driver.post,
-            self.metrics.record,
-            lambda: (0.0, 0),
-            lambda _wall_ms, _counter: None,
-            resolve=lambda node: node,
-        )
+        self.transport = addressed_transport(cfg.node, self.driver.post, self.metrics.record)
 
     # Effects of the core.
 
@@ -215,12 +206,12 @@
                 tasks.start_soon(self._keep_replica, cfg.data_folder)
                 tasks.start_soon(self._tell_wall_time)
             stop_serving = anyio.Event()
-            socks = [listen(*(split_address(item) or ("", 0))) for item in cfg.operator_addresses]
+            socks = [listen_at(address) for address in cfg.operator_addresses]
             await tasks.start(serve, self.hooks.operator_app(self), socks, stop_serving)
             tasks.start_soon(self._poll_list)
             if self.hooks.settings_path is not None:
                 tasks.start_soon(watch_file, self.hooks.settings_path, self._reload)
-            self._log.info("node_started", peer=cfg.peer_address, control=list(cfg.control))
+            self._log.info("node_started", control=list(cfg.control))
             await self._stop.wait()
             self._log.info("node_stopping")
             stop_serving.set()
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import anyio
-from attrs import Factory, define, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_core.follow_types import UpstreamInstance
@@ -228,14 +228,7 @@
         """Return the refusal, closing the connection if this node drains."""
         if not self.draining or refusal.close:
             return refusal
-        return Refusal(
-            refusal.status,
-            refusal.code,
-            refusal.detail,
-            refusal.outcome,
-            refusal.retry_after_ms,
-            close=True,
-        )
+        return evolve(refusal, close=True)
 
     def answer_headers(self, answer: Answer) -> Headers:
         """Return the headers of an upstream's answer for the caller."""
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -4,7 +4,7 @@
 
 import random
 import secrets
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -34,10 +34,9 @@
 from goldcrestridge_node.request_log import RequestLog
 from goldcrestridge_node.role_settings import GatewaySettings
 from goldcrestridge_node.runtime import Driver, Outputs
-from goldcrestridge_node.server import ServerOptions, listen, serve
-from goldcrestridge_node.settings import split_address
+from goldcrestridge_node.server import ServerOptions, listen_at, serve
 from goldcrestridge_node.tasks import log_event, take_signals, watch_file
-from goldcrestridge_node.transport import Transport
+from goldcrestridge_node.transport import Transport, addressed_transport
 
 IDLE_SWEEP_MS = 2_000.0
 # Callers keep an address for some seconds, so a draining node goes on to accept for a while.
@@ -116,15 +115,7 @@
             send=self._send, emit=self._emit, count=self.metrics.record, other=self._other
         )
         self.driver = Driver(self.follower, self.clock, outputs)
-        self.transport = Transport(
-            cfg.node,
-            cfg.peer_address,
-            self.driver.post,
-            self.metrics.record,
-            lambda: (0.0, 0),
-            lambda _wall_ms, _counter: None,
-            resolve=lambda node: node,
-        )
+        self.transport = addressed_transport(cfg.node, self.driver.post, self.metrics.record)
 
     @property
     def ready(self) -> bool:
@@ -205,9 +196,9 @@
             await tasks.start(self.transport.run)
             await tasks.start(self.driver.run)
             stop_accepting, stop_side = anyio.Event(), anyio.Event()
-            front = _listen([cfg.caller_address])
+            front = [listen_at(cfg.caller_address)]
             await tasks.start(serve, self.gateway, front, stop_accepting, self._server_options)
-            side = _listen(cfg.side_addresses)
+            side = [listen_at(address) for address in cfg.side_addresses]
             await tasks.start(serve, self.hooks.side_app(self), side, stop_side)
             tasks.start_soon(self._close_idle)
             if self.hooks.settings_path is not None:
@@ -231,7 +222,3 @@
         while True:
             await anyio.sleep(IDLE_SWEEP_MS / MS_PER_SECOND)
             await self._dispatcher.close_idle()
-
-
-def _listen(addresses: Sequence[str]) -> list[Any]:
-    return [listen(*(split_address(address) or ("", 0))) for address in addresses]
--- a/packages/node/src/goldcrestridge_node/headers.py
+++ b/packages/node/src/goldcrestridge_node/headers.py
@@ -9,7 +9,7 @@
 Header = tuple[bytes, bytes]
 
 # RFC 9110, section 7.6.1; content-length and host are set anew for every connection.
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -24,9 +24,9 @@
 )
 _OWN_PREFIX = b"x-goldcrestridge-"
 # The bearer key belongs to the router and must not reach an upstream.
-_REQUEST_ONLY = _HOP_BY_HOP | {b"host", b"content-length", b"authorization", b"expect"}
+_REQUEST_ONLY = HOP_BY_HOP | {b"host", b"content-length", b"authorization", b"expect"}
 # The server towards callers writes its own date.
-_RESPONSE_ONLY = _HOP_BY_HOP | {b"date", b"server"}
+_RESPONSE_ONLY = HOP_BY_HOP | {b"date", b"server"}
 
 
 def values(headers: Iterable[Header], name: bytes) -> list[bytes]:
@@ -44,13 +44,18 @@
     return _without([(name.lower(), value) for name, value in headers], _RESPONSE_ONLY)
 
 
-def _without(headers: list[Header], dropped: frozenset[bytes]) -> Headers:
-    """Drop the named headers, those that Connection lists, and the router's own."""
-    listed = {
+def listed_by_connection(headers: Iterable[Header]) -> frozenset[bytes]:
+    """Return the headers that Connection lists as concerning one connection only."""
+    return frozenset(
         token.strip().lower()
         for value in values(headers, b"connection")
         for token in value.split(b",")
-    }
+    )
+
+
+def _without(headers: list[Header], dropped: frozenset[bytes]) -> Headers:
+    """Drop the named headers, those that Connection lists, and the router's own."""
+    listed = listed_by_connection(headers)
     return tuple(
         (name, value)
         for name, value in headers
--- a/packages/node/src/goldcrestridge_node/process.py
+++ b/packages/node/src/goldcrestridge_node/process.py
@@ -57,8 +57,8 @@
 from goldcrestridge_node.platform import Platform
 from goldcrestridge_node.reports import Reports
 from goldcrestridge_node.runtime import Driver, Outputs
-from goldcrestridge_node.server import listen, serve
-from goldcrestridge_node.settings import ENTRY, Settings, split_address
+from goldcrestridge_node.server import listen_at, serve
+from goldcrestridge_node.settings import ENTRY, Settings
 from goldcrestridge_node.transport import CurveKeys, Transport
 from goldcrestridge_node.upstream import UpstreamClient
 
@@ -302,10 +302,10 @@
             await tasks.start(self.driver.run)
             stop_serving = anyio.Event()
             if ENTRY in cfg.roles:
-                await tasks.start(serve, self.edge, [_listen(cfg.caller_address)], stop_serving)
+                await tasks.start(serve, self.edge, [listen_at(cfg.caller_address)], stop_serving)
             if cfg.admin_address:
                 admin = Admin(self._admin_hooks())
-                await tasks.start(serve, admin, [_listen(cfg.admin_address)], stop_serving)
+                await tasks.start(serve, admin, [listen_at(cfg.admin_address)], stop_serving)
             tasks.start_soon(self.reports.run)
             if cfg.platform_url:
                 tasks.start_soon(self._platform().run)
@@ -353,11 +353,6 @@
     return ConfigCheck("", checked.unwrap().claim_retention_ms)
 
 
-def _listen(address: str) -> Any:
-    host, port = split_address(address) or ("", 0)
-    return listen(host, port)
-
-
 def _curve_keys(cfg: Settings) -> CurveKeys | None:
     if not cfg.curve_public_key or cfg.curve_secret_key_file is None:
         return None
--- a/packages/node/src/goldcrestridge_node/role_settings.py
+++ b/packages/node/src/goldcrestridge_node/role_settings.py
@@ -17,15 +17,14 @@
 class GatewaySettings:
     """Checked settings of an entry node that forwards along routes; durations in milliseconds.
 
-    ``control`` names the first control nodes by their address. ``key_lease_ms`` bounds the time
-    for which routes and keys are used after they were known to be current. ``grace_ms`` is the
-    time from SIGTERM to SIGKILL. Of the repeats, ``repeat_share`` of the requests and
+    A node is named by the address at which it takes messages. ``control`` names the first control
+    nodes. ``key_lease_ms`` bounds the time for which routes and keys are used after they were known
+    to be current. ``grace_ms`` is the time from SIGTERM to SIGKILL. Of the repeats, ``repeat_share`` of the requests and
     ``repeat_extra`` more are allowed in each ``repeat_window_ms``, over all entry nodes.
     """
 
     node: NodeId
     data_centre: str
-    peer_address: str
     caller_address: str
     side_addresses: tuple[str, ...]
     control: tuple[NodeId, ...]
@@ -40,13 +39,12 @@
 class ControlSettings:
     """Checked settings of a control node; ``data_folder`` is None on a VM without a disk.
 
-    ``control`` names the first control nodes by their address. ``forms`` is true only at the
-    first start of a deployment. ``voters`` is the number of replicas that the log keeps up.
+    A node is named by the address at which it takes messages. ``control`` names the first control
+    nodes. ``forms`` is true only at the first start of a deployment. ``voters`` is the number of replicas that the log keeps up.
     """
 
     node: NodeId
     data_centre: str
-    peer_address: str
     operator_addresses: tuple[str, ...]
     control: tuple[NodeId, ...]
     forms: bool
--- a/packages/node/src/goldcrestridge_node/server.py
+++ b/packages/node/src/goldcrestridge_node/server.py
@@ -18,6 +18,7 @@
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_node.refusals import Refusal, error_body, error_headers
+from goldcrestridge_node.settings import split_address
 
 BAD_REQUEST = Refusal(400, "invalid_http", "The request is not valid HTTP/1.1.", close=True)
 HEAD_TOO_LARGE = Refusal(431, "head_too_large", "The request head is too large.", close=True)
@@ -153,6 +154,11 @@
     return sock
 
 
+def listen_at(address: str) -> socket.socket:
+    """Return a socket bound to ``ip:port``, as checked settings give it."""
+    return listen(*(split_address(address) or ("", 0)))
+
+
 async def serve(
     app: Any,
     socks: Sequence[socket.socket],
--- a/packages/node/src/goldcrestridge_node/transport.py
+++ b/packages/node/src/goldcrestridge_node/transport.py
@@ -258,3 +258,21 @@
                 await socket.send_multipart([request[0], request[1], status, b"", name, b""])
         finally:
             socket.close()
+
+
+def addressed_transport(
+    node: NodeId, deliver: Callable[[Receive], None], count: Callable[[Count], None]
+) -> Transport:
+    """Return the transport of a node in a deployment whose nodes are named by their addresses.
+
+    Messages carry no clock stamp, since these nodes keep no time line.
+    """
+    return Transport(
+        node,
+        node,
+        deliver,
+        count,
+        lambda: (0.0, 0),
+        lambda _wall_ms, _counter: None,
+        resolve=lambda peer: peer,
+    )
