--- a/packages/node/src/goldcrestridge_node/role_settings.py
+++ b/packages/node/src/goldcrestridge_node/role_settings.py
@@ -19,8 +19,9 @@
 
     A node is named by the address at which it takes messages. ``control`` names the first control
     nodes. ``key_lease_ms`` bounds the time for which routes and keys are used after they were known
-    to be current. ``grace_ms`` is the time from SIGTERM to SIGKILL. Of the repeats, ``repeat_share`` of the requests and
-    ``repeat_extra`` more are allowed in each ``repeat_window_ms``, over all entry nodes.
+    to be current. ``grace_ms`` is the time from SIGTERM to SIGKILL. Of the repeats,
+    ``repeat_share`` of the requests and ``repeat_extra`` more are allowed in each
+    ``repeat_window_ms``, over all entry nodes.
     """
 
     node: NodeId
@@ -40,7 +41,8 @@
     """Checked settings of a control node; ``data_folder`` is None on a VM without a disk.
 
     A node is named by the address at which it takes messages. ``control`` names the first control
-    nodes. ``forms`` is true only at the first start of a deployment. ``voters`` is the number of replicas that the log keeps up.
+    nodes. ``forms`` is true only at the first start of a deployment. ``voters`` is
+    the number of replicas that the log keeps up.
     """
 
     node: NodeId
