Log the forecast that decided an admission to an engine

The request log could not tell why an engine owner refused: work ahead, the age of the oldest prompt, slots or memory, nor which engines were asked, how large the request was and what was forecast for those that were sent. Grants and refusals now carry the wait and its cause, and the request line has priority, sizes and admissions.

No decision changes.

--- a/packages/core/src/goldcrestridge_core/engine_ledger.py
+++ b/packages/core/src/goldcrestridge_core/engine_ledger.py
@@ -12,7 +12,7 @@
 
 from attrs import define, field
 
-from goldcrestridge_core.engine_types import EngineRequest
+from goldcrestridge_core.engine_types import EngineGrant, EngineRefusal, EngineRequest, WaitCause
 
 # Share of an engine's memory for running requests; the rest caches shared prefixes.
 MEMORY_SHARE = 0.6
@@ -53,17 +53,17 @@
     # By priority: the time of the last refusal, and the longest wait that the request allowed.
     _refused: dict[int, tuple[float, float]] = field(factory=dict)
 
-    def admit(self, request: EngineRequest, now_ms: float) -> float | None:
-        """Admit a request and return None, or refuse it and return the expected wait in ms."""
+    def admit(self, request: EngineRequest, now_ms: float) -> EngineGrant | EngineRefusal:
+        """Admit a request, or refuse it if the expected wait is too long."""
         self._expire(now_ms)
-        wait_ms = self._wait_ms(request, now_ms)
+        wait_ms, cause = self._expected_wait(request, now_ms)
         if wait_ms > self._max_wait_ms(request, now_ms):
             self._refused[request.priority] = (now_ms, request.longest_ms)
-            return wait_ms
+            return EngineRefusal(request.ticket, request.instance, wait_ms, cause)
         self._admitted[request.ticket] = _Admission(
             request.work, request.memory, now_ms, now_ms + request.limit_ms + EXPIRY_MS
         )
-        return None
+        return EngineGrant(request.ticket, request.instance, wait_ms, cause)
 
     def record_prefill_end(self, ticket: str, now_ms: float) -> None:
         """Record the end of a prefill and update the rate estimate."""
@@ -83,21 +83,28 @@
         if item is not None and not item.prefilling:
             self.run_ms += (now_ms - item.granted_ms - self.run_ms) * RUN_EWMA_WEIGHT
 
-    def _wait_ms(self, request: EngineRequest, now_ms: float) -> float:
-        """Return the expected time until the prefill begins; 0 if the engine is idle."""
+    def _expected_wait(self, request: EngineRequest, now_ms: float) -> tuple[float, WaitCause]:
+        """Return the expected time in ms until the prefill begins, and its main cause."""
         if not self._admitted:
-            return 0.0
+            return 0.0, WaitCause.NONE
         prefilling = [item for item in self._admitted.values() if item.prefilling]
         # Prompts are prefilled in order, so a new one waits about as long as the oldest one has
         # waited, however wrong the estimates of work and rate are.
         oldest_ms = max((now_ms - item.granted_ms for item in prefilling), default=0.0)
-        wait_ms = max(sum(item.work for item in prefilling) / self.tokens_per_ms, oldest_ms)
+        work_ms = sum(item.work for item in prefilling) / self.tokens_per_ms
         memory = sum(item.memory for item in self._admitted.values()) + request.memory
         memory_limit = MEMORY_SHARE * request.capacity or math.inf
         # An engine without free slots or memory has some again once enough of its requests have
         # ended.
         excess = max(len(self._admitted) + 1 - request.slots, 0) / request.slots
-        return wait_ms + self.run_ms * max(excess, memory / memory_limit - 1.0)
+        memory_excess = memory / memory_limit - 1.0
+        queue_ms = max(work_ms, oldest_ms)
+        room_ms = self.run_ms * max(excess, memory_excess)
+        if room_ms > queue_ms:
+            cause = WaitCause.SLOTS if excess >= memory_excess else WaitCause.MEMORY
+        else:
+            cause = WaitCause.PREFILL if work_ms >= oldest_ms else WaitCause.OLDEST
+        return queue_ms + room_ms, cause
 
     def _max_wait_ms(self, request: EngineRequest, now_ms: float) -> float:
         """Return how long a request may wait; shorter while more urgent ones are refused."""
--- a/packages/core/src/goldcrestridge_core/engine_slots.py
+++ b/packages/core/src/goldcrestridge_core/engine_slots.py
@@ -27,6 +27,7 @@
     FindEngine,
     PrefillCompleted,
     RequestEnded,
+    WaitCause,
 )
 from goldcrestridge_core.rendezvous import weight
 from goldcrestridge_core.types import NodeId, Receive, Send
@@ -51,6 +52,7 @@
     reply_by_ms: float = math.inf
     admitted: bool = False
     shortest_wait_ms: float = math.inf
+    cause: WaitCause = WaitCause.NONE  # Of the shortest wait.
     best_index: int = 0  # Index of the candidate with the shortest wait.
     final: bool = False  # The best candidate is asked again, with the fallback wait.
 
@@ -114,12 +116,8 @@
                 self._ledger(instance).release(ticket, now_ms)
             case EngineGrant():
                 self._on_granted(sender, message, now_ms)
-            case EngineRefusal(ticket=ticket, instance=instance, wait_ms=wait_ms):
-                item = self._awaiting(ticket, instance)
-                if item is not None:
-                    if wait_ms < item.shortest_wait_ms:
-                        item.shortest_wait_ms, item.best_index = wait_ms, item.index
-                    self._try_next(ticket, now_ms)
+            case EngineRefusal():
+                self._on_refused(message, now_ms)
 
     # Admission of this node's requests by the engine owners.
 
@@ -175,7 +173,16 @@
             instance = item.event.candidates[index].instance
             self._effects.append(EngineFound(ticket, instance, admitted=False))
             return
-        self._effects.append(EngineDenied(ticket, item.shortest_wait_ms))
+        self._effects.append(EngineDenied(ticket, item.shortest_wait_ms, item.cause))
+
+    def _on_refused(self, message: EngineRefusal, now_ms: float) -> None:
+        item = self._awaiting(message.ticket, message.instance)
+        if item is None:
+            return
+        if message.wait_ms < item.shortest_wait_ms:
+            item.shortest_wait_ms, item.cause = message.wait_ms, message.cause
+            item.best_index = item.index
+        self._try_next(message.ticket, now_ms)
 
     def _on_granted(self, sender: NodeId, message: EngineGrant, now_ms: float) -> None:
         item = self._awaiting(message.ticket, message.instance)
@@ -184,7 +191,11 @@
             self._send(sender, EngineReleased(message.ticket, message.instance), now_ms)
             return
         item.admitted = True
-        self._effects.append(EngineFound(message.ticket, message.instance))
+        self._effects.append(
+            EngineFound(
+                message.ticket, message.instance, wait_ms=message.wait_ms, cause=message.cause
+            )
+        )
 
     def _on_request_ended(self, ticket: str, now_ms: float) -> None:
         item = self._searches.pop(ticket, None)
@@ -219,10 +230,7 @@
         return self._ledgers.setdefault(instance, EngineLedger())
 
     def _answer(self, request: EngineRequest, now_ms: float) -> EngineGrant | EngineRefusal:
-        wait_ms = self._ledger(request.instance).admit(request, now_ms)
-        if wait_ms is None:
-            return EngineGrant(request.ticket, request.instance)
-        return EngineRefusal(request.ticket, request.instance, wait_ms)
+        return self._ledger(request.instance).admit(request, now_ms)
 
     def _send(self, node: NodeId, message: Any, now_ms: float) -> None:
         """Send a message; handle one to this node itself synchronously."""
--- a/packages/core/src/goldcrestridge_core/engine_types.py
+++ b/packages/core/src/goldcrestridge_core/engine_types.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from attrs import frozen
 
 from goldcrestridge_core.codec import message
@@ -31,13 +33,25 @@
     late: bool = False
 
 
+class WaitCause(enum.Enum):
+    """What an expected wait for an engine mainly consists of."""
+
+    NONE = "none"
+    PREFILL = "prefill"  # The work of the prompts ahead.
+    OLDEST = "oldest"  # The age of the oldest prompt whose prefill has not ended.
+    SLOTS = "slots"
+    MEMORY = "memory"
+
+
 @message
 @frozen
 class EngineGrant:
-    """Admit a request."""
+    """Admit a request whose prefill is expected to begin after ``wait_ms``."""
 
     ticket: str
     instance: str
+    wait_ms: float = 0.0
+    cause: WaitCause = WaitCause.NONE
 
 
 @message
@@ -48,6 +62,7 @@
     ticket: str
     instance: str
     wait_ms: float
+    cause: WaitCause = WaitCause.NONE
 
 
 @message
@@ -101,11 +116,16 @@
 
 @frozen
 class EngineFound:
-    """Effect: the request may be sent; ``admitted`` is False if no engine owner answered."""
+    """Effect: the request may be sent; ``admitted`` is False if no engine owner answered.
+
+    ``wait_ms`` is the wait that the owner expected, with its cause.
+    """
 
     ticket: str
     instance: str
     admitted: bool = True
+    wait_ms: float = 0.0
+    cause: WaitCause = WaitCause.NONE
 
 
 @frozen
@@ -114,6 +134,7 @@
 
     ticket: str
     wait_ms: float
+    cause: WaitCause = WaitCause.NONE
 
 
 @frozen
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -186,6 +186,8 @@
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
+        record.priority = priority
+        record.prompt_tokens, record.output_tokens = head.prompt_tokens, head.output_tokens
         engine = entry.engine if entry is not None else None
         least_urgent = table.is_least_urgent(service, route.priority)
         return AdmittedRequest(route, workspace, service, demand, priority, engine, least_urgent)
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -122,10 +122,15 @@
                 # The caller cannot be told that the request has not run, so a denial would leave it
                 # without a response. The request is sent to a busy engine instead.
                 return candidates[0]
-            reason = f"none of {len(candidates)} engines can start in {event.max_wait_ms:.0f} ms"
+            asked = " ".join(item.instance for item in candidates[1:])
+            reason = (
+                f"none of {len(candidates)} engines can start in {event.max_wait_ms:.0f} ms, "
+                f"{result.cause.value}, also asked {asked}"
+            )
             self.record.add_attempt(candidates[0].instance, "denied", reason, result.wait_ms)
             spread = self.gateway.dependencies.placement.rng.random()
             return self.forwarding.after_denial(retry_delay_ms(result.wait_ms, spread))
+        self.record.add_admission(result)
         return next(item for item in candidates if item.instance == result.instance)
 
     def _find_engine_event(
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from goldcrestridge_core.engine_types import EngineFound
 from goldcrestridge_core.types import Count
 
 
@@ -28,13 +29,25 @@
     outcome: str = ""
     reason: str = ""
     status: int = 0
+    priority: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
     attempts: list[str] = field(factory=list)
+    admissions: list[str] = field(factory=list)
 
     def add_attempt(self, instance: str, outcome: str, reason: str, took_ms: float) -> None:
         """Add an attempt to the log line."""
         entry = f"{instance} {outcome} {took_ms:.0f}ms"
         self.attempts.append(f"{entry} {reason}" if reason else entry)
 
+    def add_admission(self, found: EngineFound) -> None:
+        """Add the admission to an engine, with the wait that its owner expected."""
+        if found.admitted:
+            entry = f"{found.instance} {found.wait_ms:.0f}ms {found.cause.value}"
+        else:
+            entry = f"{found.instance} without its owner"
+        self.admissions.append(entry)
+
     def set_outcome(self, outcome: str, reason: str, status: int = 0) -> None:
         """Set the outcome, with the reason and the status of the response."""
         self.outcome, self.reason, self.status = outcome, reason, status
@@ -67,5 +80,9 @@
             routes_age_ms=round(record.routes_age_ms),
             took_ms=round(took_ms, 1),
             first_ms=None if record.first_event_ms is None else round(record.first_event_ms, 1),
+            priority=record.priority,
+            prompt_tokens=record.prompt_tokens,
+            output_tokens=record.output_tokens,
+            admissions=record.admissions,
             attempts=record.attempts,
         )
--- a/tests/core/test_engine_slots.py
+++ b/tests/core/test_engine_slots.py
@@ -16,11 +16,13 @@
     Candidate,
     EngineDenied,
     EngineFound,
+    EngineRefusal,
     EngineRequest,
     EntriesChanged,
     FindEngine,
     PrefillCompleted,
     RequestEnded,
+    WaitCause,
 )
 from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 
@@ -40,6 +42,12 @@
     return FindEngine(ticket, candidates, 1, longest_ms, longest_ms, 5_000.0)
 
 
+def refusal_wait(ledger: EngineLedger, request: EngineRequest, now_ms: float) -> float | None:
+    """Return the expected wait with which the ledger refused a request, or None if it admitted."""
+    answer = ledger.admit(request, now_ms)
+    return answer.wait_ms if isinstance(answer, EngineRefusal) else None
+
+
 class Net:
     """Entry nodes with instant message delivery; nodes in ``down`` receive nothing."""
 
@@ -63,9 +71,9 @@
     # Guards against an engine that stays idle because a prompt is large, and against an unbounded
     # backlog.
     ledger = EngineLedger()
-    assert ledger.admit(engine_request("r0", longest_ms=0.0, memory=200_000.0), 0.0) is None
+    assert refusal_wait(ledger, engine_request("r0", longest_ms=0.0, memory=200_000.0), 0.0) is None
     ledger.release("r0", 0.0)
-    granted = [ledger.admit(engine_request(f"r{n}"), 0.0) is None for n in range(1, 10)]
+    granted = [refusal_wait(ledger, engine_request(f"r{n}"), 0.0) is None for n in range(1, 10)]
     assert granted == [PREFILL_MS * n <= 500.0 for n in range(9)]
 
 
@@ -73,44 +81,68 @@
     # Guards against wait estimates that stay too short while the engine is slower than its
     # estimated rate.
     ledger = EngineLedger()
-    assert ledger.admit(engine_request("r0"), 0.0) is None
-    assert ledger.admit(engine_request("r1"), 800.0) == 800.0
+    assert refusal_wait(ledger, engine_request("r0"), 0.0) is None
+    assert refusal_wait(ledger, engine_request("r1"), 800.0) == 800.0
     ledger.record_prefill_end("r0", 900.0)
-    assert ledger.admit(engine_request("r2"), 900.0) is None
+    assert refusal_wait(ledger, engine_request("r2"), 900.0) is None
 
 
 def test_admissions_stay_within_the_memory_of_an_engine() -> None:
     # Guards against running requests that evict the shared prefixes of later prompts.
     ledger = EngineLedger()
     half = MEMORY_SHARE * 100_000.0 / 2.0
-    assert ledger.admit(engine_request("r0", memory=half), 0.0) is None
-    assert ledger.admit(engine_request("r1", memory=half), 0.0) is None
-    assert ledger.admit(engine_request("r2", longest_ms=0.0, memory=half), 0.0) is not None
+    assert refusal_wait(ledger, engine_request("r0", memory=half), 0.0) is None
+    assert refusal_wait(ledger, engine_request("r1", memory=half), 0.0) is None
+    assert refusal_wait(ledger, engine_request("r2", longest_ms=0.0, memory=half), 0.0) is not None
     ledger.record_prefill_end("r0", 100.0)
     ledger.record_prefill_end("r1", 200.0)
-    assert ledger.admit(engine_request("r3", longest_ms=0.0, memory=half), 200.0) is not None
+    assert (
+        refusal_wait(ledger, engine_request("r3", longest_ms=0.0, memory=half), 200.0) is not None
+    )
     ledger.release("r0", 300.0)
-    assert ledger.admit(engine_request("r4", longest_ms=0.0, memory=half), 300.0) is None
+    assert refusal_wait(ledger, engine_request("r4", longest_ms=0.0, memory=half), 300.0) is None
 
 
 def test_the_expected_wait_for_a_slot_follows_the_run_time() -> None:
     # Guards against refusals for lack of a slot that becomes free within the longest wait.
     ledger = EngineLedger()
     for number in range(8):
-        assert ledger.admit(engine_request(f"r{number}", 5_000.0), 0.0) is None
+        assert refusal_wait(ledger, engine_request(f"r{number}", 5_000.0), 0.0) is None
         ledger.record_prefill_end(f"r{number}", 0.0)
-    wait_ms = ledger.admit(engine_request("next", longest_ms=0.0), 100.0)
+    wait_ms = refusal_wait(ledger, engine_request("next", longest_ms=0.0), 100.0)
     assert wait_ms == INITIAL_RUN_MS / 8
-    assert ledger.admit(engine_request("next", longest_ms=wait_ms), 100.0) is None
+    assert refusal_wait(ledger, engine_request("next", longest_ms=wait_ms), 100.0) is None
+
+
+def test_a_refusal_names_what_the_wait_consists_of() -> None:
+    # Guards against refusals whose cause cannot be told from the log.
+    def cause(request: EngineRequest, now_ms: float) -> WaitCause:
+        answer = ledger.admit(request, now_ms)
+        assert isinstance(answer, EngineRefusal)
+        return answer.cause
+
+    ledger = EngineLedger()
+    for number in range(4):
+        assert refusal_wait(ledger, engine_request(f"r{number}"), 0.0) is None
+    assert cause(engine_request("next", longest_ms=0.0), 10.0) is WaitCause.PREFILL
+    assert cause(engine_request("next", longest_ms=0.0), 900.0) is WaitCause.OLDEST
+    for number in range(4):
+        ledger.record_prefill_end(f"r{number}", 900.0)
+    big = engine_request("next", longest_ms=0.0, memory=80_000.0)
+    assert cause(big, 900.0) is WaitCause.MEMORY
+    for number in range(4, 8):
+        assert refusal_wait(ledger, engine_request(f"r{number}"), 900.0) is None
+        ledger.record_prefill_end(f"r{number}", 900.0)
+    assert cause(engine_request("next", longest_ms=0.0), 900.0) is WaitCause.SLOTS
 
 
 def test_an_admission_that_is_never_released_expires() -> None:
     # Guards against an engine that counts as busy after the loss of the node that used it.
     ledger = EngineLedger()
     for number in range(8):
-        assert ledger.admit(engine_request(f"r{number}", 5_000.0), 0.0) is None
-    assert ledger.admit(engine_request("late", 0.0), 5_900.0) is not None
-    assert ledger.admit(engine_request("later", 0.0), 6_001.0) is None
+        assert refusal_wait(ledger, engine_request(f"r{number}", 5_000.0), 0.0) is None
+    assert refusal_wait(ledger, engine_request("late", 0.0), 5_900.0) is not None
+    assert refusal_wait(ledger, engine_request("later", 0.0), 6_001.0) is None
 
 
 def test_less_urgent_requests_yield_while_more_urgent_ones_are_refused() -> None:
@@ -118,13 +150,13 @@
     # longer wait, keep the engine's queue too long for them.
     ledger = EngineLedger()
     for number in range(4):
-        assert ledger.admit(engine_request(f"r{number}", 900.0, priority=2), 0.0) is None
-    assert ledger.admit(engine_request("urgent", 300.0, priority=0), 0.0) is not None
-    assert ledger.admit(engine_request("long", 900.0, priority=2), 1.0) is not None
+        assert refusal_wait(ledger, engine_request(f"r{number}", 900.0, priority=2), 0.0) is None
+    assert refusal_wait(ledger, engine_request("urgent", 300.0, priority=0), 0.0) is not None
+    assert refusal_wait(ledger, engine_request("long", 900.0, priority=2), 1.0) is not None
     for number in range(3):
         ledger.record_prefill_end(f"r{number}", 1.0)
-    assert ledger.admit(engine_request("urgent", 300.0, priority=0), 1.0) is None
-    assert ledger.admit(engine_request("long", 900.0, priority=2), YIELD_MS + 1.0) is None
+    assert refusal_wait(ledger, engine_request("urgent", 300.0, priority=0), 1.0) is None
+    assert refusal_wait(ledger, engine_request("long", 900.0, priority=2), YIELD_MS + 1.0) is None
 
 
 def test_an_urgent_request_that_every_engine_refused_does_not_yield_again() -> None:
@@ -137,7 +169,10 @@
     net.post(NODES[0], FindEngine("first", (candidate,), 0, 50.0, 50.0, 5_000.0))
     net.post(NODES[0], FindEngine("middle", (candidate,), 1, 300.0, 2_000.0, 5_000.0))
     assert isinstance(net.results["first"], EngineDenied)
-    assert net.results["middle"] == EngineFound("middle", "i0")
+    middle = net.results["middle"]
+    assert isinstance(middle, EngineFound)
+    assert middle.instance == "i0"
+    assert middle.admitted
 
 
 def test_nodes_share_one_ledger_for_each_engine() -> None:
@@ -171,7 +206,10 @@
     node.handle(RequestEnded("r0"), 1.0)
     for effect in sent:
         net.post(owner, Receive(NODES[0], effect.message), 2.0)
-    assert net.nodes[owner]._ledgers[name].admit(engine_request("x", longest_ms=0.0), 3.0) is None
+    assert (
+        refusal_wait(net.nodes[owner]._ledgers[name], engine_request("x", longest_ms=0.0), 3.0)
+        is None
+    )
 
 
 def test_a_final_request_that_its_owner_does_not_answer_is_not_refused() -> None:
