--- a/tests/core/engine_fleet.py
+++ b/tests/core/engine_fleet.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -29,13 +30,17 @@
 )
 from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
 from goldcrestridge_core.placement import Demand, Placement, demand_of
-from goldcrestridge_core.types import NodeId, Receive, Send
+from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 from goldcrestridge_lab.chunked_engine import ChunkedEngine, PromptSegment, Run, Step
 
 SERVICE = "llm"
 # One-way latency between entry nodes on busy machines.
 HOP_MS = 8.0
 POLL_MS = 500.0
+# Time after which a lost entry node is no longer listed.
+UNLISTED_MS = 3_500.0
+UNSERVED = ("refused", "failed", "abandoned")
+WINDOW_MS = 5_000.0
 
 
 @frozen
@@ -51,7 +56,17 @@
     limit_ms: float
     gap_ms: float
     priority: int
-    burst: tuple[float, float, float] = (0.0, 0.0, 1.0)  # Start ms, end ms, rate factor.
+    bursts: tuple[tuple[float, float, float], ...] = ()  # Start ms, end ms, rate factor.
+
+    def rate_at(self, now_ms: float) -> float:
+        """Return the arrivals per second, with the bursts at this time."""
+        factors = (factor for start, end, factor in self.bursts if start <= now_ms < end)
+        return self.rate * math.prod(factors)
+
+    @property
+    def patience_ms(self) -> float:
+        """Return the longest gap, also before the first event, after which a caller leaves."""
+        return max(2_000.0, 4.0 * self.target_ms, 8.0 * self.gap_ms)
 
 
 @frozen
@@ -65,6 +80,8 @@
     entries: int
     kinds: tuple[Kind, ...]
     admission: bool = True
+    lost_answers: float = 0.0  # Share of the requests whose answer never arrives.
+    killed: tuple[float, int] = (math.inf, 0)  # Time in ms, number of entry nodes.
 
 
 @define(eq=False)
@@ -78,6 +95,7 @@
     number: int
     attempts: int = 0
     outcome: str = ""
+    began_ms: float | None = None  # The engine began an attempt of the call.
     first_ms: float = 0.0
     last_ms: float = 0.0
     longest_gap_ms: float = 0.0
@@ -98,6 +116,7 @@
     run: Run
     instance: UpstreamInstance | None = None
     ended: bool = False
+    answer_lost: bool = False
 
 
 def draw_calls(kinds: tuple[Kind, ...], seconds: float, seed: int) -> list[Call]:
@@ -113,9 +132,7 @@
         }
         now_ms = 0.0
         while True:
-            start_ms, end_ms, factor = kind.burst
-            rate = kind.rate * (factor if start_ms <= now_ms < end_ms else 1.0)
-            now_ms += rng.expovariate(rate) * 1_000.0
+            now_ms += rng.expovariate(kind.rate_at(now_ms)) * 1_000.0
             if now_ms > seconds * 1_000.0:
                 break
             number = next(numbers)
@@ -146,6 +163,7 @@
     _placements: dict[NodeId, Placement] = field(factory=dict)
     _admission: dict[NodeId, EngineAdmission] = field(factory=dict)
     _workloads: dict[NodeId, Workload] = field(factory=dict)
+    _killed: set[NodeId] = field(factory=set)
     _attempts: dict[str, Attempt] = field(factory=dict)
     _events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = field(factory=list)
     _order: Any = field(factory=itertools.count)
@@ -185,12 +203,33 @@
             self._schedule(POLL_MS * number / len(names), self._poll, name)
         for call in self.calls:
             self._schedule(call.arrived_ms, self._arrive, call)
+        killed_ms, count = fleet.killed
+        if count:
+            self._schedule(killed_ms, self._kill, names[:count])
+            self._schedule(killed_ms + UNLISTED_MS, self._unlist, names[count:])
+
+    def _kill(self, names: tuple[NodeId, ...]) -> None:
+        """Stop entry nodes: their requests end, and nothing is reported to the engine owners."""
+        self._killed.update(names)
+        for attempt in self._attempts.values():
+            if attempt.entry in self._killed and not attempt.ended:
+                attempt.ended = True
+                attempt.call.outcome = "lost with its node"
+                if attempt.instance is not None:
+                    self.engines[attempt.instance.instance].remove(attempt.run)
+
+    def _unlist(self, names: tuple[NodeId, ...]) -> None:
+        for name in names:
+            self._post(name, EntriesChanged(names))
+        self._workloads = {name: self._workloads[name] for name in names}
 
     def _schedule(self, at_ms: float, action: Callable[..., None], *args: Any) -> None:
         heapq.heappush(self._events, (at_ms, next(self._order), action, args))
 
     def _poll(self, name: NodeId) -> None:
         """Distribute the workloads of the other nodes, as the control leader does."""
+        if name in self._killed:
+            return
         self._workloads[name] = self._placements[name].workload(self.now_ms)
         others = [item for entry, item in self._workloads.items() if entry != name]
         loads: Counter[str] = Counter()
@@ -212,13 +251,15 @@
 
     def _arrive(self, call: Call) -> None:
         call.attempts += 1
-        entry = self._rng.choice(list(self._placements))
+        entry = self._rng.choice([name for name in self._placements if name not in self._killed])
         ticket = f"{call.number} {call.attempts}"
         deadline_ms = call.arrived_ms + call.kind.limit_ms
         run = Run(ticket, call.parts, call.output_tokens, call.kind.priority)
         attempt = Attempt(call, entry, ticket, deadline_ms, run)
+        attempt.answer_lost = self._rng.random() < self.fleet.lost_answers
         self._attempts[ticket] = attempt
         self._schedule(deadline_ms, self._time_out, attempt)
+        self._schedule(self.now_ms + call.kind.patience_ms, self._leave_if_silent, attempt)
         demand = self._demand(call)
         placement = self._placements[entry]
         placement.record_arrival(SERVICE, demand, self.now_ms)
@@ -258,7 +299,13 @@
         return demand_of(call.parts[-2].name, shared, total, expected_tokens, tight)
 
     def _post(self, entry: NodeId, event: Any) -> None:
-        for effect in self._admission[entry].handle(event, self.now_ms):
+        if entry in self._killed:
+            return
+        effects = self._admission[entry].handle(event, self.now_ms)
+        deadline_ms = self._admission[entry].next_deadline_ms()
+        if isinstance(event, FindEngine) and deadline_ms is not None:
+            self._schedule(deadline_ms, self._post, entry, Tick())
+        for effect in effects:
             match effect:
                 case Send(to=to, message=message):
                     hop_ms = HOP_MS * self._rng.uniform(0.5, 1.5)
@@ -305,7 +352,9 @@
     def _on_step_end(self, name: str, step: Step) -> None:
         for run in step.events:
             attempt = self._attempts[run.name]
-            if not attempt.ended:
+            if attempt.call.began_ms is None:
+                attempt.call.began_ms = self.now_ms
+            if not attempt.ended and not attempt.answer_lost:
                 self._on_event(attempt)
         self._step(name)
 
@@ -319,12 +368,20 @@
         else:
             call.longest_gap_ms = max(call.longest_gap_ms, self.now_ms - call.last_ms)
         call.last_ms = self.now_ms
+        self._schedule(self.now_ms + call.kind.patience_ms, self._leave_if_silent, attempt)
         if attempt.run.generated_tokens >= attempt.run.output_tokens:
             self._end(attempt)
             in_time = call.first_ms - call.arrived_ms <= call.kind.target_ms
             gaps_in_bound = call.longest_gap_ms <= call.kind.gap_ms
             call.outcome = "on time" if in_time and gaps_in_bound else "late"
 
+    def _leave_if_silent(self, attempt: Attempt) -> None:
+        """End an attempt whose caller has received no event for the time that it is patient."""
+        call = attempt.call
+        if not attempt.ended and self.now_ms - call.last_ms >= call.kind.patience_ms:
+            self._end(attempt)
+            call.outcome = "abandoned"
+
     def _time_out(self, attempt: Attempt) -> None:
         if attempt.ended:
             return
@@ -338,3 +395,45 @@
         if attempt.instance is not None:
             self._placements[attempt.entry].record_end(attempt.instance)
             self.engines[attempt.instance.instance].remove(attempt.run)
+
+
+@frozen
+class Inversion:
+    """A window in which a kind got nothing while a less urgent, larger kind was started."""
+
+    kind: str
+    start_ms: float
+    arrived: int
+    unserved: int
+    less_urgent_began: int
+
+
+def priority_inversions(calls: list[Call], window_ms: float = WINDOW_MS) -> list[Inversion]:
+    """Return the windows in which ten or more and over a twelfth of a kind got nothing.
+
+    They count only if less urgent calls of over twice their size began at an engine meanwhile.
+    """
+    kinds = {call.kind.name: call.kind for call in calls}
+    mean_size = {
+        name: sum(call.size for call in calls if call.kind is kind)
+        / sum(call.kind is kind for call in calls)
+        for name, kind in kinds.items()
+    }
+    found = []
+    last_ms = max(call.arrived_ms for call in calls)
+    for step in range(int(max(0.0, last_ms - window_ms) / 500.0) + 1):
+        start_ms, end_ms = 500.0 * step, 500.0 * step + window_ms
+        arrived = [call for call in calls if start_ms <= call.arrived_ms < end_ms]
+        for name, kind in kinds.items():
+            own = [call for call in arrived if call.kind is kind]
+            unserved = sum(call.outcome in UNSERVED for call in own)
+            began = sum(
+                call.began_ms is not None
+                and start_ms <= call.began_ms < end_ms
+                and call.kind.priority > kind.priority
+                and call.size > 2.0 * mean_size[name]
+                for call in calls
+            )
+            if unserved >= 10 and unserved > len(own) / 12.0 and began:
+                found.append(Inversion(name, start_ms, len(own), unserved, began))
+    return found
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from tests.core.engine_fleet import Fleet, Kind, Replay, draw_calls
+import math
+
+import pytest
+from attrs import evolve
+from tests.core.engine_fleet import Fleet, Kind, Replay, draw_calls, priority_inversions
 
 from goldcrestridge_core.admission import (
     LATE_RETRY_SHARE,
@@ -16,7 +20,7 @@
 MIN_ON_TIME_SHARE = 0.59  # The users' target for their grown fleet on days with faults.
 LONG = Kind(
     "long", 35.0, ((2_520.0, 4), (3_780.0, 200)), (2_890.0, 0.8, 18_300.0), (54.0, 0.8, 250.0),
-    1_535.0, 5_118.0, 800.0, 2, burst=(1_000.0, 9_000.0, 2.6),
+    1_535.0, 5_118.0, 800.0, 2, bursts=((1_000.0, 9_000.0, 2.6),),
 )  # fmt: skip
 SHORT = Kind(
     "short", 25.0, ((341.0, 7), (227.0, 200)), (1_800.0, 0.9, 6_870.0), (23.0, 0.8, 90.0),
@@ -65,6 +69,31 @@
         assert outcomes["refused"] + outcomes["failed"] <= outcomes.total() / 12.0
 
 
+OVERLOAD_MS = (500.0, 20_000.0)
+OVERLOAD_SECONDS = 22.0
+OVERLOAD_KINDS = (
+    evolve(LONG, rate=42.6, bursts=((*OVERLOAD_MS, 2.4),)),
+    evolve(SHORT, rate=32.6, bursts=((*OVERLOAD_MS, 2.0),)),
+    evolve(TIGHT, rate=16.3),
+)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("lost_answers", "killed"),
+    [(0.0, (math.inf, 0)), (0.026, (math.inf, 0)), (0.0, (6_000.0, 5))],
+    ids=["no-fault", "lost-answers", "killed-entries"],
+)
+def test_urgent_requests_are_not_refused_while_engines_are_taken_for_blocked(
+    lost_answers: float, killed: tuple[float, int], seed: int
+) -> None:
+    # Guards against requests that never produce output, because their answer or their entry node
+    # is lost, and for which the owners refuse urgent requests for seconds.
+    fleet = Fleet(15, 24, 200_716, 6, 20, OVERLOAD_KINDS, True, lost_answers, killed)
+    replayed = Replay(fleet, draw_calls(fleet.kinds, OVERLOAD_SECONDS, seed), seed).run()
+    assert not priority_inversions(replayed.calls)
+
+
 def test_first_attempts_may_wait_longer_than_late_retries() -> None:
     first_attempt = TimeBudget(1_500.0, 1_500.0, 5_000.0, least_urgent=True)
     late_retry = TimeBudget(1_500.0, 300.0, 3_500.0, least_urgent=True)
