Leave requests that were overtaken out of the forecast of an engine

Cause: the owner of an engine forecasts at least the age of the oldest prompt without output, since prompts are prefilled in order. A request whose answer is lost, or whose entry node was killed, never produces output, so the forecast grew up to its time limit (3 to 16 s) while the engine read on. Such an engine has few requests in flight, so placement asked it first. Urgent requests are refused only beyond 0.8 of their time limit, which only such forecasts reach.

Change: once a later prompt has ended its prefill, an earlier one no longer counts as ahead, and it occupies its slot for twice the mean run time at most. An engine that is silent for a second gets one probe. Of the unit tests, those of overtaken prompts, of their slots and of the probe fail on the former ledger.

--- a/packages/core/src/goldcrestridge_core/engine_ledger.py
+++ b/packages/core/src/goldcrestridge_core/engine_ledger.py
@@ -31,15 +31,23 @@
 YIELD_SHARE = 0.5
 # An admission that was not released is dropped this long after the time limit of its request.
 EXPIRY_MS = 1_000.0
+# An overtaken request occupies its slot for this multiple of the mean run time at most.
+OVERTAKEN_RUN_FACTOR = 2.0
+# An engine that ended no prefill and got no request for this time gets one whatever the age of its
+# oldest prompt, since it may be idle and the answer of that prompt lost.
+PROBE_INTERVAL_MS = 1_000.0
 
 
 @define
 class _Admission:
     work: float
     memory: float
+    priority: int
     granted_ms: float
     expires_ms: float
     prefilling: bool = True  # The prefill has not ended; it may not have begun either.
+    # A later prompt was prefilled first. Either the output of this one is lost, or its entry node.
+    overtaken: bool = False
 
 
 @define
@@ -49,7 +57,9 @@
     tokens_per_ms: float = INITIAL_TOKENS_PER_MS
     run_ms: float = INITIAL_RUN_MS
     _admitted: dict[str, _Admission] = field(factory=dict)
-    _last_prefill_end_ms: float = float("-inf")
+    _last_prefill_end_ms: float = -math.inf
+    _last_grant_ms: float = -math.inf
+    _slots: int = 0
     # By priority: the time of the last refusal, and the longest wait that the request allowed.
     _refused: dict[int, tuple[float, float]] = field(factory=dict)
 
@@ -61,8 +71,13 @@
             self._refused[request.priority] = (now_ms, request.longest_ms)
             return EngineRefusal(request.ticket, request.instance, wait_ms, cause)
         self._admitted[request.ticket] = _Admission(
-            request.work, request.memory, now_ms, now_ms + request.limit_ms + EXPIRY_MS
+            request.work,
+            request.memory,
+            request.priority,
+            now_ms,
+            now_ms + request.limit_ms + EXPIRY_MS,
         )
+        self._last_grant_ms, self._slots = now_ms, request.slots
         return EngineGrant(request.ticket, request.instance, wait_ms, cause)
 
     def record_prefill_end(self, ticket: str, now_ms: float) -> None:
@@ -71,12 +86,24 @@
         if item is None or not item.prefilling:
             return
         item.prefilling = False
+        self._mark_overtaken(item)
         took_ms = now_ms - max(item.granted_ms, self._last_prefill_end_ms)
         self._last_prefill_end_ms = now_ms
         if took_ms > 0:
             measured = min(MAX_TOKENS_PER_MS, max(MIN_TOKENS_PER_MS, item.work / took_ms))
             self.tokens_per_ms += (measured - self.tokens_per_ms) * RATE_EWMA_WEIGHT
 
+    def _mark_overtaken(self, ended: _Admission) -> None:
+        """Mark the earlier prompts that the engine would have prefilled before this one.
+
+        Engines prefill in the order of admission, but give free slots to urgent requests first.
+        """
+        has_queue = len(self._admitted) > self._slots
+        for item in self._admitted.values():
+            earlier = item.prefilling and item.granted_ms < ended.granted_ms
+            if earlier and (not has_queue or item.priority <= ended.priority):
+                item.overtaken = True
+
     def release(self, ticket: str, now_ms: float) -> None:
         """Remove a request that has ended and update the run time estimate."""
         item = self._admitted.pop(ticket, None)
@@ -87,10 +114,14 @@
         """Return the expected time in ms until the prefill begins, and its main cause."""
         if not self._admitted:
             return 0.0, WaitCause.NONE
-        prefilling = [item for item in self._admitted.values() if item.prefilling]
+        prefilling = [
+            item for item in self._admitted.values() if item.prefilling and not item.overtaken
+        ]
         # Prompts are prefilled in order, so a new one waits about as long as the oldest one has
         # waited, however wrong the estimates of work and rate are.
         oldest_ms = max((now_ms - item.granted_ms for item in prefilling), default=0.0)
+        if now_ms - max(self._last_prefill_end_ms, self._last_grant_ms) >= PROBE_INTERVAL_MS:
+            oldest_ms = 0.0
         work_ms = sum(item.work for item in prefilling) / self.tokens_per_ms
         memory = sum(item.memory for item in self._admitted.values()) + request.memory
         memory_limit = MEMORY_SHARE * request.capacity or math.inf
@@ -118,6 +149,11 @@
         return max(0.0, min((request.longest_ms, *bounds)))
 
     def _expire(self, now_ms: float) -> None:
-        expired = [name for name, item in self._admitted.items() if item.expires_ms <= now_ms]
+        overtaken_ms = now_ms - OVERTAKEN_RUN_FACTOR * self.run_ms
+        expired = [
+            name
+            for name, item in self._admitted.items()
+            if item.expires_ms <= now_ms or (item.overtaken and item.granted_ms <= overtaken_ms)
+        ]
         for name in expired:
             del self._admitted[name]
--- a/tests/core/engine_fleet.py
+++ b/tests/core/engine_fleet.py
@@ -29,6 +29,7 @@
     RequestEnded,
 )
 from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
+from goldcrestridge_core.follower import poll_interval_ms
 from goldcrestridge_core.placement import Demand, Placement, demand_of
 from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 from goldcrestridge_lab.chunked_engine import ChunkedEngine, PromptSegment, Run, Step
@@ -36,7 +37,6 @@
 SERVICE = "llm"
 # One-way latency between entry nodes on busy machines.
 HOP_MS = 8.0
-POLL_MS = 500.0
 # Time after which a lost entry node is no longer listed.
 UNLISTED_MS = 3_500.0
 UNSERVED = ("refused", "failed", "abandoned")
@@ -200,7 +200,8 @@
             self._placements[name].set_instances(listed)
             self._admission[name] = EngineAdmission(name)
             self._admission[name].handle(EntriesChanged(names), 0.0)
-            self._schedule(POLL_MS * number / len(names), self._poll, name)
+            poll_ms = poll_interval_ms(fleet.entries)
+            self._schedule(poll_ms * number / len(names), self._poll, name)
         for call in self.calls:
             self._schedule(call.arrived_ms, self._arrive, call)
         killed_ms, count = fleet.killed
@@ -245,7 +246,8 @@
         summed = tuple(InstanceLoad(instance, count) for instance, count in loads.items())
         self._placements[name].set_peer_workload(Workload(summed, (total,)))
         if any(not call.outcome for call in self.calls):
-            self._schedule(self.now_ms + POLL_MS, self._poll, name)
+            poll_ms = poll_interval_ms(self.fleet.entries)
+            self._schedule(self.now_ms + poll_ms, self._poll, name)
 
     # Life cycle of a call.
 
--- a/tests/core/test_engine_slots.py
+++ b/tests/core/test_engine_slots.py
@@ -8,6 +8,8 @@
     INITIAL_RUN_MS,
     INITIAL_TOKENS_PER_MS,
     MEMORY_SHARE,
+    OVERTAKEN_RUN_FACTOR,
+    PROBE_INTERVAL_MS,
     YIELD_MS,
     EngineLedger,
 )
@@ -114,6 +116,53 @@
     assert refusal_wait(ledger, engine_request("next", longest_ms=wait_ms), 100.0) is None
 
 
+def test_an_overtaken_prompt_does_not_count_as_ahead_of_later_ones() -> None:
+    # Guards against an engine that refuses urgent requests for the seconds in which a prompt whose
+    # answer is lost, or whose entry node was killed, stays in the ledger.
+    ledger = EngineLedger()
+    assert refusal_wait(ledger, engine_request("lost"), 0.0) is None
+    assert refusal_wait(ledger, engine_request("r0"), 1.0) is None
+    ledger.record_prefill_end("r0", 200.0)
+    assert refusal_wait(ledger, engine_request("r1", longest_ms=0.0), 2_000.0) is None
+
+
+def test_a_less_urgent_prompt_is_not_overtaken_while_requests_wait_for_slots() -> None:
+    # Guards against forecasts that leave out prompts which the engine lets urgent ones pass.
+    ledger = EngineLedger()
+    for number in range(9):
+        assert refusal_wait(ledger, engine_request(f"r{number}", 5_000.0, priority=2), 0.0) is None
+    assert refusal_wait(ledger, engine_request("urgent", 5_000.0, priority=0), 1.0) is None
+    ledger.record_prefill_end("urgent", 200.0)
+    wait_ms = refusal_wait(ledger, engine_request("next", longest_ms=0.0), 950.0)
+    assert wait_ms is not None
+    assert wait_ms >= 950.0
+
+
+def test_a_silent_engine_gets_a_probe_after_an_interval() -> None:
+    # Guards against an idle engine that stays unused until the time limit of a lost request, and
+    # against many requests for an engine that is lost.
+    ledger = EngineLedger()
+    assert refusal_wait(ledger, engine_request("lost"), 0.0) is None
+    before_ms = PROBE_INTERVAL_MS - 1.0
+    assert refusal_wait(ledger, engine_request("r0"), before_ms) == before_ms
+    assert refusal_wait(ledger, engine_request("r0"), PROBE_INTERVAL_MS) is None
+    assert refusal_wait(ledger, engine_request("r1"), PROBE_INTERVAL_MS + 1.0) is not None
+    ledger.record_prefill_end("r0", PROBE_INTERVAL_MS + 150.0)
+    assert refusal_wait(ledger, engine_request("r1"), PROBE_INTERVAL_MS + 151.0) is None
+
+
+def test_an_overtaken_request_occupies_its_slot_only_for_the_usual_run_time() -> None:
+    # Guards against slots that stay taken until the time limit of requests that are lost.
+    ledger = EngineLedger()
+    for number in range(7):
+        assert refusal_wait(ledger, engine_request(f"lost{number}", 5_000.0), 0.0) is None
+    assert refusal_wait(ledger, engine_request("last", 5_000.0), 1.0) is None
+    ledger.record_prefill_end("last", 100.0)
+    assert refusal_wait(ledger, engine_request("next", longest_ms=0.0), 200.0) is not None
+    later_ms = OVERTAKEN_RUN_FACTOR * INITIAL_RUN_MS
+    assert refusal_wait(ledger, engine_request("next", longest_ms=0.0), later_ms) is None
+
+
 def test_a_refusal_names_what_the_wait_consists_of() -> None:
     # Guards against refusals whose cause cannot be told from the log.
     def cause(request: EngineRequest, now_ms: float) -> WaitCause:
