Use an engine whose owner is silent for an urgent request before refusing it

A request whose candidates all have lost owners is sent without admission, whatever its priority. An urgent request with one lost owner and refusals from the others got 503 instead, beside less urgent ones that were sent: the same inversion in the search of an entry node.

Such a request now goes to the engine whose owner did not answer. Least urgent requests are refused as before. The new unit test failed before (EngineDenied with a wait of 600 ms).

--- a/packages/core/src/goldcrestridge_core/engine_slots.py
+++ b/packages/core/src/goldcrestridge_core/engine_slots.py
@@ -54,6 +54,7 @@
     shortest_wait_ms: float = math.inf
     cause: WaitCause = WaitCause.NONE  # Of the shortest wait.
     best_index: int = 0  # Index of the candidate with the shortest wait.
+    unanswered_index: int | None = None  # Index of the first candidate whose owner is silent.
     final: bool = False  # The best candidate is asked again, with the fallback wait.
 
     @property
@@ -150,13 +151,15 @@
             event.priority,
             longest_ms,
             event.limit_ms,
-            late=item.final and event.fallback_wait_ms > event.max_wait_ms,
+            late=item.final and event.urgent,
         )
         self._send(item.owner, request, now_ms)
 
     def _try_next(self, ticket: str, now_ms: float) -> None:
         """Ask about the next candidate; after the last one ask the best again or end the search."""
         item = self._searches[ticket]
+        if item.owner is None and item.unanswered_index is None:
+            item.unanswered_index = item.index
         if not item.final and item.index + 1 < len(item.event.candidates):
             item.index += 1
             self._request_admission(ticket, now_ms)
@@ -166,14 +169,22 @@
             self._request_admission(ticket, now_ms)
             return
         del self._searches[ticket]
-        if item.shortest_wait_ms == math.inf or (item.final and item.owner is None):
-            # No engine owner answered, or that of the best candidate did not answer the final
-            # request, although its earlier answer was within the fallback wait.
-            index = item.index if item.final else 0
-            instance = item.event.candidates[index].instance
-            self._effects.append(EngineFound(ticket, instance, admitted=False))
+        index = self._engine_without_admission(item)
+        if index is None:
+            self._effects.append(EngineDenied(ticket, item.shortest_wait_ms, item.cause))
             return
-        self._effects.append(EngineDenied(ticket, item.shortest_wait_ms, item.cause))
+        instance = item.event.candidates[index].instance
+        self._effects.append(EngineFound(ticket, instance, admitted=False))
+
+    def _engine_without_admission(self, item: _EngineSearch) -> int | None:
+        """Return the candidate to use without admission, or None if the request is refused."""
+        if item.shortest_wait_ms == math.inf:
+            return 0
+        if item.final and item.owner is None:
+            # Its earlier answer was within the fallback wait.
+            return item.index
+        # Less urgent requests whose candidates all have lost owners are not refused either.
+        return item.unanswered_index if item.event.urgent else None
 
     def _on_refused(self, message: EngineRefusal, now_ms: float) -> None:
         item = self._awaiting(message.ticket, message.instance)
--- a/packages/core/src/goldcrestridge_core/engine_types.py
+++ b/packages/core/src/goldcrestridge_core/engine_types.py
@@ -113,6 +113,11 @@
     fallback_wait_ms: float
     limit_ms: float
 
+    @property
+    def urgent(self) -> bool:
+        """Return whether the request is rather late than refused."""
+        return self.fallback_wait_ms > self.max_wait_ms
+
 
 @frozen
 class EngineFound:
--- a/tests/core/test_engine_slots.py
+++ b/tests/core/test_engine_slots.py
@@ -224,6 +224,24 @@
     assert middle.admitted
 
 
+def test_an_urgent_request_uses_an_engine_without_owner_rather_than_being_refused() -> None:
+    # Guards against urgent requests that are refused next to a lost entry node, while less urgent
+    # ones are sent to the engines that it owned without admission.
+    net = Net()
+    names = [f"i{n}" for n in range(20)]
+    lost = next(name for name in names if net.nodes[NODES[0]]._owner(name) == "c")
+    busy = next(name for name in names if net.nodes[NODES[0]]._owner(name) == "a")
+    for number in range(6):
+        net.post(NODES[0], find_engine(f"r{number}", busy))
+    net.down.add(NODES[2])
+    candidates = tuple(Candidate(name, WORK, 1_000.0, 100_000.0, 24) for name in (lost, busy))
+    net.post(NODES[0], FindEngine("urgent", candidates, 0, 100.0, 400.0, 5_000.0))
+    net.post(NODES[0], FindEngine("least urgent", candidates, 2, 100.0, 100.0, 5_000.0))
+    net.post(NODES[0], Tick(), REPLY_TIMEOUT_MS)
+    assert net.results["urgent"] == EngineFound("urgent", lost, admitted=False)
+    assert isinstance(net.results["least urgent"], EngineDenied)
+
+
 def test_nodes_share_one_ledger_for_each_engine() -> None:
     # Guards against nodes that each admit a full backlog to the same engine.
     net = Net()
