Tell engines the priority of the route beside that of the workspace

Cause: the priority of a workspace replaced that of the route in the header to engines. An engine preempts the newest of the least urgent requests, whatever its route, and admits from its queue in the order of arrival.

Change: engines get a rank. The workspace goes first, as the platform asks, then the route. Ranks are numbered densely and stay within the ten levels of engines. The new test of the gateway failed before (1 < 1).

--- a/packages/core/src/goldcrestridge_core/routes.py
+++ b/packages/core/src/goldcrestridge_core/routes.py
@@ -10,6 +10,8 @@
 # Duration of an engine step that includes a prefill chunk of a long prompt: 1,024 tokens at
 # 41 tokens/ms, attention to the preceding tokens, and a margin.
 PREFILL_STEP_MS = 45.0
+# Number of urgency levels that engines distinguish.
+MAX_RANKS = 10
 
 
 class RouteKind(enum.Enum):
@@ -101,7 +103,7 @@
 
 @frozen
 class RoutedWorkspace:
-    """A workspace with its keys; its priority, if set, replaces that of the route."""
+    """A workspace with its keys; its priority, if set, goes before that of the route."""
 
     name: str
     keys: tuple[str, ...]
@@ -122,6 +124,7 @@
 
     _tight: frozenset[str] = field(init=False, eq=False, repr=False)
     _least_urgent: dict[str, int] = field(init=False, eq=False, repr=False)
+    _ranks: dict[tuple[int, int], int] = field(init=False, eq=False, repr=False)
 
     @_tight.default
     def _find_tight(self) -> frozenset[str]:
@@ -140,6 +143,18 @@
                 least[share.service] = max(least.get(share.service, 0), route.priority)
         return least
 
+    @_ranks.default
+    def _rank_priorities(self) -> dict[tuple[int, int], int]:
+        pairs = sorted(
+            {
+                _priorities(route, workspace)
+                for route in self.routes
+                for workspace in (None, *self.workspaces)
+            }
+        )
+        levels = min(len(pairs), MAX_RANKS)
+        return {pair: number * levels // len(pairs) for number, pair in enumerate(pairs)}
+
     @_hosts.default
     def _index_hosts(self) -> dict[str, dict[str, Route]]:
         hosts: dict[str, dict[str, Route]] = {}
@@ -173,11 +188,26 @@
         """Return whether no route to a service is less urgent than ``priority``."""
         return priority >= self._least_urgent.get(service, 0)
 
+    def rank(self, route: Route, workspace: RoutedWorkspace | None) -> int:
+        """Return the urgency of a request for engines, from 0 for the most urgent ones.
+
+        The priority of the route still orders the requests of workspaces of one priority, so that
+        engines do not preempt their urgent requests while less urgent ones run.
+        """
+        return self._ranks[_priorities(route, workspace)]
+
     def workspace_for_key(self, key: str) -> RoutedWorkspace | None:
         """Return the workspace that holds a key, or None."""
         return self._keys.get(key)
 
 
+def _priorities(route: Route, workspace: RoutedWorkspace | None) -> tuple[int, int]:
+    """Return the priority of the workspace, or else of the route, and then that of the route."""
+    if workspace is None or workspace.priority is None:
+        return route.priority, route.priority
+    return workspace.priority, route.priority
+
+
 def _prefixes(path: str) -> Iterable[str]:
     """Return the prefixes of a path that end with a slash, the longest first."""
     end = path.rfind("/")
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -183,14 +183,12 @@
             )
             demand = demand_of(prefix, prefix_tokens, head.prompt_tokens, head.output_tokens, tight)
         self.dependencies.placement.record_arrival(service, demand, now_ms)
-        priority = route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
-        record.priority = priority
+        rank = table.rank(route, workspace)
+        record.rank = rank
         record.prompt_tokens, record.output_tokens = head.prompt_tokens, head.output_tokens
         engine = entry.engine if entry is not None else None
         least_urgent = table.is_least_urgent(service, route.priority)
-        return AdmittedRequest(route, workspace, service, demand, priority, engine, least_urgent)
+        return AdmittedRequest(route, workspace, service, demand, rank, engine, least_urgent)
 
     def is_still_authorized(self, admitted: AdmittedRequest, key: str | None) -> bool:
         """Tell whether the key of a request that has waited is valid in the current routes."""
--- a/packages/node/src/goldcrestridge_node/gateway_parts.py
+++ b/packages/node/src/goldcrestridge_node/gateway_parts.py
@@ -67,13 +67,14 @@
 class AdmittedRequest:
     """A request that the routes admit.
 
-    ``least_urgent`` tells whether no route of the service is less urgent.
+    ``rank`` is the urgency that engines get, 0 for the most urgent requests. ``least_urgent`` tells
+    whether no route of the service is less urgent.
     """
 
     route: Route
     workspace: RoutedWorkspace | None
     service: str
     demand: Demand
-    priority: int
+    rank: int
     engine: EngineLimits | None = None
     least_urgent: bool = True
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -32,7 +32,6 @@
 if TYPE_CHECKING:
     from goldcrestridge_node.gateway import Gateway
 
-LOWEST_PRIORITY = 9
 # An upstream receives the remaining time and ends by itself. This node waits for this much longer.
 UPSTREAM_GRACE_MS = 80.0
 
@@ -159,8 +158,7 @@
         return FindEngine(
             self.gateway.next_ticket(),
             candidates,
-            # The priority of the route. A workspace's own priority orders its requests but does not
-            # displace others.
+            # The priority of the route alone, so that workspaces of one route share its engines.
             self.admitted.route.priority,
             max_wait_ms(time_budget),
             fallback_wait_ms(time_budget),
@@ -227,7 +225,7 @@
             instance.instance,
             max(1, int(self.forwarding.left_ms(self._now_ms))),
             workspace.name if workspace is not None else "",
-            min(LOWEST_PRIORITY, max(0, self.admitted.priority)),
+            self.admitted.rank,
             self._splitter.last_id,
         )
 
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -29,7 +29,7 @@
     outcome: str = ""
     reason: str = ""
     status: int = 0
-    priority: int = 0
+    rank: int = 0
     prompt_tokens: int = 0
     output_tokens: int = 0
     attempts: list[str] = field(factory=list)
@@ -80,7 +80,7 @@
             routes_age_ms=round(record.routes_age_ms),
             took_ms=round(took_ms, 1),
             first_ms=None if record.first_event_ms is None else round(record.first_event_ms, 1),
-            priority=record.priority,
+            rank=record.rank,
             prompt_tokens=record.prompt_tokens,
             output_tokens=record.output_tokens,
             admissions=record.admissions,
--- a/tests/core/test_routes.py
+++ b/tests/core/test_routes.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from attrs import evolve
+
 from goldcrestridge_core.routes import (
+    MAX_RANKS,
     CallerLimits,
     Route,
     RoutedWorkspace,
@@ -54,3 +57,26 @@
     assert table.workspace_for_key("k2") is workspaces[0]
     assert table.workspace_for_key("k3") is workspaces[1]
     assert table.workspace_for_key("k4") is None
+
+
+def test_the_rank_follows_the_workspace_first_and_then_the_route() -> None:
+    # Guards against a workspace whose urgent requests are preempted for less urgent ones, because
+    # all of its requests have the priority of the workspace.
+    routes = [evolve(route(f"r{n}", f"/{n}/"), priority=n) for n in range(3)]
+    workspaces = [RoutedWorkspace(f"w{n}", (f"k{n}",), n) for n in range(2)]
+    table = RouteTable(1, tuple(routes), {}, LIMITS, tuple(workspaces))
+    ranks = [table.rank(item, workspace) for workspace in workspaces for item in routes]
+    assert ranks == sorted(set(ranks))
+    assert table.rank(routes[1], None) == table.rank(routes[1], workspaces[1])
+    without_priority = [table.rank(item, None) for item in routes]
+    assert without_priority == sorted(set(without_priority))
+
+
+def test_ranks_stay_within_the_levels_of_engines_and_in_order() -> None:
+    # Guards against a value that an engine does not accept, and against routes out of order.
+    routes = [evolve(route(f"r{n}", f"/{n}/"), priority=3 * n) for n in range(5)]
+    workspaces = [RoutedWorkspace(f"w{n}", (f"k{n}",), n) for n in range(4)]
+    table = RouteTable(1, tuple(routes), {}, LIMITS, tuple(workspaces))
+    ranks = [table.rank(item, workspace) for workspace in workspaces for item in routes]
+    assert ranks == sorted(ranks)
+    assert 0 <= min(ranks) <= max(ranks) < MAX_RANKS
--- a/tests/node/test_gateway.py
+++ b/tests/node/test_gateway.py
@@ -7,6 +7,7 @@
 import anyio
 import httpcore
 import pytest
+from attrs import evolve
 from tests.node.gateway_helpers import (
     KEY,
     ScriptedUpstream,
@@ -16,7 +17,7 @@
     running_gateway,
 )
 
-from goldcrestridge_core.routes import EngineLimits
+from goldcrestridge_core.routes import EngineLimits, RoutedWorkspace, RouteTable
 
 pytestmark = pytest.mark.anyio
 
@@ -390,3 +391,27 @@
             assert (await running.call("/read/x")).status == 200
     denied = [line for line in running.log_lines if "denied" in str(line.get("attempts"))]
     assert len(denied) == 1
+
+
+async def test_engines_learn_the_priority_of_the_route_also_for_a_workspace_with_its_own() -> None:
+    # Guards against an engine that preempts urgent requests of a workspace while less urgent ones
+    # run, because the priority of the workspace replaces that of each of its routes.
+    upstream = ScriptedUpstream("i1", [ok])
+    async with running_gateway(upstream, engine=EngineLimits(24, 100_000)) as running:
+        routes = running.gateway.dependencies.routes
+        assert routes.table is not None
+        table = routes.table
+        priorities = {"read": 2, "stream": 0}
+        changed = tuple(
+            evolve(route, priority=priorities.get(route.name, route.priority))
+            for route in table.routes
+        )
+        workspaces = (RoutedWorkspace("w1", (KEY,), priority=1),)
+        routes.table = RouteTable(2, changed, table.services, table.limits, workspaces)
+        for path in ("/stream/x", "/read/x"):
+            await running.call(path)
+    urgent, other = (
+        int(exchange.headers["x-goldcrestridge-request-priority"])
+        for exchange in upstream.exchanges
+    )
+    assert urgent < other
