Notify nodes that start after an upstream began to leave

Cause: a shard owner announces a leaving upstream once, when it learns of it. A node that was down at that moment starts without the notice, and when the owner is lost it admits requests locally and may choose that upstream. In the trace, r2 is down from 48,853 to 49,093 ms, the notice goes out at 48,853 ms, and r2 sends q178 to engine-1 at 63,745 ms while no shard has an owner.

--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -118,7 +118,7 @@
         elif isinstance(event, member_types.MemberDown):
             self._handle_member_down(event.node, now_ms)
         elif isinstance(event, member_types.MemberUp):
-            self._handle_member_up(event.member, now_ms)
+            effects += self._handle_member_up(event.member, now_ms)
         elif isinstance(event, types.LeaseExtended) and event.epoch == self.epoch:
             self.lease_until_ms = max(self.lease_until_ms, event.until_ms)
         effects += self._apply_decisions(now_ms)
@@ -318,16 +318,22 @@
                 del self._waiting[attempt]
                 self.queue.remove(waiting)
 
-    def _handle_member_up(self, member: member_types.Member, now_ms: float) -> None:
-        """Mark the grants of a node as lost if it may have restarted.
+    def _handle_member_up(self, member: member_types.Member, now_ms: float) -> list[Any]:
+        """Mark the grants of a node as lost if it may have restarted, and notify it.
 
         A restarted node sends no reports until it has new requests, so its old grants would not
         be missing from the two successive reports that mark them as lost. A node that did not
-        restart reports its grants before the grant timeout, which clears the mark.
+        restart reports its grants before the grant timeout, which clears the mark. A node that was
+        down when an upstream began to leave must know of it before it admits requests locally.
         """
-        if member.incarnation > self._incarnations.get(member.node, -1):
-            self._incarnations[member.node] = member.incarnation
-            self.grants.mark_entry_lost(member.node, now_ms)
+        if member.incarnation <= self._incarnations.get(member.node, -1):
+            return []
+        self._incarnations[member.node] = member.incarnation
+        self.grants.mark_entry_lost(member.node, now_ms)
+        return [
+            types.Send(member.node, types.UpstreamLeaving(upstream, self.node))
+            for upstream in self._leaving_since_ms
+        ]
 
     def _apply_decisions(self, now_ms: float) -> list[Any]:
         """Reclaim lost grants, refuse requests, grant free slots and send due summaries."""
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -353,6 +353,17 @@
     assert refusal.reason is types.Reason.NO_UPSTREAM
 
 
+def test_a_node_that_starts_after_an_upstream_began_to_leave_is_notified() -> None:
+    # Guards against a restarted node that admits requests locally on a leaving upstream (P6).
+    harness = Harness()
+    harness.grant()
+    harness.send(types.LoadReport(types.UpstreamId("u"), 0.0, 1, 0, 1, leaving=True))
+    sent = harness.handle(member_types.MemberUp(member(7)))
+    notice = types.UpstreamLeaving(types.UpstreamId("u"), harness.owner.node)
+    assert sent == [notice]
+    assert not harness.handle(member_types.MemberUp(member(7)))
+
+
 def test_a_leaving_notice_removes_the_free_slots_of_the_upstream() -> None:
     # Guards against a leaving notice that the owner forwards without applying it.
     harness = Harness(slots=4)
