Announce the owner of a shard to draining nodes as well

Cause: ownership announces a new owner to live nodes only. A draining node is not among them, yet its requests in flight still wait for slots. In the trace, r2 drains and gives up the shard; e1 owns it from 72,697 ms, r2 keeps no owner until 127,854 ms, and its local admission avoids all three engines, since each had been leaving before and only a grant of an owner ends that.

--- a/packages/core/src/goldcrestridge_core/ownership.py
+++ b/packages/core/src/goldcrestridge_core/ownership.py
@@ -113,6 +113,8 @@
     rng: random.Random
     _shards: dict[ShardId, _Shard] = field(factory=dict)
     _nodes: dict[NodeId, None] = field(factory=dict)
+    # Nodes that drain own no shards, but may still have requests that wait for an owner.
+    _leaving: dict[NodeId, None] = field(factory=dict)
     _proposals: dict[str, ShardId] = field(factory=dict)
     _early_announcements: dict[ShardId, tuple[NodeId, int]] = field(factory=dict)
     _proposal_count: int = 0
@@ -155,11 +157,19 @@
             case ShardsChanged(shards=shards):
                 return self._set_shards(shards, now_ms)
             case MemberUp(member=member):
+                self._leaving.pop(member.node, None)
                 live = member.state in (MemberState.ALIVE, MemberState.SUSPECT)
                 if live and ENTRY_ROLE in member.roles:
                     return self._add_node(member.node)
                 self._remove_node(member.node, now_ms)
-            case MemberLeaving(node=node) | MemberDown(node=node):
+                if member.state is MemberState.LEAVING and ENTRY_ROLE in member.roles:
+                    self._leaving[member.node] = None
+            case MemberLeaving(node=node):
+                if node in self._nodes:
+                    self._leaving[node] = None
+                self._remove_node(node, now_ms)
+            case MemberDown(node=node):
+                self._leaving.pop(node, None)
                 self._remove_node(node, now_ms)
             case ProposalDone(proposal_id=proposal_id, result=result):
                 return self._handle_result(proposal_id, result, now_ms)
@@ -376,7 +386,11 @@
         else:
             standbys = [n for n in state.ranking.first(STANDBYS + 1) if n != self.own]
             receivers = list(dict.fromkeys([*standbys, *self.rng.sample(others, bool(others))]))
-        return [Send(node, OwnerAnnounce(shard, self.own, state.held_epoch)) for node in receivers]
+        leaving = [node for node in self._leaving if node != self.own]
+        return [
+            Send(node, OwnerAnnounce(shard, self.own, state.held_epoch))
+            for node in dict.fromkeys([*receivers, *leaving])
+        ]
 
     def _learn_owner(self, shard: ShardId, owner: NodeId, epoch: int, now_ms: float) -> list[Any]:
         """Record an owner with a higher epoch, also in place of this node."""
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -22,15 +22,17 @@
     ReleaseOwnership,
     ShardsChanged,
 )
-from goldcrestridge_core.ownership import LEASE_MS, Ownership
+from goldcrestridge_core.ownership import LEASE_MS, RENEW_MS, Ownership
 from goldcrestridge_core.shards import SHARD_UPSTREAMS, Ranking, split
 from goldcrestridge_core.store_types import AcquireLease, LeaseResult, ReleaseLease
 from goldcrestridge_core.types import (
     NodeId,
     ProposalDone,
     Receive,
+    Send,
     ShardId,
     SubmitProposal,
+    Tick,
     UpstreamId,
 )
 from goldcrestridge_lab.carrier_members import BlockedLinks, Host, SimulatedNetwork, member, node_id
@@ -319,3 +321,25 @@
     assert ownership.handle(Receive(node_id(2), announce), 0.0) == []
     effects = ownership.handle(ShardsChanged(SHARDS), 1.0)
     assert OwnerChanged(SHARDS[0], node_id(2), 7) in effects
+
+
+def test_a_draining_node_learns_the_owner_that_follows_until_it_is_gone() -> None:
+    # Guards against requests that wait at a draining node until their timeout, because it does not
+    # know the next owner of the shard.
+    role = Ownership(node_id(0), "1", random.Random(1))
+    role.handle(ShardsChanged(SHARDS[:1]), 0.0)
+    for number in range(2):
+        role.handle(MemberUp(member(number)), 0.0)
+    role.handle(MemberLeaving(node_id(1)), 50.0)
+    announced = []
+    for fencing, now_ms in ((1, 100.0), (1, 200.0), (2, 900.0)):
+        result = LeaseResult(True, node_id(0), fencing)
+        effects = role.handle(ProposalDone(role._shards[SHARDS[0]].proposal_id, result), now_ms)
+        announced += [effect for effect in effects if isinstance(effect, Send)]
+    assert announced == [Send(node_id(1), OwnerAnnounce(SHARDS[0], node_id(0), 2))]
+    role.handle(MemberDown(node_id(1)), 950.0)
+    role.handle(Tick(), 900.0 + RENEW_MS)
+    result = LeaseResult(True, node_id(0), 2)
+    proposal = role._shards[SHARDS[0]].proposal_id
+    effects = role.handle(ProposalDone(proposal, result), 901.0 + RENEW_MS)
+    assert not [effect for effect in effects if isinstance(effect, Send)]
