--- a/packages/core/src/goldcrestridge_core/engine_ledger.py
+++ b/packages/core/src/goldcrestridge_core/engine_ledger.py
@@ -1,9 +1,12 @@
 """Ledger of the requests admitted to one model engine, kept by the engine owner.
 
-Traffic pattern that it handles: long prompts arrive faster than the engine prefills them. Engines
-prefill prompts in order of arrival, so without a bound all requests of a burst would be late. The
-engine owner admits only requests whose prefill begins in time and whose memory fits next to the
-shared prefixes in the cache.
+Traffic patterns that it handles:
+- Long prompts arrive faster than the engine prefills them. Engines prefill prompts in order of
+  arrival, so without a bound all requests of a burst would be late. The engine owner admits only
+  requests whose prefill begins in time and whose memory fits next to the shared prefixes in the
+  cache.
+- Answers or entry nodes are lost under load. The end of such a prefill is never reported, so the
+  engine counts as busy with it only until a later prompt has been prefilled.
 """
 
 from __future__ import annotations
--- a/packages/core/src/goldcrestridge_core/engine_slots.py
+++ b/packages/core/src/goldcrestridge_core/engine_slots.py
@@ -52,7 +52,7 @@
     reply_by_ms: float = math.inf
     admitted: bool = False
     shortest_wait_ms: float = math.inf
-    cause: WaitCause = WaitCause.NONE  # Of the shortest wait.
+    shortest_wait_cause: WaitCause = WaitCause.NONE
     best_index: int = 0  # Index of the candidate with the shortest wait.
     unanswered_index: int | None = None  # Index of the first candidate whose owner is silent.
     final: bool = False  # The best candidate is asked again, with the fallback wait.
@@ -171,7 +171,9 @@
         del self._searches[ticket]
         index = self._engine_without_admission(item)
         if index is None:
-            self._effects.append(EngineDenied(ticket, item.shortest_wait_ms, item.cause))
+            self._effects.append(
+                EngineDenied(ticket, item.shortest_wait_ms, item.shortest_wait_cause)
+            )
             return
         instance = item.event.candidates[index].instance
         self._effects.append(EngineFound(ticket, instance, admitted=False))
@@ -191,7 +193,7 @@
         if item is None:
             return
         if message.wait_ms < item.shortest_wait_ms:
-            item.shortest_wait_ms, item.cause = message.wait_ms, message.cause
+            item.shortest_wait_ms, item.shortest_wait_cause = message.wait_ms, message.cause
             item.best_index = item.index
         self._try_next(message.ticket, now_ms)
 
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -8,6 +8,8 @@
   engines of their own, as many as their share of the work requires.
 - A hot prefix: it spills over to the next engine in its rendezvous order once the first one has
   clearly more load than the mean.
+- Many entry nodes that learn each other's load late: each chooses among a random sample of the
+  engines, so that they do not all send their requests to the same one.
 - Instances that fail, hang or crash while they are still listed: they get no requests during a
   backoff that doubles with each consecutive failure, and then a single probe request.
 """
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -121,10 +121,10 @@
                 # The caller cannot be told that the request has not run, so a denial would leave it
                 # without a response. The request is sent to a busy engine instead.
                 return candidates[0]
-            asked = " ".join(item.instance for item in candidates[1:])
+            asked = " ".join(item.instance for item in candidates)
             reason = (
                 f"none of {len(candidates)} engines can start in {event.max_wait_ms:.0f} ms, "
-                f"{result.cause.value}, also asked {asked}"
+                f"{result.cause.value}, asked {asked}"
             )
             self.record.add_attempt(candidates[0].instance, "denied", reason, result.wait_ms)
             spread = self.gateway.dependencies.placement.rng.random()
