End the backoff of an upstream that reports again after a gap

Cause: each failed connection doubles the backoff of an upstream, up to 30 s. After an outage all engines of a pool are in such a backoff, so nothing is granted or released for seconds after they work again. The measured release rate fades meanwhile (8.4 to 1.5 a second), and with it the bound on waiting requests, which are then refused.

A load report after a gap of over 2 s shows that the upstream has been started again, so its backoff ends; it stays suspect and gets one call at a time until one completes. An upstream that reports all the time and fails its calls keeps its backoff.

The new unit test of the chooser failed before.

--- a/packages/core/src/goldcrestridge_core/choice.py
+++ b/packages/core/src/goldcrestridge_core/choice.py
@@ -38,6 +38,8 @@
 FIRST_BACKOFF_MS = 500.0
 MAX_BACKOFF_MS = 30_000.0
 FAILURES_BEFORE_BACKOFF = 3  # For failed calls; a failed connect backs off at once.
+# An upstream that reports again after a gap of several report intervals has been started again.
+REPORT_GAP_MS = 2_000.0
 
 _LAST_ORDER_KEY = (math.inf, 0, 0)
 
@@ -236,6 +238,9 @@
         report_ms = now_ms - report.age_ms
         if state is None or report_ms <= state.reported_ms or report.age_ms > MAX_REPORT_AGE_MS:
             return
+        if report_ms - state.reported_ms > REPORT_GAP_MS:
+            # One call at a time follows, since the upstream stays suspect until one completes.
+            state.blocked_until_ms = min(state.blocked_until_ms, now_ms)
         state.reported_ms = report_ms
         state.slots = report.slots if report.slots > 0 else state.upstream.slots
         for times in (state.granted_ms, state.ended_ms):
--- a/tests/core/test_choice.py
+++ b/tests/core/test_choice.py
@@ -335,6 +335,26 @@
     assert chooser.free_slots(502.0) == SLOTS
 
 
+def test_an_upstream_that_reports_again_after_a_gap_gets_a_call_before_its_backoff_ends() -> None:
+    # Guards against a pool that works again after an outage, but gets no calls for up to 30 s, and
+    # against calls to an upstream that reports all the time and fails each call.
+    for reports_meanwhile, free in ((False, 1), (True, 0)):
+        chooser = PrefixChooser()
+        chooser.set_upstreams(UPSTREAMS[:1])
+        report = LoadReport(NAMES[0], 0.0, 0, 0, SLOTS)
+        chooser.apply_load_report(report, 0.0)
+        for step in range(60):
+            now_ms = 500.0 * step
+            if reports_meanwhile:
+                chooser.apply_load_report(report, now_ms)
+            if chooser.choose(slot_request(), 10, now_ms) is not None:
+                grant = held_grant(step, NAMES[0])
+                chooser.record_grant(grant, (), 10, now_ms)
+                chooser.record_end(slot_release(grant, GrantEnd.CONNECT_FAILED), now_ms)
+        chooser.apply_load_report(report, now_ms + 500.0)
+        assert chooser.free_slots(now_ms + 500.0) == free
+
+
 def test_leaving_upstream_gets_no_work_until_a_much_later_report() -> None:
     # Guards against a delayed report that revokes the leaving notice.
     chooser = PrefixChooser()
