--- a/tests/core/engine_fleet.py
+++ b/tests/core/engine_fleet.py
@@ -41,6 +41,7 @@
 UNLISTED_MS = 3_500.0
 UNSERVED = ("refused", "failed", "abandoned")
 WINDOW_MS = 5_000.0
+WINDOW_STEP_MS = 500.0
 
 
 @frozen
@@ -423,8 +424,9 @@
     }
     found = []
     last_ms = max(call.arrived_ms for call in calls)
-    for step in range(int(max(0.0, last_ms - window_ms) / 500.0) + 1):
-        start_ms, end_ms = 500.0 * step, 500.0 * step + window_ms
+    for step in range(int(max(0.0, last_ms - window_ms) / WINDOW_STEP_MS) + 1):
+        start_ms = WINDOW_STEP_MS * step
+        end_ms = start_ms + window_ms
         arrived = [call for call in calls if start_ms <= call.arrived_ms < end_ms]
         for name, kind in kinds.items():
             own = [call for call in arrived if call.kind is kind]
