Log the limits that upstreams name

The adapter decodes Server-Limit from each answer of the instance itself, also from a rejection, and an entry node logs each change. An answer that was overtaken by a newer one changes nothing. No decision uses the limit yet.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -56,6 +56,22 @@
     tight: float = 0.0
 
 
+@message
+@frozen
+class NamedLimit:
+    """The limit in an answer of an instance: requests a second from all entry nodes together.
+
+    ``per_second`` is None if the answer names no limit. ``sent_age_ms`` and ``answered_age_ms`` are
+    the times since the request was sent and since its answer arrived, both at the sender of this
+    message.
+    """
+
+    instance: str
+    per_second: float | None
+    sent_age_ms: float
+    answered_age_ms: float
+
+
 @message
 @frozen
 class Workload:
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -29,6 +29,7 @@
     UpstreamInstance,
     Workload,
 )
+from goldcrestridge_core.rate_limits import RateLimits
 from goldcrestridge_core.rendezvous import weight
 
 # Backoff of an instance after its first failure; it doubles with each consecutive failure.
@@ -208,13 +209,14 @@
     """Choose an instance for each request from the health and load of all instances.
 
     ``live_entries`` is the number of live entry nodes. ``listed`` tells whether the list of
-    instances has been received.
+    instances has been received. ``limits`` holds the request rates that instances name.
     """
 
     data_centre: str
     rng: random.Random
     live_entries: int = 1
     listed: bool = False
+    limits: RateLimits = field(factory=RateLimits)
     _services: dict[str, tuple[UpstreamInstance, ...]] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
     _recent_work: dict[str, _RecentWork] = field(factory=dict)
@@ -232,6 +234,7 @@
             for name, health in self._health.items()
             if name in listed or health.in_flight
         }
+        self.limits.retain(listed)
 
     def choose(
         self, service: str, demand: Demand, excluded: Collection[str], now_ms: float
--- a/packages/node/src/goldcrestridge_node/dialect.py
+++ b/packages/node/src/goldcrestridge_node/dialect.py
@@ -49,7 +49,8 @@
     that another instance answered at the address. ``authentic`` tells whether the response is
     accepted as the upstream's own. ``load`` is the number of its running and waiting requests.
     ``idle_limit_ms`` is how long the upstream keeps an idle connection open: 0 if it closes this
-    connection, None if it does not say.
+    connection, None if it does not say. ``limit_per_second`` is the number of requests a second
+    that it takes from all entry nodes together, or None if it names no limit.
     """
 
     request_id: bytes | None
@@ -59,6 +60,7 @@
     authentic: bool = False
     load: int | None = None
     idle_limit_ms: float | None = None
+    limit_per_second: float | None = None
 
 
 @frozen
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator, AsyncIterable
+from collections.abc import AsyncGenerator, AsyncIterable, Callable
 from typing import Any
 
 import anyio
@@ -63,6 +63,11 @@
     upstream_fault: bool = True
     wrong_instance: bool = False
 
+    @property
+    def rejected(self) -> bool:
+        """Return whether the instance itself answered that it did not run the request."""
+        return self.outcome is AttemptOutcome.NOT_RUN and not self.wrong_instance
+
 
 class IncompleteResponseError(Exception):
     """Raised for a response that did not end properly; the text contains no content of it."""
@@ -99,13 +104,22 @@
             await self._pool.release(self._conn)
 
 
+def _ignore(_instance: UpstreamInstance, _head: UpstreamResponseHead, _sent_ms: float, /) -> None:
+    """Do nothing with the head of an answer."""
+
+
 @define(eq=False)
 class Dispatcher:
-    """Send requests to upstream instances, with one bounded connection pool for each address."""
+    """Send requests to upstream instances, with one bounded connection pool for each address.
+
+    ``observe`` is called with the head of each valid answer, also of a rejection, and with the
+    monotonic time in milliseconds at which its request was sent.
+    """
 
     dialect: Dialect
     clock: Clock
     options: DispatchOptions = Factory(DispatchOptions)
+    observe: Callable[[UpstreamInstance, UpstreamResponseHead, float], None] = _ignore
     _pools: dict[str, ConnectionPool] = field(init=False, factory=dict)
     _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=httpcore.AnyIOBackend)
 
@@ -143,6 +157,7 @@
         http_request = _build_request(
             request, self.dialect.write_upstream(request.caller_head, request_head), pool.origin
         )
+        sent_ms = self.clock.now_ms()
         try:
             with anyio.fail_after(max(0.0, timeout_ms) / MS_PER_SECOND):
                 response = await conn.handle_async_request(http_request)
@@ -157,6 +172,8 @@
         headers = tuple((name.lower(), value) for name, value in response.headers)
         head = self.dialect.read_upstream(response.status, headers)
         failure = _failure_of(request, head)
+        if failure is None or failure.rejected:
+            self.observe(instance, head, sent_ms)
         if failure is not None:
             if failure.outcome is AttemptOutcome.NOT_RUN:
                 await _drain(response)
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -22,6 +22,7 @@
     InstancesReceived,
     RoutesReceived,
     StatusChanged,
+    UpstreamInstance,
     WorkloadReceived,
 )
 from goldcrestridge_core.follower import Follower
@@ -29,7 +30,7 @@
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import RouteTable
 from goldcrestridge_core.types import Emit, Send
-from goldcrestridge_node.dialect import Dialect
+from goldcrestridge_node.dialect import Dialect, UpstreamResponseHead
 from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.engines import EngineAdmissionClient
 from goldcrestridge_node.gateway import Gateway
@@ -111,7 +112,7 @@
         self.routes = ActiveRoutes(
             lease_ms=cfg.key_lease_ms, confirmed_ms=lambda: self.follower.confirmed_ms
         )
-        self._dispatcher = Dispatcher(self.hooks.dialect, self.clock)
+        self._dispatcher = Dispatcher(self.hooks.dialect, self.clock, observe=self._observe)
         self._engines = EngineAdmissionClient(lambda event: self.driver.post(event))
         budget = WindowBudget(cfg.retry_share, cfg.retry_extra, cfg.retry_window_ms)
         dependencies = GatewayDependencies(
@@ -157,6 +158,14 @@
         selected = local if len(local) >= MIN_LOCAL_ADDRESSES else accepting_entries
         return sorted(entry.caller_address for entry in selected)
 
+    def _observe(
+        self, instance: UpstreamInstance, head: UpstreamResponseHead, sent_ms: float
+    ) -> None:
+        """Record the limit in an answer of an upstream."""
+        name, limit = instance.instance, head.limit_per_second
+        if self.placement.limits.observe(name, limit, sent_ms, self.clock.now_ms()):
+            self._log.info("upstream_limit", instance=name, per_second=limit)
+
     # Handlers for the effects of the core.
 
     def _send(self, effect: Send) -> None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -92,3 +92,13 @@
     assert not read_upstream(503, ()).not_run
     assert read_upstream(421, ()).misdirected
     assert read_upstream(200, ((b"connection", b"close"),)).idle_limit_ms == 0.0
+
+
+def test_the_limit_that_an_upstream_names_is_decoded() -> None:
+    # Guards against a limit that is not read, also in the answer to a rejected request, and against
+    # a malformed value that is taken for a limit.
+    assert read_upstream(200, ()).limit_per_second is None
+    assert read_upstream(503, ((b"server-limit", b"2.5"),)).limit_per_second == 2.5
+    assert read_upstream(200, ((b"server-limit", b"0"),)).limit_per_second == 0.0
+    for malformed in (b"", b"-1", b"1e9", b"nan", b"inf", b"1 2", b"\xb2", b"9" * 40):
+        assert read_upstream(200, ((b"server-limit", malformed),)).limit_per_second is None
