--- a/tests/node/test_gateway.py
+++ b/tests/node/test_gateway.py
@@ -415,3 +415,18 @@
         for exchange in upstream.exchanges
     )
     assert urgent < other
+
+
+async def test_an_upstream_that_named_a_limit_gets_no_more_requests_than_that() -> None:
+    # Guards against an overloaded upstream that gets as many requests as before it named its limit.
+    async def limited(exchange: UpstreamExchange) -> None:
+        await exchange.respond(200, b"ok", server_limit="1")
+
+    async with running_gateway(scripted("a", limited), scripted("b", ok)) as running:
+        started_ms = running.gateway.dependencies.clock.now_ms()
+        for number in range(60):
+            assert (await running.call(f"/read/{number}")).status == 200
+            assert (await running.call(f"/charge/{number}")).status == 200
+        seconds = (running.gateway.dependencies.clock.now_ms() - started_ms) / 1_000.0
+        # The first answer names the limit; one more request may be sent each second.
+        assert len(running.upstreams[0].exchanges) <= 2 + seconds
