Send requests to an upstream within the limit that it names

Cause: no part read the limit; load and in-flight counts alone decided. The class of fault is a promise about a sum that nobody counts.

An entry node learns the limit from each answer and shares it through the control leader. Right before each send to a limited instance (first attempt, retry, resumed stream, probe) it asks the owner of the instance, one entry node by rendezvous hashing, for a permit. Without one the request goes to another upstream, or is refused at once as not run; each refused caller returns one permit after the one before. A request that may have run waits for a permit. Owners out of contact with the control leader for 2 s issue none, so no two of them do at once.

--- a/packages/core/src/goldcrestridge_core/entry.py
+++ b/packages/core/src/goldcrestridge_core/entry.py
@@ -1,4 +1,4 @@
-"""Entry node that forwards by route: its follower role and its engine admission role."""
+"""Entry node that forwards by route: its follower, engine admission and permit roles."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from goldcrestridge_core.engine_types import ENGINE_EVENTS, ENGINE_MESSAGES, EntriesChanged
 from goldcrestridge_core.follow_types import EntriesReceived
 from goldcrestridge_core.follower import Follower
+from goldcrestridge_core.permits import PERMIT_MESSAGES, Permits, SeekPermit
 from goldcrestridge_core.types import Receive, Tick
 
 
@@ -19,14 +20,20 @@
 
     follower: Follower
     admission: EngineAdmission
+    permits: Permits
 
     def next_deadline_ms(self) -> float | None:
-        """Return the earliest deadline of both roles, or None."""
-        deadlines = (self.follower.next_deadline_ms(), self.admission.next_deadline_ms())
+        """Return the earliest deadline of all roles, or None."""
+        roles = (self.follower, self.admission, self.permits)
+        deadlines = (role.next_deadline_ms() for role in roles)
         return min((deadline for deadline in deadlines if deadline is not None), default=None)
 
     def handle(self, event: Any, now_ms: float) -> list[Any]:
-        """Apply one event to the role that handles it; a Tick goes to both."""
+        """Apply one event to the role that handles it; a Tick goes to all."""
+        if isinstance(event, SeekPermit):
+            return self.permits.handle(event, now_ms)
+        if isinstance(event, Receive) and isinstance(event.message, PERMIT_MESSAGES):
+            return self.permits.handle(event, now_ms)
         if isinstance(event, ENGINE_EVENTS):
             return self.admission.handle(event, now_ms)
         if isinstance(event, Receive) and isinstance(event.message, ENGINE_MESSAGES):
@@ -34,8 +41,10 @@
         effects = self.follower.handle(event, now_ms)
         for effect in list(effects):
             if isinstance(effect, EntriesReceived):
-                nodes = tuple(entry.node for entry in effect.entries)
-                effects += self.admission.handle(EntriesChanged(nodes), now_ms)
+                changed = EntriesChanged(tuple(entry.node for entry in effect.entries))
+                effects += self.admission.handle(changed, now_ms)
+                effects += self.permits.handle(changed, now_ms)
         if isinstance(event, Tick):
             effects += self.admission.handle(event, now_ms)
+            effects += self.permits.handle(event, now_ms)
         return effects
--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -75,10 +75,11 @@
 @message
 @frozen
 class Workload:
-    """Load that entry nodes put on upstreams, exchanged between them through the leader."""
+    """Load of upstreams and their limits, exchanged between entry nodes through the leader."""
 
     loads: tuple[InstanceLoad, ...] = ()
     works: tuple[ServiceWork, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
 
 
 @message
--- a/packages/core/src/goldcrestridge_core/forwarding.py
+++ b/packages/core/src/goldcrestridge_core/forwarding.py
@@ -139,7 +139,15 @@
 
     def after_denial(self, retry_delay_ms: float) -> Decision:
         """Return the final decision for a request that every engine refused to admit."""
-        decision = self.give_up("every engine is too busy to begin in time")
+        return self._give_up_until("every engine is too busy to begin in time", retry_delay_ms)
+
+    def after_permit_refusal(self, retry_delay_ms: float) -> Decision:
+        """Return the final decision for a request without a permit for any upstream."""
+        reason = "every upstream has reached the limit that it named"
+        return self._give_up_until(reason, retry_delay_ms)
+
+    def _give_up_until(self, reason: str, retry_delay_ms: float) -> Decision:
+        decision = self.give_up(reason)
         if decision.step is Step.REFUSE:
             return evolve(decision, retry_after_ms=max(MIN_RETRY_AFTER_MS, retry_delay_ms))
         return decision
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -10,6 +10,7 @@
   clearly more load than the mean.
 - Many entry nodes that learn each other's load late: each chooses among a random sample of the
   engines, so that they do not all send their requests to the same one.
+- Instances that name a limit on their requests: others are preferred while they have no permit.
 - Instances that fail, hang or crash while they are still listed: they get no requests during a
   backoff that doubles with each consecutive failure, and then a single probe request.
 """
@@ -313,7 +314,19 @@
             return sorted(listed, key=lambda item: self._health_of(item).backoff_until_ms)[:1]
         shares = {item.instance: self._health_of(item).failure_share_at(now_ms) for item in healthy}
         limit = min(shares.values()) + FAILURE_MARGIN
-        return [item for item in healthy if shares[item.instance] <= limit]
+        usable = [item for item in healthy if shares[item.instance] <= limit]
+        # An instance without a permit left is used only if all others are in the same state.
+        return [
+            item for item in usable if not self.limits.is_paused(item.instance, now_ms)
+        ] or usable
+
+    def limited_instances(self, service: str) -> set[str]:
+        """Return the instances of a service that name a limit on their requests."""
+        return {
+            item.instance
+            for item in self._services.get(service, ())
+            if self.limits.per_second(item.instance) is not None
+        }
 
     def _partitions(
         self, service: str, usable: list[UpstreamInstance], demand: Demand, now_ms: float
@@ -380,7 +393,7 @@
             work.peers = service_work
 
     def workload(self, now_ms: float) -> Workload:
-        """Return the in-flight requests and the recent work of this node."""
+        """Return the in-flight requests, the recent work and the known limits of this node."""
         for work in self._recent_work.values():
             work.decay(now_ms)
         return Workload(
@@ -393,6 +406,7 @@
                 ServiceWork(service, round(work.short), round(work.long), round(work.tight))
                 for service, work in self._recent_work.items()
             ),
+            self.limits.shared(now_ms),
         )
 
     def _by_prefix(
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -23,11 +23,13 @@
     FollowRequest,
     InstanceLoad,
     InstancesListed,
+    NamedLimit,
     ServiceWork,
     UpstreamInstance,
     Workload,
 )
 from goldcrestridge_core.follower import poll_interval_ms
+from goldcrestridge_core.rate_limits import aged, merge_named
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
 from goldcrestridge_core.versions import VersionedDocument
 
@@ -93,7 +95,7 @@
             case Receive(sender=sender, message=FollowRequest() as request):
                 effects += self._register(request, now_ms)
                 self._sweep(current, now_ms)
-                effects.append(Send(sender, self._answer(request, current)))
+                effects.append(Send(sender, self._answer(request, current, now_ms)))
             case InstancesListed(instances=instances):
                 effects += self._apply_instances(instances)
         self._sweep(current, now_ms)
@@ -148,7 +150,7 @@
         self._accepting_entries = tuple(status for status in statuses if status.accepting)
         self._entries_digest = _digest(self._accepting_entries)
 
-    def _answer(self, request: FollowRequest, current: Leadership) -> FollowReply:
+    def _answer(self, request: FollowRequest, current: Leadership, now_ms: float) -> FollowReply:
         if not current.leads:
             return FollowReply(
                 request.sequence, False, leader=current.leader, replicas=current.replicas
@@ -159,7 +161,7 @@
             "instances_digest": self._instances_digest,
             "entries_digest": self._entries_digest,
             "replicas": current.replicas,
-            "workload": self._workload_of_others(request.status.node),
+            "workload": self._workload_of_others(request.status.node, now_ms),
         }
         if newest.version > request.have_version:
             self._deltas.add(newest.version, newest.document)
@@ -171,10 +173,14 @@
             reply["entries"] = self._accepting_entries
         return FollowReply(request.sequence, True, **reply)  # type: ignore[arg-type]
 
-    def _workload_of_others(self, requester: NodeId) -> Workload:
-        """Return the total load that all entry nodes but the requester put on upstreams."""
+    def _workload_of_others(self, requester: NodeId, now_ms: float) -> Workload:
+        """Return the total load that all entry nodes but the requester put on upstreams.
+
+        Of each limit of an instance, the newest observation of these nodes is returned.
+        """
         loads: dict[str, int] = {}
         works: dict[str, tuple[float, float, float]] = {}
+        limits: list[NamedLimit] = []
         for node, entry in self._entries.items():
             if node == requester:
                 continue
@@ -184,9 +190,13 @@
                 short, long, tight = works.get(work.service, (0.0, 0.0, 0.0))
                 sums = (short + work.short, long + work.long, tight + work.tight)
                 works[work.service] = sums
+            limits += (
+                aged(limit, now_ms - entry.last_request_ms) for limit in entry.workload.limits
+            )
         return Workload(
             tuple(InstanceLoad(name, count) for name, count in sorted(loads.items())),
             tuple(ServiceWork(name, *total) for name, total in sorted(works.items())),
+            merge_named(limits),
         )
 
     def _hint_changes(self, current: Leadership) -> list[Any]:
--- a/packages/core/src/goldcrestridge_core/rate_limits.py
+++ b/packages/core/src/goldcrestridge_core/rate_limits.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection, Iterable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from goldcrestridge_core.follow_types import NamedLimit
 
@@ -105,6 +105,15 @@
                 del table[instance]
 
 
+def aged(limit: NamedLimit, age_ms: float) -> NamedLimit:
+    """Return an observation that was received ``age_ms`` ago as of now."""
+    return evolve(
+        limit,
+        sent_age_ms=limit.sent_age_ms + age_ms,
+        answered_age_ms=limit.answered_age_ms + age_ms,
+    )
+
+
 def merge_named(limits: Iterable[NamedLimit]) -> tuple[NamedLimit, ...]:
     """Return one observation for each instance; the ages must be of the same time."""
     merged = RateLimits()
--- a/packages/node/src/goldcrestridge_node/gateway_parts.py
+++ b/packages/node/src/goldcrestridge_node/gateway_parts.py
@@ -13,6 +13,7 @@
 from goldcrestridge_node.dialect import Dialect
 from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.engines import EngineAdmissionClient
+from goldcrestridge_node.pending import PendingRequests
 from goldcrestridge_node.refusals import Refusal
 from goldcrestridge_node.request_log import RequestLog
 
@@ -50,7 +51,10 @@
 
 @frozen
 class GatewayDependencies:
-    """Dependencies of the gateway; ``ticket_prefix`` is unique for each start of a node."""
+    """Dependencies of the gateway; ``ticket_prefix`` is unique for each start of a node.
+
+    ``permits`` posts ``SeekPermit`` to the core and returns ``PermitDecided``.
+    """
 
     dialect: Dialect
     clock: Clock
@@ -60,6 +64,7 @@
     routes: ActiveRoutes
     log: RequestLog
     engines: EngineAdmissionClient
+    permits: PendingRequests
     ticket_prefix: str
 
 
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -20,12 +20,14 @@
     EntriesReceived,
     EntryStatus,
     InstancesReceived,
+    NamedLimit,
     RoutesReceived,
     StatusChanged,
     UpstreamInstance,
     WorkloadReceived,
 )
 from goldcrestridge_core.follower import Follower
+from goldcrestridge_core.permits import PermitDecided, Permits
 from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import RouteTable
@@ -37,6 +39,7 @@
 from goldcrestridge_node.gateway_parts import ActiveRoutes, GatewayDependencies
 from goldcrestridge_node.logs import logger
 from goldcrestridge_node.metrics import Metrics
+from goldcrestridge_node.pending import PendingRequests
 from goldcrestridge_node.request_log import RequestLog
 from goldcrestridge_node.role_settings import GatewaySettings
 from goldcrestridge_node.runtime import Driver, Outputs
@@ -98,6 +101,7 @@
     draining: bool = False
     _dispatcher: Dispatcher = field(init=False)
     _engines: EngineAdmissionClient = field(init=False)
+    _permits: PendingRequests = field(init=False)
     _server_options: ServerOptions = field(factory=ServerOptions)
     _stop: anyio.Event = field(factory=anyio.Event)
     _log: Any = field(factory=logger)
@@ -114,6 +118,7 @@
         )
         self._dispatcher = Dispatcher(self.hooks.dialect, self.clock, observe=self._observe)
         self._engines = EngineAdmissionClient(lambda event: self.driver.post(event))
+        self._permits = PendingRequests(lambda event: self.driver.post(event))
         budget = WindowBudget(cfg.retry_share, cfg.retry_extra, cfg.retry_window_ms)
         dependencies = GatewayDependencies(
             self.hooks.dialect,
@@ -124,6 +129,7 @@
             self.routes,
             RequestLog(self._log, self.metrics.record),
             self._engines,
+            self._permits,
             f"{cfg.node} {secrets.token_hex(4)}",
         )
         self.gateway = Gateway(dependencies)
@@ -133,9 +139,9 @@
             count=self.metrics.record,
             handle_other=self._handle_effect,
         )
-        self.driver = Driver(
-            EntryNode(self.follower, EngineAdmission(cfg.node)), self.clock, outputs
-        )
+        permits = Permits(cfg.node, self.placement.limits, lambda: self.follower.confirmed_ms)
+        entry_node = EntryNode(self.follower, EngineAdmission(cfg.node), permits)
+        self.driver = Driver(entry_node, self.clock, outputs)
         self.transport = addressed_transport(cfg.node, self.driver.post, self.metrics.record)
 
     @property
@@ -166,6 +172,14 @@
         if self.placement.limits.observe(name, limit, sent_ms, self.clock.now_ms()):
             self._log.info("upstream_limit", instance=name, per_second=limit)
 
+    def _merge_limits(self, limits: tuple[NamedLimit, ...]) -> None:
+        """Record the limits that other entry nodes have seen."""
+        for limit in limits:
+            if self.placement.limits.merge(limit, self.clock.now_ms()):
+                self._log.info(
+                    "upstream_limit", instance=limit.instance, per_second=limit.per_second
+                )
+
     # Handlers for the effects of the core.
 
     def _send(self, effect: Send) -> None:
@@ -183,8 +197,11 @@
                 self._log.info("upstreams_in_force", count=len(instances))
             case EngineFound() | EngineDenied():
                 self._engines.resolve(effect)
+            case PermitDecided(ticket=ticket):
+                self._permits.resolve(ticket, effect)
             case WorkloadReceived(workload=workload):
                 self.placement.set_peer_workload(workload)
+                self._merge_limits(workload.limits)
             case EntriesReceived(entries=entries):
                 self.entries = entries
                 self.placement.live_entries = max(1, len(entries))
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -28,6 +28,7 @@
 from goldcrestridge_node.gateway_parts import NOT_READY, AdmittedRequest
 from goldcrestridge_node.refusals import Refusal
 from goldcrestridge_node.request_log import RequestRecord
+from goldcrestridge_node.request_permits import RequestPermits
 
 if TYPE_CHECKING:
     from goldcrestridge_node.gateway import Gateway
@@ -54,10 +55,12 @@
     _ticket: str | None = None
     _prefilled: bool = False  # The completed prefill was reported to the engine admission.
     _splitter: EventSplitter = field(init=False)
+    _permits: RequestPermits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the splitter; for a resumed stream it drops the events that the caller has."""
         self._splitter = EventSplitter(self.request.caller_head.last_event_id)
+        self._permits = RequestPermits(self.gateway, self.admitted, self.forwarding, self.record)
 
     @property
     def _now_ms(self) -> float:
@@ -96,19 +99,47 @@
     def _choose_instance(self) -> UpstreamInstance | None:
         admitted = self.admitted
         return self.gateway.dependencies.placement.choose(
-            admitted.service, admitted.demand, self._excluded, self._now_ms
+            admitted.service,
+            admitted.demand,
+            self._excluded | self._permits.excluded(),
+            self._now_ms,
         )
 
     async def _select_instance(self) -> UpstreamInstance | Decision | None:
         """Return the upstream for the next attempt, or None if no upstream is usable.
 
+        An upstream that names a limit is used only with a permit. If all of them lack one, the
+        request is refused. If it may have run, it waits for the next permit instead, unless the
+        caller can get the error response of the last attempt at once.
+        """
+        permits = self._permits
+        permits.refused.clear()
+        while True:
+            instance = await self._find_instance()
+            if isinstance(instance, UpstreamInstance):
+                if await permits.has_permit(instance):
+                    return instance
+                self._end_ticket()
+            elif instance is not None or not permits.refused:
+                return instance
+            elif not self.forwarding.possible_runs:
+                return permits.refusal()
+            elif self._error_response is not None or not await permits.wait_for_next():
+                return None
+
+    async def _find_instance(self) -> UpstreamInstance | Decision | None:
+        """Return the best upstream, or None if no upstream is usable.
+
         For engines, admission is requested first; a denial can be the final decision.
         """
         engine = self.admitted.engine
         if engine is None:
             return self._choose_instance()
         candidates = self.gateway.dependencies.placement.candidates(
-            self.admitted.service, self.admitted.demand, self._excluded, self._now_ms
+            self.admitted.service,
+            self.admitted.demand,
+            self._excluded | self._permits.excluded(),
+            self._now_ms,
         )
         if not candidates:
             return None
--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -15,8 +15,11 @@
 
 from goldcrestridge_core.clock import Clock
 from goldcrestridge_core.engine_slots import EngineAdmission
+from goldcrestridge_core.engine_types import EntriesChanged
 from goldcrestridge_core.follow_types import UpstreamInstance
+from goldcrestridge_core.permits import PermitDecided, Permits
 from goldcrestridge_core.placement import Placement
+from goldcrestridge_core.rate_limits import RateLimits
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import (
     CallerLimits,
@@ -30,10 +33,12 @@
 )
 from goldcrestridge_core.types import NodeId
 from goldcrestridge_lab.soak_net import abort, read_head
+from goldcrestridge_node.dialect import UpstreamResponseHead
 from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.engines import EngineAdmissionClient
 from goldcrestridge_node.gateway import Gateway
 from goldcrestridge_node.gateway_parts import ActiveRoutes, GatewayDependencies
+from goldcrestridge_node.pending import PendingRequests
 from goldcrestridge_node.request_log import RequestLog
 from goldcrestridge_node.server import listen, serve
 from goldcrestridge_platform.headers import DIALECT
@@ -205,6 +210,21 @@
     return engines
 
 
+def single_node_permits(clock: Clock, limits: RateLimits) -> PendingRequests:
+    """Return the permits of a node that owns all instances."""
+    lone = NodeId("lone")
+    role = Permits(lone, limits, clock.now_ms)
+    role.handle(EntriesChanged((lone,)), clock.now_ms())
+
+    def post(event: Any) -> None:
+        for effect in role.handle(event, clock.now_ms()):
+            if isinstance(effect, PermitDecided):
+                pending.resolve(effect.ticket, effect)
+
+    pending = PendingRequests(post)
+    return pending
+
+
 @asynccontextmanager
 async def running_gateway(
     *upstreams: ScriptedUpstream, engine: EngineLimits | None = None
@@ -226,15 +246,20 @@
     capture = structlog.testing.LogCapture()
     log = structlog.wrap_logger(None, processors=[capture])
     capture.entries = log_lines
+
+    def observe(instance: UpstreamInstance, head: UpstreamResponseHead, sent_ms: float) -> None:
+        placement.limits.observe(instance.instance, head.limit_per_second, sent_ms, clock.now_ms())
+
     dependencies = GatewayDependencies(
         DIALECT,
         clock,
         placement,
-        Dispatcher(DIALECT, clock),
+        Dispatcher(DIALECT, clock, observe=observe),
         WindowBudget(0.2, 60.0, 10_000.0),
         routes,
         RequestLog(log, lambda _count: None),
         single_node_engines(clock),
+        single_node_permits(clock, placement.limits),
         "lone",
     )
     gateway = Gateway(dependencies)
