Grant slots of a pool's upstream within the limit that it names

The same cause on the product's own interface: a load report could not name a limit, and the shard owner granted as many slots as the upstream has.

The load report carries limit_per_second. The owner grants slots of a limited upstream at that rate; entry nodes learn the limits with its summaries, hand them to the next owner, and admit nothing to a limited upstream by themselves. The engine and service stand-ins name a limit on demand.

With the bound taken out, the two tests of the owner fail (80 of 80 requests granted in 4 s at 2 a second, and 40 of 40).

--- a/packages/core/src/goldcrestridge_core/choice.py
+++ b/packages/core/src/goldcrestridge_core/choice.py
@@ -13,6 +13,7 @@
 
 from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.prefix import PrefixIndex, PrefixMatch
+from goldcrestridge_core.rates import RequestBucket
 from goldcrestridge_core.stragglers import Speed, StragglerDetector
 from goldcrestridge_core.types import (
     CacheEvents,
@@ -74,6 +75,8 @@
     foreign_load: float = 0.0  # Estimated requests that this owner did not grant.
     mean_foreign_load: float | None = None  # EWMA over the reports.
     leaving_ms: float | None = None
+    limit_per_second: float | None = None  # Named by the upstream.
+    bucket: RequestBucket | None = None  # Requests that the limit allows.
     failures: int = 0
     blocked_until_ms: float = 0.0
     suspect: bool = False  # Backed off without a completed call since.
@@ -160,7 +163,16 @@
     def choose(
         self, request: SlotRequest, expected_tokens: int, now_ms: float
     ) -> UpstreamId | None:
-        """Return the upstream for a request, or None if no usable one has a slot."""
+        """Return the upstream for a request, or None if no usable one has a slot.
+
+        The choice counts against the limit that the upstream names.
+        """
+        name = self._find(request, now_ms)
+        if name is not None:
+            self._count_request(self._states[name], now_ms)
+        return name
+
+    def _find(self, request: SlotRequest, now_ms: float) -> UpstreamId | None:
         self._run_timers(now_ms)
         probes = [name for name in self._due_probes if name not in request.excluded]
         if probes:
@@ -243,6 +255,7 @@
             state.blocked_until_ms = min(state.blocked_until_ms, now_ms)
         state.reported_ms = report_ms
         state.slots = report.slots if report.slots > 0 else state.upstream.slots
+        self._set_limit(state, report.limit_per_second, now_ms)
         for times in (state.granted_ms, state.ended_ms):
             while times and times[0] < now_ms - MAX_REPORT_AGE_MS:
                 times.popleft()
@@ -255,6 +268,45 @@
         self._schedule_refresh(report_ms + MAX_REPORT_AGE_MS + 1.0, report.upstream)
         self._refresh(state, now_ms)
 
+    def limits(self) -> tuple[tuple[UpstreamId, float], ...]:
+        """Return the requests a second of the upstreams that name a limit."""
+        return tuple(
+            (name, state.limit_per_second)
+            for name, state in self._states.items()
+            if state.limit_per_second is not None
+        )
+
+    def adopt_limit(self, upstream: UpstreamId, per_second: float, now_ms: float) -> None:
+        """Apply a limit known to an entry node until the upstream sends its first report."""
+        state = self._states.get(upstream)
+        if state is not None and state.reported_ms == -math.inf:
+            self._set_limit(state, per_second, now_ms)
+            self._refresh(state, now_ms)
+
+    def _set_limit(self, state: _UpstreamState, per_second: float | None, now_ms: float) -> None:
+        state.limit_per_second = per_second
+        if per_second is None:
+            state.bucket = None
+        elif state.bucket is None:
+            state.bucket = RequestBucket(now_ms)
+
+    def _count_request(self, state: _UpstreamState, now_ms: float) -> None:
+        """Count a request against the limit of its upstream."""
+        if state.bucket is not None and state.limit_per_second is not None:
+            state.bucket.refill(state.limit_per_second, now_ms)
+            state.bucket.requests -= 1.0
+            self._refresh(state, now_ms)
+
+    def _free_within_limit(self, state: _UpstreamState, free: int, now_ms: float) -> int:
+        """Return how many of the free slots the limit of an upstream allows to grant now."""
+        if state.bucket is None or state.limit_per_second is None:
+            return free
+        state.bucket.refill(state.limit_per_second, now_ms)
+        if state.bucket.requests < 1.0:
+            next_ms = state.bucket.next_ms(state.limit_per_second)
+            self._schedule_refresh(now_ms + next_ms, state.upstream.name)
+        return min(free, int(state.bucket.requests))
+
     def apply_cache_events(self, events: CacheEvents, now_ms: float) -> None:
         """Apply the additions to and evictions from the cache of an engine."""
         if events.upstream in self._states:
@@ -340,6 +392,7 @@
         free = max(0, state.slots - load)
         if state.suspect:
             free = 0 if state.probing else min(free, 1)  # One call at a time until one completes.
+        free = self._free_within_limit(state, free, now_ms)
         # A slow upstream keeps its slots as a reserve for when all others are full.
         capacity = state.slots * self._stragglers.weight(name)
         self._update_totals(state, free, load, capacity)
@@ -351,6 +404,7 @@
         """Make an ejected upstream available for one probe when it is due."""
         probe_at_ms = self._stragglers.probe_at_ms(state.upstream.name)
         due = now_ms >= probe_at_ms and not state.probing and load < state.slots
+        due = due and self._free_within_limit(state, 1, now_ms) > 0
         self._update_totals(state, 1 if due else 0, 0, 0)
         if due:
             self._due_probes[state.upstream.name] = None
--- a/packages/core/src/goldcrestridge_core/choice_simple.py
+++ b/packages/core/src/goldcrestridge_core/choice_simple.py
@@ -102,6 +102,13 @@
             self._free -= load.free()
             load.leaving = True
 
+    def limits(self) -> tuple[tuple[types.UpstreamId, float], ...]:
+        """Return no limits, since the baseline does not apply them."""
+        return ()
+
+    def adopt_limit(self, upstream: types.UpstreamId, per_second: float, now_ms: float) -> None:
+        """Ignore limits."""
+
     def _adjust_held(self, upstream: types.UpstreamId, delta: int) -> None:
         load = self._loads.get(upstream)
         if load is None:
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -70,6 +70,13 @@
     def mark_leaving(self, upstream: types.UpstreamId, now_ms: float) -> None:
         """Stop choosing an upstream that is leaving."""
 
+    def limits(self) -> tuple[tuple[types.UpstreamId, float], ...]:
+        """Return the requests a second of the upstreams that name a limit."""
+        ...
+
+    def adopt_limit(self, upstream: types.UpstreamId, per_second: float, now_ms: float) -> None:
+        """Apply a limit known to an entry node until the upstream sends its first report."""
+
 
 @define
 class Owner:
@@ -254,6 +261,8 @@
             return []
         self._last_reports[report.entry] = report.sequence
         self._entry_last_contact_ms[report.entry] = now_ms
+        for upstream, per_second in report.limits:
+            self.chooser.adopt_limit(upstream, per_second, now_ms)
         for held in report.held:
             key = (report.entry, held.epoch, held.grant_id)
             grant = self.grants.find(key)
@@ -519,6 +528,7 @@
             self.epoch,
             max(0, self.chooser.free_slots(now_ms)),
             self.queue.waiting_by_tier(),
+            self.chooser.limits(),
         )
         return [types.Send(entry, summary) for entry in self._entry_last_contact_ms]
 
--- a/packages/core/src/goldcrestridge_core/permits.py
+++ b/packages/core/src/goldcrestridge_core/permits.py
@@ -20,11 +20,11 @@
 
 from attrs import define, field, frozen
 
-from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.codec import message
 from goldcrestridge_core.engine_types import EntriesChanged
 from goldcrestridge_core.follow_types import NamedLimit
 from goldcrestridge_core.rate_limits import RateLimits
+from goldcrestridge_core.rates import RequestBucket, request_rate
 from goldcrestridge_core.rendezvous import rank
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
 
@@ -36,11 +36,6 @@
 # entry node stays on the list of entry nodes for at least 2.5 s, so that no second owner issues
 # permits at the same time.
 OWNER_LEASE_MS = 2_000.0
-# Permits that an idle instance accumulates, as the requests of this time, beside one request.
-BURST_MS = 250.0
-# One request in four seconds is allowed whatever the limit, since only an answer tells that the
-# limit has ended.
-MIN_PER_SECOND = 0.25
 # For this time after the refusal of a more urgent request, and at least for that of two permits,
 # less urgent requests get only FLOOR_SHARE of the permits.
 YIELD_MS = 1_000.0
@@ -104,23 +99,19 @@
 class PermitLedger:
     """Permits of one instance, kept by its owner; it starts without any."""
 
-    _updated_ms: float
-    _permits: float = 0.0
+    bucket: RequestBucket
     _refused_ms: dict[int, float] = field(factory=dict)  # Last refusal by priority.
     _floor_ms: float = -math.inf  # When a request that had to yield got its last permit.
     _backlog: deque[float] = field(factory=deque)  # Times of the recent refusals.
 
     def take(self, per_second: float, priority: int, now_ms: float) -> tuple[float, float] | None:
         """Take a permit; if there is none, return when to ask again and when to retry, in ms."""
-        rate = max(per_second, MIN_PER_SECOND) / MS_PER_SECOND
-        self._permits = min(
-            1.0 + rate * BURST_MS, self._permits + rate * (now_ms - self._updated_ms)
-        )
-        self._updated_ms = now_ms
+        self.bucket.refill(per_second, now_ms)
+        rate = request_rate(per_second)
         floor_due_ms = self._floor_ms + 1.0 / (FLOOR_SHARE * rate)
         must_yield = self._must_yield(rate, priority, now_ms)
-        if self._permits >= 1.0 and (not must_yield or now_ms >= floor_due_ms):
-            self._permits -= 1.0
+        if self.bucket.requests >= 1.0 and (not must_yield or now_ms >= floor_due_ms):
+            self.bucket.requests -= 1.0
             if must_yield:
                 self._floor_ms = now_ms
             return None
@@ -128,7 +119,7 @@
         self._backlog.append(now_ms)
         while self._backlog[0] <= now_ms - BACKLOG_MS:
             self._backlog.popleft()
-        next_ms = max(0.0, 1.0 - self._permits) / rate
+        next_ms = self.bucket.next_ms(per_second)
         return next_ms, next_ms + (len(self._backlog) - 1) / rate
 
     def _must_yield(self, rate: float, priority: int, now_ms: float) -> bool:
@@ -237,7 +228,7 @@
         if not has_lease or self._owner(instance) != self.node_id:
             pause_ms = SILENT_OWNER_PAUSE_MS
             return PermitReply(request.ticket, False, pause_ms, pause_ms, limit)
-        ledger = self._ledgers.setdefault(instance, PermitLedger(now_ms))
+        ledger = self._ledgers.setdefault(instance, PermitLedger(RequestBucket(now_ms)))
         waits = ledger.take(limit.per_second, request.priority, now_ms)
         if waits is None:
             return PermitReply(request.ticket, True, 0.0, 0.0, limit)
--- a/packages/core/src/goldcrestridge_core/rates.py
+++ b/packages/core/src/goldcrestridge_core/rates.py
@@ -1,4 +1,4 @@
-"""Event rates with exponential decay."""
+"""Event rates with exponential decay, and buckets that bound the rate of requests."""
 
 from __future__ import annotations
 
@@ -8,6 +8,12 @@
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 
+# Requests that an idle upstream accumulates, as those of this time, beside a single one.
+BURST_MS = 250.0
+# One request in four seconds is allowed whatever the limit, since an upstream that gets none may
+# have no occasion to name another limit.
+MIN_REQUESTS_PER_SECOND = 0.25
+
 
 @define
 class Rate:
@@ -47,3 +53,27 @@
         if elapsed_ms > 0.0:
             self._decayed_count *= math.exp(-elapsed_ms / self.window_ms)
             self._decayed_at_ms = now_ms
+
+
+@define
+class RequestBucket:
+    """Bound the rate of requests to an upstream that names a limit; it starts empty."""
+
+    updated_ms: float
+    requests: float = 0.0
+
+    def refill(self, per_second: float, now_ms: float) -> None:
+        """Add the requests that the limit allows since the last call."""
+        earned = request_rate(per_second) * max(0.0, now_ms - self.updated_ms)
+        burst = 1.0 + request_rate(per_second) * BURST_MS
+        self.requests = min(burst, self.requests + earned)
+        self.updated_ms = max(self.updated_ms, now_ms)
+
+    def next_ms(self, per_second: float) -> float:
+        """Return the time until the limit allows a request."""
+        return max(0.0, 1.0 - self.requests) / request_rate(per_second)
+
+
+def request_rate(per_second: float) -> float:
+    """Return the requests per millisecond that a named limit allows."""
+    return max(per_second, MIN_REQUESTS_PER_SECOND) / MS_PER_SECOND
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -85,6 +85,7 @@
     last_active_ms: float = 0.0
     report_at_ms: float = math.inf  # Infinity while no reports are sent.
     summary: ShardSummary | None = None
+    limits: tuple[tuple[UpstreamId, float], ...] = ()  # As of the last summary of any owner.
     mean_wait_ms: float = 0.0  # EWMA of the time from slot request to grant.
 
     def owner_reachable(self, now_ms: float) -> bool:
@@ -254,6 +255,7 @@
         view = self.view(summary.shard)
         if summary.epoch == view.epoch and sender == view.owner:
             view.summary = summary
+            view.limits = summary.limits
         return sends
 
     def handle_not_owner(self, sender: NodeId, answer: NotOwner, now_ms: float) -> list[Send]:
@@ -313,7 +315,9 @@
         if not queue:
             return []
         queue.sort(key=lambda item: (item.tier, item.arrived_ms, item.request_id))
-        upstreams = self.upstreams(shard)
+        # Without the owner nobody counts the requests of all nodes against a limit.
+        limited = {name for name, _ in self.view(shard).limits}
+        upstreams = tuple(item for item in self.upstreams(shard) if item.name not in limited)
         slot_count = sum(upstream.slots for upstream in upstreams)
         local_share = max(1, slot_count // max(1, self.live_entries()))
         used_slots = {upstream.name: 0 for upstream in upstreams}
@@ -426,7 +430,9 @@
             view.last_active_ms = now_ms
         if now_ms - view.last_active_ms >= REPORT_LINGER_MS:
             view.report_at_ms = math.inf
-        report = GrantReport(self.node, view.shard, held, waiting, self._next_report_sequence)
+        report = GrantReport(
+            self.node, view.shard, held, waiting, self._next_report_sequence, view.limits
+        )
         self._next_report_sequence += 1
         return _to_owner(view, report)
 
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -228,7 +228,8 @@
     """List all grants that an entry node holds in a shard, and its attempts without a grant.
 
     ``sequence`` increases with each report of an entry node, so that the owner can ignore reports
-    that arrive out of order. 0 means that the reports are not numbered.
+    that arrive out of order. 0 means that the reports are not numbered. ``limits`` are those of the
+    last summary, for an owner that has no load report of an upstream yet.
     """
 
     entry: NodeId
@@ -236,6 +237,7 @@
     held: tuple[HeldGrant, ...]
     waiting: tuple[tuple[RequestId, int], ...] = ()
     sequence: int = 0
+    limits: tuple[tuple[UpstreamId, float], ...] = ()
 
 
 @message
@@ -251,13 +253,17 @@
 @message
 @frozen
 class ShardSummary:
-    """Publish owner and load of a shard; ``waiting`` counts the queued requests by tier."""
+    """Publish owner and load of a shard; ``waiting`` counts the queued requests by tier.
+
+    ``limits`` holds the requests a second of the upstreams that name a limit.
+    """
 
     shard: ShardId
     owner: NodeId
     epoch: int
     free_slots: int
     waiting: tuple[int, ...]
+    limits: tuple[tuple[UpstreamId, float], ...] = ()
 
 
 @frozen
@@ -274,7 +280,11 @@
 @message
 @frozen
 class LoadReport:
-    """Load reported by an upstream; ``age_ms`` is the age of the values on arrival."""
+    """Load reported by an upstream; ``age_ms`` is the age of the values on arrival.
+
+    ``limit_per_second`` is the number of requests a second that the upstream takes from all entry
+    nodes together, or None if it names no limit.
+    """
 
     upstream: UpstreamId
     age_ms: float
@@ -282,6 +292,7 @@
     waiting: int
     slots: int
     leaving: bool = False
+    limit_per_second: float | None = None
 
 
 @message
--- a/packages/lab/src/goldcrestridge_lab/engine_http.py
+++ b/packages/lab/src/goldcrestridge_lab/engine_http.py
@@ -88,6 +88,7 @@
     fail_after_tokens: int | None = None  # Abort the next answers after so many tokens.
     fail_times: int = 1  # Number of answers to abort.
     error_event: bool = False  # Send an error event before the abort.
+    limit_per_second: float | msgspec.UnsetType | None = msgspec.UNSET
 
 
 class Order(msgspec.Struct):
@@ -163,6 +164,7 @@
     crash: anyio.Event = field(factory=anyio.Event)
     stats: Stats = field(factory=Stats)
     leaving: bool = False
+    limit_per_second: float | None = None
     requests: list[dict[str, Any]] = field(factory=list)  # The last 100 decoded bodies, for tests.
     _cache: PrefixCache = field(factory=PrefixCache)
     _fail_after_tokens: int = 0
@@ -208,6 +210,7 @@
             "waiting": state.waiting,
             "slots": self.engine.slots,
             "leaving": self.leaving,
+            "limit_per_second": self.limit_per_second,
         }
 
     async def _handle_control(self, control: Control, send: Send) -> None:
@@ -217,6 +220,8 @@
             return
         if control.leave is not None:
             self.leaving = control.leave
+        if control.limit_per_second is not msgspec.UNSET:
+            self.limit_per_second = control.limit_per_second
         if control.slow_factor is not None:
             self.engine.slow_factor = control.slow_factor
         if control.fail_after_tokens is not None:
--- a/packages/lab/src/goldcrestridge_lab/service_http.py
+++ b/packages/lab/src/goldcrestridge_lab/service_http.py
@@ -13,6 +13,7 @@
 
 import enum
 from collections import Counter
+from typing import Any
 
 import anyio
 import msgspec
@@ -52,6 +53,7 @@
     fault: Fault | None = None
     times: int = 1  # Number of calls with the fault.
     answer_bytes: int | None = None  # Length of the padding in each response.
+    limit_per_second: float | msgspec.UnsetType | None = msgspec.UNSET
 
 
 @define(eq=False)
@@ -64,6 +66,7 @@
     answer_bytes: int = 0
     running: int = 0
     leaving: bool = False
+    limit_per_second: float | None = None
     _fault: Fault | None = None
     _remaining_faults: int = 0
 
@@ -74,8 +77,7 @@
         if route == ("GET", "/runs"):
             await send_json(send, self.runs)
         elif route == ("GET", "/load"):
-            load = {"running": self.running, "waiting": 0, "slots": 0, "leaving": self.leaving}
-            await send_json(send, load)
+            await send_json(send, self._load_report())
         elif route == ("POST", "/control"):
             await self._handle_control(msgspec.json.decode(body, type=Control), send)
         elif self.leaving:
@@ -87,6 +89,15 @@
             finally:
                 self.running -= 1
 
+    def _load_report(self) -> dict[str, Any]:
+        return {
+            "running": self.running,
+            "waiting": 0,
+            "slots": 0,
+            "leaving": self.leaving,
+            "limit_per_second": self.limit_per_second,
+        }
+
     async def _handle_control(self, control: Control, send: Send) -> None:
         if control.crash:
             await send_json(send, {})
@@ -96,6 +107,8 @@
             self.delay_ms = control.delay_ms
         if control.leave is not None:
             self.leaving = control.leave
+        if control.limit_per_second is not msgspec.UNSET:
+            self.limit_per_second = control.limit_per_second
         if control.answer_bytes is not None:
             self.answer_bytes = control.answer_bytes
         if control.fault is not None:
--- a/packages/node/src/goldcrestridge_node/reports.py
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -24,6 +24,7 @@
     slots: int
     age_ms: float = 0.0
     leaving: bool = False
+    limit_per_second: float | None = None
 
 
 class _CacheEvent(msgspec.Struct):
@@ -90,7 +91,13 @@
         load = msgspec.json.decode(data, type=_Load)
         self.deliver(
             LoadReport(
-                upstream.name, load.age_ms, load.running, load.waiting, load.slots, load.leaving
+                upstream.name,
+                load.age_ms,
+                load.running,
+                load.waiting,
+                load.slots,
+                load.leaving,
+                load.limit_per_second,
             )
         )
         if not self.is_engine(upstream.name):
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -482,3 +482,40 @@
 
 def member(incarnation: int) -> member_types.Member:
     return member_types.Member(ENTRY, incarnation, member_types.MemberState.ALIVE, "dc", "peer")
+
+
+def limited(per_second: float | None) -> types.LoadReport:
+    return types.LoadReport(types.UpstreamId("u"), 0.0, 0, 0, 1_000, limit_per_second=per_second)
+
+
+def grants_in(harness: Harness, seconds: float, rate: float) -> int:
+    """Send ``rate`` requests a second, and return how many get a slot in the given time."""
+    granted = 0
+    for _ in range(round(seconds * rate)):
+        sent = harness.send(harness.request("low")) + harness.advance(1_000.0 / rate)
+        granted += sum(isinstance(message, types.SlotGrant) for message in sent)
+    return granted
+
+
+def test_an_upstream_that_names_a_limit_gets_no_more_slots_than_that() -> None:
+    # Guards against an overloaded upstream of a pool that gets as many requests as it has slots.
+    harness = Harness(slots=1_000, chooser=PrefixChooser())
+    harness.send(limited(None))
+    assert grants_in(harness, 1.0, 20.0) >= 18
+    harness.send(limited(2.0))
+    assert 6 <= grants_in(harness, 4.0, 20.0) <= 8 + 1
+    harness.send(limited(None))
+    assert grants_in(harness, 1.0, 20.0) >= 18
+
+
+def test_a_new_owner_knows_a_limit_before_the_first_report_of_the_upstream() -> None:
+    # Guards against an owner that grants slots freely until it has polled the upstream, and against
+    # an entry node that overrides what the upstream reports.
+    harness = Harness(slots=100, chooser=PrefixChooser())
+    limits = ((types.UpstreamId("u"), 2.0),)
+    harness.send(types.GrantReport(ENTRY, SHARD, (), limits=limits))
+    assert harness.owner.chooser.limits() == limits
+    assert grants_in(harness, 2.0, 20.0) <= 4 + 1
+    harness.send(limited(None))
+    harness.send(types.GrantReport(ENTRY, SHARD, (), limits=limits))
+    assert harness.owner.chooser.limits() == ()
--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -17,7 +17,6 @@
 from goldcrestridge_core.follow_types import NamedLimit
 from goldcrestridge_core.permits import (
     FLOOR_SHARE,
-    MIN_PER_SECOND,
     OWNER_LEASE_MS,
     REPLY_TIMEOUT_MS,
     PermitDecided,
@@ -26,6 +25,7 @@
     SeekPermit,
 )
 from goldcrestridge_core.rate_limits import RateLimits
+from goldcrestridge_core.rates import MIN_REQUESTS_PER_SECOND, RequestBucket
 from goldcrestridge_core.rendezvous import rank
 from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 
@@ -240,7 +240,7 @@
 def test_permits_go_to_urgent_requests_first_and_the_others_keep_a_floor() -> None:
     # Guards against urgent requests that are refused while less urgent ones are sent, and against
     # a class that starves.
-    ledger = PermitLedger(0.0)
+    ledger = PermitLedger(RequestBucket(0.0))
     granted: Counter[int] = Counter()
     for number in range(6_000):
         for priority in (2, 0):
@@ -252,7 +252,7 @@
 
 def test_refused_callers_return_one_permit_after_the_other() -> None:
     # Guards against callers that all return at the moment of the next permit.
-    ledger = PermitLedger(0.0)
+    ledger = PermitLedger(RequestBucket(0.0))
     waits = [ledger.take(2.0, 1, 10.0) for _ in range(5)]
     retries = [wait[1] for wait in waits if wait is not None]
     steps = [later - earlier for earlier, later in itertools.pairwise(retries)]
@@ -262,17 +262,17 @@
 
 def test_the_permits_after_a_pause_are_bounded() -> None:
     # Guards against an idle time that is made up for by a burst.
-    ledger = PermitLedger(0.0)
+    ledger = PermitLedger(RequestBucket(0.0))
     burst = sum(ledger.take(8.0, 1, 60_000.0) is None for _ in range(100))
     assert burst == 3
 
 
 def test_a_limit_of_zero_still_lets_a_request_through_that_finds_out_its_end() -> None:
     # Guards against an instance that is never used again, since only an answer ends its limit.
-    ledger = PermitLedger(0.0)
+    ledger = PermitLedger(RequestBucket(0.0))
     times = range(0, 60_000, 100)
     granted = sum(ledger.take(0.0, 1, float(at_ms)) is None for at_ms in times)
-    assert granted == pytest.approx(60.0 * MIN_PER_SECOND, abs=1.0)
+    assert granted == pytest.approx(60.0 * MIN_REQUESTS_PER_SECOND, abs=1.0)
 
 
 def test_a_node_learns_from_the_owner_that_a_limit_has_ended() -> None:
--- a/tests/core/test_request_cases.py
+++ b/tests/core/test_request_cases.py
@@ -23,10 +23,11 @@
     RespondChunk,
     RespondFailure,
 )
+from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.idempotency import check_key
 from goldcrestridge_core.requests import UPSTREAM_IDLE_TIMEOUT_MS
 from goldcrestridge_core.retries import RetryBudget
-from goldcrestridge_core.slots import SlotClient
+from goldcrestridge_core.slots import PendingRequest, SlotClient
 from goldcrestridge_core.types import (
     Count,
     GrantEnd,
@@ -639,3 +640,26 @@
     fleet.step(run, "next")
     finish_attempt(fleet, second)
     assert b"".join(caller.chunks) == caller.expected()
+
+
+def test_a_node_without_an_owner_admits_no_request_to_an_upstream_with_a_limit() -> None:
+    # Guards against a limit that each node exceeds by itself while no owner counts the requests.
+    upstreams = tuple(
+        Upstream(UpstreamId(name), f"10.0.0.{number}:80", "dc", 50)
+        for number, name in enumerate(("free", "limited"))
+    )
+    client = SlotClient(NodeId("e"), random.Random(1), lambda _shard: upstreams, lambda: 1)
+    summary = ShardSummary(SHARD, NodeId("o"), 1, 100, (), ((UpstreamId("limited"), 5.0),))
+    client.handle_summary(NodeId("o"), summary, 0.0)
+    for number in range(20):
+        waiting = PendingRequest(
+            RequestId(f"r{number}"), 0, SHARD, make_call(), 0, 0.0, 0.0, 60_000.0, (), 0
+        )
+        client.request_slot(waiting, 0.0)
+    accepted = client.admit_locally(10_000.0)
+    assert len(accepted) == 20
+    assert {item.grant.upstream for item in accepted} == {"free"}
+    (report,) = [
+        send.message for send in client.tick(10_000.0) if isinstance(send.message, GrantReport)
+    ]
+    assert report.limits == summary.limits
--- a/tests/lab/test_stand_ins.py
+++ b/tests/lab/test_stand_ins.py
@@ -13,8 +13,13 @@
 from tests.node.path_helpers import run, wait_until
 
 from goldcrestridge_core.clock import ManualClock
+from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.types import UpstreamId
 from goldcrestridge_lab.engine_http import EngineApp, PrefixCache
+from goldcrestridge_lab.service_http import ServiceApp
 from goldcrestridge_lab.simple_engine import SimpleEngine
+from goldcrestridge_node.reports import ReportPoller
+from goldcrestridge_node.server import listen, serve
 
 
 async def call_app(app: Any, method: str, path: str, value: object = None) -> tuple[int, Any]:
@@ -124,3 +129,27 @@
 
         run(scenario)
         assert process.wait(timeout=30) == 70
+
+
+@pytest.mark.parametrize("app", [EngineApp(SimpleEngine()), ServiceApp()])
+def test_the_limit_of_a_stand_in_is_read_from_its_load_report(app: Any) -> None:
+    # Guards against a field of the load report that the stand-ins and the poller name differently.
+    async def scenario() -> None:
+        await call_app(app, "POST", "/control", {"limit_per_second": 2.5})
+        sock = listen("127.0.0.1", 0)
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        upstream = Upstream(UpstreamId("u"), address, "dc", 4)
+        reports: list[Any] = []
+        poller = ReportPoller(
+            lambda: {upstream.name: upstream}, lambda _: False, reports.append, lambda _: None
+        )
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(serve, app, [sock], anyio.Event())
+            tasks.start_soon(poller.run)
+            await wait_until(lambda: bool(reports))
+            await call_app(app, "POST", "/control", {"limit_per_second": None})
+            await wait_until(lambda: reports[-1].limit_per_second is None)
+            tasks.cancel_scope.cancel()
+        assert reports[0].limit_per_second == 2.5
+
+    run(scenario)
