Log the software versions of upstreams and the streams that callers take up

The adapter reads version from the list of servers and Resumes from callers; upstreams_listed counts the versions of each service, and the request line holds the version of each attempt. No decision uses them yet.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -11,7 +11,10 @@
 @message
 @frozen
 class UpstreamInstance:
-    """One run of an upstream process; a later run at its address may serve another service."""
+    """One run of an upstream process; a later run at its address may serve another service.
+
+    ``version`` is that of its software, not of the weights of a model; it is empty if unknown.
+    """
 
     instance: str
     service: str
@@ -19,6 +22,7 @@
     data_centre: str
     slots: int
     leaving: bool
+    version: str = ""
 
 
 @message
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -122,6 +123,7 @@
             ("added", " ".join(sorted(after.keys() - before.keys()))),
             ("removed", " ".join(sorted(before.keys() - after.keys()))),
             ("leaving", " ".join(name for name, item in sorted(after.items()) if item.leaving)),
+            ("versions", _count_versions(instances)),
         )
         return [Emit("upstreams_listed", detail=detail)]
 
@@ -210,5 +212,13 @@
         return [Send(node, FollowHint(*state)) for node in sorted(self._entries)]
 
 
+def _count_versions(instances: tuple[UpstreamInstance, ...]) -> str:
+    """Return how many instances of each service run each version."""
+    counts = Counter((item.service, item.version or "unknown") for item in instances)
+    return ", ".join(
+        f"{service} {version}: {count}" for (service, version), count in sorted(counts.items())
+    )
+
+
 def _digest(items: tuple[Any, ...]) -> str:
     return xxhash.xxh3_64_hexdigest(b"".join(codec.encode(item) for item in items))
--- a/packages/node/src/goldcrestridge_node/dialect.py
+++ b/packages/node/src/goldcrestridge_node/dialect.py
@@ -16,7 +16,8 @@
     ``forwarded_headers`` are forwarded to the upstream unchanged. ``key`` is None if the request
     carries no API key. ``shared_prefix_id`` identifies the longest prompt prefix that other
     requests share, which has ``shared_tokens`` tokens; it is empty if there is none. A resumed
-    stream continues after the event ``last_event_id``.
+    stream continues after the event ``last_event_id``; ``resumed_request_id`` is the id of the
+    caller's attempt that brought its first event, or empty.
     """
 
     request_id: bytes
@@ -28,6 +29,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: int | None = None
+    resumed_request_id: str = ""
 
 
 @frozen
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -201,6 +201,7 @@
         placement = self.gateway.dependencies.placement
         started_ms = self._now_ms
         placement.record_start(instance)
+        self.record.versions.append(instance.version)
         try:
             result = await self.gateway.dependencies.dispatcher.send(
                 self.request, instance, self._build_request_head(instance), self._timeout_ms()
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -16,7 +16,8 @@
     """How one request was handled; times are monotonic milliseconds.
 
     ``routes_version`` and ``routes_age_ms`` are the version of the routes that were applied and the
-    time since their confirmation.
+    time since their confirmation. ``resumed_request_id`` names the attempt whose stream the caller
+    takes up. ``versions`` holds the software version of the upstream of each attempt that was sent.
     """
 
     request_id: str
@@ -34,6 +35,8 @@
     output_tokens: int = 0
     attempts: list[str] = field(factory=list)
     admissions: list[str] = field(factory=list)
+    resumed_request_id: str = ""
+    versions: list[str] = field(factory=list)
 
     def add_attempt(self, instance: str, outcome: str, reason: str, took_ms: float) -> None:
         """Add an attempt to the log line."""
@@ -85,4 +88,6 @@
             output_tokens=record.output_tokens,
             admissions=record.admissions,
             attempts=record.attempts,
+            versions=record.versions,
+            resumed_request_id=record.resumed_request_id,
         )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -102,3 +102,10 @@
     assert read_upstream(200, ((b"server-limit", b"0"),)).limit_per_second == 0.0
     for malformed in (b"", b"-1", b"1e9", b"nan", b"inf", b"1 2", b"\xb2", b"9" * 40):
         assert read_upstream(200, ((b"server-limit", malformed),)).limit_per_second is None
+
+
+def test_the_attempt_whose_stream_a_caller_takes_up_is_decoded() -> None:
+    # Guards against a resumed stream whose beginning the router does not look up.
+    headers = ((b"resumes", b"abc"), (b"last-event-id", b"7"))
+    assert read_caller(headers).resumed_request_id == "abc"
+    assert read_caller(()).resumed_request_id == ""
--- a/tests/platform/test_platform_servers.py
+++ b/tests/platform/test_platform_servers.py
@@ -61,3 +61,10 @@
     assert [item.instance for item in instances] == ["i-1", "i-2"]
     del pages["/instances?page_token=p2"]
     assert anyio.run(read_list, fetch) is None
+
+
+def test_the_software_version_of_an_instance_is_read_and_not_that_of_its_weights() -> None:
+    # Guards against streams that are joined by the version of the weights.
+    entry = {**VALID, "version": "v1.2", "models": [{"name": "m", "version": 7, "adapters": []}]}
+    instances, _ = read_page(page(entry, {**VALID, "id": "i-2"})).unwrap()
+    assert [item.version for item in instances] == ["v1.2", ""]
