--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -105,6 +105,7 @@
 
     name: str
     script: list[Handler]
+    version: str = "v1"
     exchanges: list[UpstreamExchange] = field(factory=list)
     connections: int = 0
     closed: int = 0
@@ -127,7 +128,8 @@
 
     def instance(self) -> UpstreamInstance:
         """Return the listed instance of this upstream."""
-        return UpstreamInstance(self.name, "s", f"127.0.0.1:{self.port}", "dc", 6, leaving=False)
+        address = f"127.0.0.1:{self.port}"
+        return UpstreamInstance(self.name, "s", address, "dc", 6, False, self.version)
 
 
 async def _read_request(
--- a/tests/node/test_gateway.py
+++ b/tests/node/test_gateway.py
@@ -10,6 +10,7 @@
 from attrs import evolve
 from tests.node.gateway_helpers import (
     KEY,
+    RunningGateway,
     ScriptedUpstream,
     UpstreamExchange,
     not_run,
@@ -27,8 +28,8 @@
     return "asyncio"
 
 
-def scripted(name: str, *script: object) -> ScriptedUpstream:
-    return ScriptedUpstream(name, list(script))  # type: ignore[arg-type]
+def scripted(name: str, *script: object, version: str = "v1") -> ScriptedUpstream:
+    return ScriptedUpstream(name, list(script), version)  # type: ignore[arg-type]
 
 
 def event(number: int) -> bytes:
@@ -503,3 +504,59 @@
         response = await running.call("/resume/x")
         assert response.content == event(1) + event(2)
         assert len(second.exchanges) == sent + 1
+
+
+async def begin_or_resume(exchange: UpstreamExchange) -> None:
+    """Break a new stream off after one event, and end a resumed one."""
+    if "last-event-id" in exchange.headers:
+        await exchange.stream(event(int(exchange.headers["last-event-id"]) + 1))
+        return
+    await exchange.stream(event(1), end=False)
+    await asyncio.sleep(0.05)
+    exchange.reset()
+
+
+def resumed_at(running: RunningGateway) -> set[str]:
+    """Return the versions of the upstreams at which streams were resumed."""
+    return {
+        upstream.version
+        for upstream in running.upstreams
+        for exchange in upstream.exchanges
+        if "last-event-id" in exchange.headers
+    }
+
+
+async def test_a_failed_stream_is_not_resumed_at_another_software_version() -> None:
+    # Guards against an answer that holds events of two versions, which do not fit together.
+    upstreams = (
+        scripted("a", begin_or_resume, version="v1"),
+        scripted("b", begin_or_resume, version="v2"),
+    )
+    async with running_gateway(*upstreams) as running:
+        for number in range(6):
+            with pytest.raises(httpcore.RemoteProtocolError):
+                await running.call(f"/resume/{number}")
+        assert resumed_at(running) == set()
+
+
+async def test_a_callers_retry_resumes_a_stream_only_at_the_version_that_began_it() -> None:
+    # Guards against a caller that gets events of two versions over its attempts, and against an
+    # attempt to resume a stream whose beginning is unknown.
+    upstreams = [scripted("a", begin_or_resume, version="v1")]
+    upstreams += [scripted(f"b{number}", begin_or_resume, version="v2") for number in range(4)]
+    async with running_gateway(*upstreams) as running:
+        placement = running.gateway.dependencies.placement
+        placement.set_instances([upstreams[0].instance()])
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await running.call("/resume/x", x_goldcrestridge_request_id="first")
+        placement.set_instances([upstream.instance() for upstream in upstreams])
+        for resumed in ("unheard", ""):
+            response = await running.call("/resume/x", last_event_id="1", resumes=resumed)
+            assert response.status == 503
+            assert dict(response.headers)[b"x-goldcrestridge-outcome"] == b"not_run"
+        assert resumed_at(running) == set()
+        upstreams[0].script = [begin_or_resume]
+        placement.record_success(upstreams[0].instance(), 0.0)
+        for _ in range(6):
+            await running.call("/resume/x", last_event_id="1", resumes="first")
+        assert resumed_at(running) == {"v1"}
