Resume streams only at the software version that began them

Cause: placement took all upstreams of a service for alike, and no node knew which upstream began the stream of another attempt. The class of fault is an identity that is dropped on the way: the list carries the version.

Instances carry their version. Within an answer the next attempt goes only to an instance of the version that sent the first event. What isn't known to fit is refused at once as not run, without Retry-After where only a new beginning helps. An instance that may have come back with another version counts as unknown.

--- a/packages/core/src/goldcrestridge_core/entry.py
+++ b/packages/core/src/goldcrestridge_core/entry.py
@@ -1,4 +1,4 @@
-"""Entry node that forwards by route: its follower, engine admission and permit roles."""
+"""Entry node that forwards by route: its follower and the roles that serve requests."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from goldcrestridge_core.follow_types import EntriesReceived
 from goldcrestridge_core.follower import Follower
 from goldcrestridge_core.permits import PERMIT_MESSAGES, Permits, SeekPermit
+from goldcrestridge_core.stream_origins import ORIGIN_EVENTS, ORIGIN_MESSAGES, StreamOrigins
 from goldcrestridge_core.types import Receive, Tick
 
 
@@ -21,30 +22,35 @@
     follower: Follower
     admission: EngineAdmission
     permits: Permits
+    origins: StreamOrigins
 
     def next_deadline_ms(self) -> float | None:
         """Return the earliest deadline of all roles, or None."""
-        roles = (self.follower, self.admission, self.permits)
+        roles = (self.follower, *self._request_roles)
         deadlines = (role.next_deadline_ms() for role in roles)
         return min((deadline for deadline in deadlines if deadline is not None), default=None)
 
+    @property
+    def _request_roles(self) -> tuple[EngineAdmission, Permits, StreamOrigins]:
+        """Return the roles that serve the requests of callers."""
+        return (self.admission, self.permits, self.origins)
+
     def handle(self, event: Any, now_ms: float) -> list[Any]:
         """Apply one event to the role that handles it; a Tick goes to all."""
-        if isinstance(event, SeekPermit):
-            return self.permits.handle(event, now_ms)
-        if isinstance(event, Receive) and isinstance(event.message, PERMIT_MESSAGES):
-            return self.permits.handle(event, now_ms)
-        if isinstance(event, ENGINE_EVENTS):
-            return self.admission.handle(event, now_ms)
-        if isinstance(event, Receive) and isinstance(event.message, ENGINE_MESSAGES):
+        content = event.message if isinstance(event, Receive) else event
+        if isinstance(content, (*ENGINE_EVENTS, *ENGINE_MESSAGES)):
             return self.admission.handle(event, now_ms)
+        if isinstance(content, (SeekPermit, *PERMIT_MESSAGES)):
+            return self.permits.handle(event, now_ms)
+        if isinstance(content, (*ORIGIN_EVENTS, *ORIGIN_MESSAGES)):
+            return self.origins.handle(event, now_ms)
         effects = self.follower.handle(event, now_ms)
         for effect in list(effects):
             if isinstance(effect, EntriesReceived):
                 changed = EntriesChanged(tuple(entry.node for entry in effect.entries))
-                effects += self.admission.handle(changed, now_ms)
-                effects += self.permits.handle(changed, now_ms)
+                for role in self._request_roles:
+                    effects += role.handle(changed, now_ms)
         if isinstance(event, Tick):
-            effects += self.admission.handle(event, now_ms)
-            effects += self.permits.handle(event, now_ms)
+            for role in self._request_roles:
+                effects += role.handle(event, now_ms)
         return effects
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -32,6 +32,7 @@
 )
 from goldcrestridge_core.rate_limits import RateLimits
 from goldcrestridge_core.rendezvous import weight
+from goldcrestridge_core.stream_origins import StreamOrigin
 
 # Backoff of an instance after its first failure; it doubles with each consecutive failure.
 INITIAL_BACKOFF_MS = 400.0
@@ -81,6 +82,9 @@
 # Entry nodes know the load of the others only as of their last poll. If all of them chose the least
 # loaded engine, it would get the requests of a whole poll interval, so each chooses among a sample.
 LOAD_SAMPLE = 2
+# An instance that refused a connection may come back under its id with another version, which the
+# list of instances shows within this time.
+RESTART_DOUBT_MS = 3_000.0
 # With fewer usable engines the engines of a service are not partitioned.
 MIN_ENGINES_TO_PARTITION = 3
 # The partition follows the work of about this time, and changes only if the ideal engine count
@@ -98,7 +102,8 @@
     request has a long prompt. ``tight`` tells whether its stream allows only short gaps between
     events. ``work`` is the engine time of the request in units of one prompt token of prefill,
     ``uncached_work`` the same on an engine that holds no prefix of it. ``memory`` is in tokens,
-    without the shared prefix.
+    without the shared prefix. A stream that has begun has an ``origin`` and goes on only at an
+    instance that fits it.
     """
 
     prefix: str = ""
@@ -108,6 +113,7 @@
     tight: bool = False
     uncached_work: float = 0.0
     memory: float = 0.0
+    origin: StreamOrigin | None = None
 
 
 def demand_of(
@@ -152,6 +158,7 @@
     reported_ms: float = float("-inf")
     peer_requests: int = 0  # In-flight requests of all other entry nodes.
     replaced: bool = False  # Another instance answers at its address.
+    unreachable_ms: float = float("-inf")  # Time of the last refused connection.
 
     def failure_share_at(self, now_ms: float) -> float:
         """Return the failure share, decayed since the last update."""
@@ -241,7 +248,7 @@
         self, service: str, demand: Demand, excluded: Collection[str], now_ms: float
     ) -> UpstreamInstance | None:
         """Return an instance for a request, or None if no instance is usable."""
-        usable = self._usable(service, excluded, now_ms)
+        usable = self._usable(service, excluded, now_ms, demand.origin)
         if not usable:
             return None
         if demand.partitioned:
@@ -252,7 +259,7 @@
         self, service: str, demand: Demand, excluded: Collection[str], now_ms: float
     ) -> list[UpstreamInstance]:
         """Return the engines to ask for admission of a request, in order of preference."""
-        usable = self._usable(service, excluded, now_ms)
+        usable = self._usable(service, excluded, now_ms, demand.origin)
         if not usable:
             return []
         own, *fallbacks = (
@@ -296,7 +303,11 @@
         return (self._slot_load(item, now_ms), remote, self.rng.random())
 
     def _usable(
-        self, service: str, excluded: Collection[str], now_ms: float
+        self,
+        service: str,
+        excluded: Collection[str],
+        now_ms: float,
+        origin: StreamOrigin | None = None,
     ) -> list[UpstreamInstance]:
         """Return the instances that may get a request.
 
@@ -308,6 +319,7 @@
             if not item.leaving
             and not self._health_of(item).replaced
             and item.instance not in excluded
+            and (origin is None or self._fits(item, origin, now_ms))
         ]
         healthy = [item for item in listed if self._health_of(item).backoff_until_ms <= now_ms]
         if not healthy:
@@ -320,6 +332,29 @@
             item for item in usable if not self.limits.is_paused(item.instance, now_ms)
         ] or usable
 
+    def _fits(self, item: UpstreamInstance, origin: StreamOrigin, now_ms: float) -> bool:
+        """Return whether a stream of this origin is known to fit an instance."""
+        listed = self._services.get(origin.service, ())
+        # The list may have been old when the origin was recorded.
+        origin_in_doubt = any(
+            other.instance == origin.instance and other.version != origin.version
+            for other in listed
+        )
+        unreachable_ms = self._health_of(item).unreachable_ms
+        return (
+            bool(origin.version)
+            and (item.service, item.version) == (origin.service, origin.version)
+            and not origin_in_doubt
+            and now_ms - unreachable_ms >= RESTART_DOUBT_MS
+        )
+
+    def serves_version(self, origin: StreamOrigin) -> bool:
+        """Return whether an instance of the version of a stream is listed and not leaving."""
+        return any(
+            item.version == origin.version and not item.leaving
+            for item in self._services.get(origin.service, ())
+        )
+
     def limited_instances(self, service: str) -> set[str]:
         """Return the instances of a service that name a limit on their requests."""
         return {
@@ -458,13 +493,18 @@
         health.record(failed=False, now_ms=now_ms)
 
     def record_failure(self, item: UpstreamInstance, now_ms: float) -> None:
-        """Record a failure of the instance, such as a refused connection, and start its backoff."""
+        """Record a failure of the instance, such as a cut connection, and start its backoff."""
         health = self._health_of(item)
         backoff_ms = min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2.0**health.consecutive_failures)
         health.consecutive_failures += 1
         health.backoff_until_ms = now_ms + backoff_ms
         health.record(failed=True, now_ms=now_ms)
 
+    def record_unreachable(self, item: UpstreamInstance, now_ms: float) -> None:
+        """Record that the instance accepted no connection, and start its backoff."""
+        self._health_of(item).unreachable_ms = now_ms
+        self.record_failure(item, now_ms)
+
     def record_error_answer(self, item: UpstreamInstance, now_ms: float) -> None:
         """Record an error answer, which counts towards the failure share but starts no backoff.
 
--- a/packages/node/src/goldcrestridge_node/gateway_parts.py
+++ b/packages/node/src/goldcrestridge_node/gateway_parts.py
@@ -53,7 +53,8 @@
 class GatewayDependencies:
     """Dependencies of the gateway; ``ticket_prefix`` is unique for each start of a node.
 
-    ``permits`` posts ``SeekPermit`` to the core and returns ``PermitDecided``.
+    ``permits`` posts ``SeekPermit`` to the core and returns ``PermitDecided``; ``origins`` posts
+    ``FindOrigin`` and returns ``OriginFound``.
     """
 
     dialect: Dialect
@@ -65,6 +66,7 @@
     log: RequestLog
     engines: EngineAdmissionClient
     permits: PendingRequests
+    origins: PendingRequests
     ticket_prefix: str
 
 
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -31,6 +31,7 @@
 from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import RouteTable
+from goldcrestridge_core.stream_origins import OriginFound, StreamOrigins
 from goldcrestridge_core.types import Emit, Send
 from goldcrestridge_node.dialect import Dialect, UpstreamResponseHead
 from goldcrestridge_node.dispatch import Dispatcher
@@ -102,6 +103,7 @@
     _dispatcher: Dispatcher = field(init=False)
     _engines: EngineAdmissionClient = field(init=False)
     _permits: PendingRequests = field(init=False)
+    _origins: PendingRequests = field(init=False)
     _server_options: ServerOptions = field(factory=ServerOptions)
     _stop: anyio.Event = field(factory=anyio.Event)
     _log: Any = field(factory=logger)
@@ -119,6 +121,7 @@
         self._dispatcher = Dispatcher(self.hooks.dialect, self.clock, observe=self._observe)
         self._engines = EngineAdmissionClient(lambda event: self.driver.post(event))
         self._permits = PendingRequests(lambda event: self.driver.post(event))
+        self._origins = PendingRequests(lambda event: self.driver.post(event))
         budget = WindowBudget(cfg.retry_share, cfg.retry_extra, cfg.retry_window_ms)
         dependencies = GatewayDependencies(
             self.hooks.dialect,
@@ -130,6 +133,7 @@
             RequestLog(self._log, self.metrics.record),
             self._engines,
             self._permits,
+            self._origins,
             f"{cfg.node} {secrets.token_hex(4)}",
         )
         self.gateway = Gateway(dependencies)
@@ -140,7 +144,9 @@
             handle_other=self._handle_effect,
         )
         permits = Permits(cfg.node, self.placement.limits, lambda: self.follower.confirmed_ms)
-        entry_node = EntryNode(self.follower, EngineAdmission(cfg.node), permits)
+        entry_node = EntryNode(
+            self.follower, EngineAdmission(cfg.node), permits, StreamOrigins(cfg.node)
+        )
         self.driver = Driver(entry_node, self.clock, outputs)
         self.transport = addressed_transport(cfg.node, self.driver.post, self.metrics.record)
 
@@ -199,6 +205,8 @@
                 self._engines.resolve(effect)
             case PermitDecided(ticket=ticket):
                 self._permits.resolve(ticket, effect)
+            case OriginFound(ticket=ticket):
+                self._origins.resolve(ticket, effect)
             case WorkloadReceived(workload=workload):
                 self.placement.set_peer_workload(workload)
                 self._merge_limits(workload.limits)
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from goldcrestridge_core.admission import TimeBudget, fallback_wait_ms, max_wait_ms, retry_delay_ms
 from goldcrestridge_core.clock import MS_PER_SECOND
@@ -15,6 +15,12 @@
 from goldcrestridge_core.forwarding import AttemptOutcome, Decision, Forwarding, Step
 from goldcrestridge_core.placement import Demand
 from goldcrestridge_core.routes import EngineLimits
+from goldcrestridge_core.stream_origins import (
+    FindOrigin,
+    OriginFound,
+    StreamBegan,
+    StreamOrigin,
+)
 from goldcrestridge_core.types import Outcome
 from goldcrestridge_node.dialect import UpstreamRequestHead
 from goldcrestridge_node.dispatch import (
@@ -36,6 +42,20 @@
 # An upstream receives the remaining time and ends by itself. This node waits for this much longer.
 UPSTREAM_GRACE_MS = 80.0
 
+# Time for a node that holds the origin to answer again.
+ORIGIN_RETRY_MS = 500.0
+
+ORIGIN_NOT_FOUND = Refusal(
+    503,
+    "stream_origin_not_found",
+    "The upstream that began the stream is not known now.",
+    retry_after_ms=ORIGIN_RETRY_MS,
+)
+CANNOT_RESUME = Refusal(
+    503,
+    "cannot_resume",
+    "No upstream can go on with the stream. Send the request again without Last-Event-Id.",
+)
 FAILED = Refusal(502, "upstream_failed", "The upstream gave no sound answer.", Outcome.UNKNOWN)
 TIMED_OUT = Refusal(504, "deadline", "The upstream did not answer in time.", Outcome.UNKNOWN)
 
@@ -54,6 +74,8 @@
     _error_response: tuple[UpstreamResponse, bytes] | None = None
     _ticket: str | None = None
     _prefilled: bool = False  # The completed prefill was reported to the engine admission.
+    # Set once the caller holds events of the stream.
+    _origin: StreamOrigin | None = None
     _splitter: EventSplitter = field(init=False)
     _permits: RequestPermits = field(init=False)
 
@@ -74,6 +96,8 @@
             self._end_ticket()
 
     async def _run(self) -> None:
+        if self._takes_up_stream and not await self._find_origin():
+            return
         while True:
             instance = await self._select_instance()
             if isinstance(instance, Decision):
@@ -91,6 +115,41 @@
                 await self._send_final_answer(decision)
                 return
 
+    @property
+    def _takes_up_stream(self) -> bool:
+        """Tell whether the caller holds events of the stream already."""
+        return self.admitted.route.streams and bool(self.request.caller_head.last_event_id)
+
+    async def _find_origin(self) -> bool:
+        """Find the origin of the stream that the caller takes up, or refuse the request."""
+        deps = self.gateway.dependencies
+        ticket = self.gateway.next_ticket()
+        event = FindOrigin(ticket, self.request.caller_head.resumed_request_id)
+        found: OriginFound = await deps.origins.ask(ticket, event)
+        if found.origin is not None and deps.placement.serves_version(found.origin):
+            self._origin = found.origin
+            return True
+        may_be_held = found.origin is None and not found.complete
+        refusal = ORIGIN_NOT_FOUND if may_be_held else CANNOT_RESUME
+        await self.gateway.refuse(self.exchange, refusal, self.record)
+        return False
+
+    def _begin_stream(self, instance: UpstreamInstance) -> None:
+        """Record the origin of a stream before its first event is written."""
+        if self._origin is not None:
+            return
+        request_id = self.record.request_id
+        service, version = self.admitted.service, instance.version
+        self._origin = StreamOrigin(request_id, service, instance.instance, version)
+        if self.admitted.route.resumable:
+            self.gateway.dependencies.origins.post(StreamBegan(self._origin))
+
+    @property
+    def _demand(self) -> Demand:
+        """Return the demand, with the origin of a stream that has begun."""
+        demand = self.admitted.demand
+        return demand if self._origin is None else evolve(demand, origin=self._origin)
+
     def _is_allowed(self) -> bool:
         return self.forwarding.possible_runs > 0 or self.gateway.is_still_authorized(
             self.admitted, self.request.caller_head.key
@@ -100,7 +159,7 @@
         admitted = self.admitted
         return self.gateway.dependencies.placement.choose(
             admitted.service,
-            admitted.demand,
+            self._demand,
             self._excluded | self._permits.excluded(),
             self._now_ms,
         )
@@ -137,7 +196,7 @@
             return self._choose_instance()
         candidates = self.gateway.dependencies.placement.candidates(
             self.admitted.service,
-            self.admitted.demand,
+            self._demand,
             self._excluded | self._permits.excluded(),
             self._now_ms,
         )
@@ -184,7 +243,7 @@
             self.forwarding.target_left_ms(now_ms),
             left_ms,
             # A stream that has begun must not fail in favour of other requests.
-            least_urgent=self.admitted.least_urgent and not self.forwarding.streaming,
+            least_urgent=self.admitted.least_urgent and self._origin is None,
         )
         return FindEngine(
             self.gateway.next_ticket(),
@@ -230,7 +289,10 @@
         if failed.wrong_instance:
             placement.mark_replaced(instance)
         elif failed.upstream_fault and self.forwarding.left_ms(now_ms) > 0:
-            placement.record_failure(instance, now_ms)
+            if failed.outcome is AttemptOutcome.NOT_SENT:
+                placement.record_unreachable(instance, now_ms)
+            else:
+                placement.record_failure(instance, now_ms)
 
     def _decide_next(
         self, outcome: AttemptOutcome, instance: UpstreamInstance, now_ms: float
@@ -329,7 +391,10 @@
         tried = {*self._excluded, instance.instance}
         return (
             self.forwarding.needs_retry_budget(AttemptOutcome.ERROR, now_ms)
-            and deps.placement.choose(self.admitted.service, Demand(), tried, now_ms) is not None
+            and deps.placement.choose(
+                self.admitted.service, Demand(origin=self._origin), tried, now_ms
+            )
+            is not None
             and deps.retry_budget.spend(self.admitted.service, deps.placement.live_entries, now_ms)
         )
 
@@ -352,6 +417,7 @@
     async def _write_events(self, response: UpstreamResponse, events: bytes) -> None:
         if not self.exchange.started:
             self.record.first_event_ms = self._now_ms - self.record.started_ms
+            self._begin_stream(response.instance)
             await self._start_stream(response)
         if not self._prefilled and self._ticket is not None:
             self._prefilled = True
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -9,12 +9,14 @@
 from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
 from goldcrestridge_core.placement import (
     LONG_PROMPT_WEIGHT,
+    RESTART_DOUBT_MS,
     SPILL_FACTOR,
     SPILL_REQUESTS,
     Demand,
     Placement,
     demand_of,
 )
+from goldcrestridge_core.stream_origins import StreamOrigin
 
 
 def engines(count: int, slots: int = 96, leaving: int = 0) -> list[UpstreamInstance]:
@@ -230,3 +232,43 @@
         )
     assert max(asked.values()) <= 100 / 4
     assert len(asked) > 30
+
+
+def versions(*names: str) -> list[UpstreamInstance]:
+    """Return instances of a plain service with these versions."""
+    return [
+        UpstreamInstance(f"i{n}", "app", f"10.0.0.{n}:80", "dc", 6, False, name)
+        for n, name in enumerate(names)
+    ]
+
+
+def fitting(node: Placement, origin: StreamOrigin, now_ms: float = 0.0) -> set[str]:
+    """Return the instances at which a stream goes on."""
+    demand, excluded = Demand(origin=origin), set[str]()
+    while (item := node.choose("app", demand, excluded, now_ms)) is not None:
+        excluded.add(item.instance)
+    candidates = node.candidates("app", demand, (), now_ms)
+    assert {item.instance for item in candidates} <= excluded
+    return excluded
+
+
+def test_a_stream_goes_on_only_at_instances_that_state_its_version() -> None:
+    # Guards against events of two versions in one stream, also at an instance of unknown version.
+    node = placement(versions("v1", "v2", "v1", ""))
+    assert fitting(node, StreamOrigin("r", "app", "gone", "v1")) == {"i0", "i2"}
+    assert fitting(node, StreamOrigin("r", "app", "gone", "v3")) == set()
+    assert fitting(node, StreamOrigin("r", "app", "i3", "")) == set()
+    assert fitting(node, StreamOrigin("r", "other", "gone", "v1")) == set()
+
+
+def test_a_stream_does_not_go_on_where_the_list_may_be_old() -> None:
+    # Guards against an instance that comes back under its id with another version, as the one that
+    # began the stream or as the one that would take it.
+    node = placement(versions("v2", "v1", "v1"))
+    assert fitting(node, StreamOrigin("r", "app", "i0", "v1")) == set()
+    item = versions("v2", "v1", "v1")[1]
+    node.record_unreachable(item, 1_000.0)
+    node.record_success(item, 1_100.0)
+    origin = StreamOrigin("r", "app", "i2", "v1")
+    assert fitting(node, origin, 1_100.0) == {"i2"}
+    assert fitting(node, origin, 1_000.0 + RESTART_DOUBT_MS) == {"i1", "i2"}
--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -31,6 +31,7 @@
     RouteTable,
     WeightedService,
 )
+from goldcrestridge_core.stream_origins import StreamOrigins
 from goldcrestridge_core.types import NodeId
 from goldcrestridge_lab.soak_net import abort, read_head
 from goldcrestridge_node.dialect import UpstreamResponseHead
@@ -227,6 +228,20 @@
     return pending
 
 
+def single_node_origins(clock: Clock) -> PendingRequests:
+    """Return the stream origins of a node that is alone."""
+    lone = NodeId("lone")
+    role = StreamOrigins(lone)
+    role.handle(EntriesChanged((lone,)), clock.now_ms())
+
+    def post(event: Any) -> None:
+        for effect in role.handle(event, clock.now_ms()):
+            pending.resolve(effect.ticket, effect)
+
+    pending = PendingRequests(post)
+    return pending
+
+
 @asynccontextmanager
 async def running_gateway(
     *upstreams: ScriptedUpstream, engine: EngineLimits | None = None
@@ -262,6 +277,7 @@
         RequestLog(log, lambda _count: None),
         single_node_engines(clock),
         single_node_permits(clock, placement.limits),
+        single_node_origins(clock),
         "lone",
     )
     gateway = Gateway(dependencies)
--- a/tests/node/test_gateway.py
+++ b/tests/node/test_gateway.py
@@ -526,25 +526,31 @@
     }
 
 
-async def test_a_failed_stream_is_not_resumed_at_another_software_version() -> None:
+@pytest.mark.parametrize("engine", [None, EngineLimits(24, 100_000)])
+async def test_a_failed_stream_is_not_resumed_at_another_software_version(
+    engine: EngineLimits | None,
+) -> None:
     # Guards against an answer that holds events of two versions, which do not fit together.
     upstreams = (
         scripted("a", begin_or_resume, version="v1"),
         scripted("b", begin_or_resume, version="v2"),
     )
-    async with running_gateway(*upstreams) as running:
+    async with running_gateway(*upstreams, engine=engine) as running:
         for number in range(6):
             with pytest.raises(httpcore.RemoteProtocolError):
                 await running.call(f"/resume/{number}")
         assert resumed_at(running) == set()
 
 
-async def test_a_callers_retry_resumes_a_stream_only_at_the_version_that_began_it() -> None:
+@pytest.mark.parametrize("engine", [None, EngineLimits(24, 100_000)])
+async def test_a_callers_retry_resumes_a_stream_only_at_the_version_that_began_it(
+    engine: EngineLimits | None,
+) -> None:
     # Guards against a caller that gets events of two versions over its attempts, and against an
     # attempt to resume a stream whose beginning is unknown.
     upstreams = [scripted("a", begin_or_resume, version="v1")]
     upstreams += [scripted(f"b{number}", begin_or_resume, version="v2") for number in range(4)]
-    async with running_gateway(*upstreams) as running:
+    async with running_gateway(*upstreams, engine=engine) as running:
         placement = running.gateway.dependencies.placement
         placement.set_instances([upstreams[0].instance()])
         with pytest.raises(httpcore.RemoteProtocolError):
