Continue a pool's stream only at the version that began it

Engines state their version in load reports and in answers (x-upstream-version). The owner never grants a continuation on an upstream that has reported another version and refuses at once if none is left; the entry node drops an answer that states another one, so an old report can't join two versions. Engines that state none stay interchangeable as configured. The engine stand-in states a version on demand.

Each new test fails with its part taken out: the check of the answer (v2 and unstated), the owner's choice, and the version of an end that the router writes itself.

--- a/packages/core/src/goldcrestridge_core/attempts.py
+++ b/packages/core/src/goldcrestridge_core/attempts.py
@@ -18,6 +18,9 @@
 # first byte, the request can be retried on another upstream, or fail with an error response.
 MAX_BUFFERED_BYTES = 1024 * 1024
 
+# Software version of the upstream that sent an answer.
+VERSION_HEADER = b"x-upstream-version"
+
 Response = RespondHead | RespondChunk | RespondEnd
 
 
@@ -100,7 +103,14 @@
 
     def accepts(self, head: AttemptHead) -> bool:
         """Return whether an attempt with this head can continue the delivered answer."""
-        return not self.head_sent or head.status == self.status
+        return not self.head_sent or (
+            head.status == self.status and version_in(head.headers) == self.version
+        )
+
+    @property
+    def version(self) -> str | None:
+        """Return the software version that began the delivered answer, or None before its head."""
+        return version_in(self.headers) if self.head_sent else None
 
     def receive_chunk(self, chunk: AttemptChunk) -> list[Response]:
         """Deliver or buffer one chunk of the current attempt."""
@@ -149,3 +159,8 @@
         self._buffered_bytes = 0
         self.delivering = True
         return out
+
+
+def version_in(headers: Headers) -> str:
+    """Return the software version that an answer states, or an empty string."""
+    return next((value.decode("latin-1") for name, value in headers if name == VERSION_HEADER), "")
--- a/packages/core/src/goldcrestridge_core/call_types.py
+++ b/packages/core/src/goldcrestridge_core/call_types.py
@@ -127,7 +127,7 @@
 
     If ``delivered_tokens`` is above 0, the attempt continues a stream: the engine receives the
     delivered text as the beginning of the answer, or resumes at the token offset if it supports
-    that.
+    that. ``version`` is the software version that began the stream, empty if it is not stated.
     """
 
     request_id: RequestId
@@ -137,6 +137,7 @@
     priority: int
     delivered_text: str = ""
     delivered_tokens: int = 0
+    version: str = ""
 
 
 @frozen
--- a/packages/core/src/goldcrestridge_core/choice.py
+++ b/packages/core/src/goldcrestridge_core/choice.py
@@ -75,6 +75,7 @@
     foreign_load: float = 0.0  # Estimated requests that this owner did not grant.
     mean_foreign_load: float | None = None  # EWMA over the reports.
     leaving_ms: float | None = None
+    version: str | None = None  # Stated in the last report; None before the first one.
     limit_per_second: float | None = None  # Named by the upstream.
     bucket: RequestBucket | None = None  # Requests that the limit allows.
     failures: int = 0
@@ -84,6 +85,10 @@
     order_key: tuple[float, int, int] | None = None  # Entry in the open order, None if not there.
     free: int = 0
 
+    def may_run(self, version: str) -> bool:
+        """Return whether no report states another version; the answer of the upstream decides."""
+        return self.version in (None, version)
+
     def estimated_load(self, now_ms: float) -> float:
         """Return the estimated number of requests at the upstream, not rounded."""
         if now_ms - self.reported_ms > MAX_REPORT_AGE_MS:
@@ -174,7 +179,7 @@
 
     def _find(self, request: SlotRequest, now_ms: float) -> UpstreamId | None:
         self._run_timers(now_ms)
-        probes = [name for name in self._due_probes if name not in request.excluded]
+        probes = [name for name in self._due_probes if self._allows(request, name)]
         if probes:
             return probes[0]
         matched = self._best_match(request, now_ms)
@@ -182,10 +187,21 @@
             return matched
         for _, _, number in self._open_order:
             state = self._by_number[number]
-            if state.upstream.name not in request.excluded:
+            if self._allows(request, state.upstream.name):
                 return state.upstream.name
         return None
 
+    def _allows(self, request: SlotRequest, upstream: UpstreamId) -> bool:
+        """Return whether a request may use an upstream, whatever its load."""
+        fits = request.version is None or self._states[upstream].may_run(request.version)
+        return fits and upstream not in request.excluded
+
+    def serves_version(self, version: str) -> bool:
+        """Return whether an upstream that is not leaving may run this version."""
+        return any(
+            state.may_run(version) and state.leaving_ms is None for state in self._states.values()
+        )
+
     def record_grant(
         self, grant: HeldGrant, prefix: tuple[int, ...], expected_tokens: int, now_ms: float
     ) -> None:
@@ -256,6 +272,7 @@
         state.reported_ms = report_ms
         state.slots = report.slots if report.slots > 0 else state.upstream.slots
         self._set_limit(state, report.limit_per_second, now_ms)
+        state.version = report.version
         for times in (state.granted_ms, state.ended_ms):
             while times and times[0] < now_ms - MAX_REPORT_AGE_MS:
                 times.popleft()
@@ -324,7 +341,7 @@
         usable = (
             match
             for match in self._prefixes.matches(request.prefix)
-            if match.upstream not in request.excluded and self._within_bound(match, now_ms)
+            if self._allows(request, match.upstream) and self._within_bound(match, now_ms)
         )
         groups = itertools.groupby(usable, key=lambda match: match.depth * match.weight)
         best = [match.upstream for _, group in itertools.islice(groups, 1) for match in group]
--- a/packages/core/src/goldcrestridge_core/choice_simple.py
+++ b/packages/core/src/goldcrestridge_core/choice_simple.py
@@ -102,6 +102,10 @@
             self._free -= load.free()
             load.leaving = True
 
+    def serves_version(self, version: str) -> bool:
+        """Return True, since the baseline takes all upstreams for alike."""
+        return True
+
     def limits(self) -> tuple[tuple[types.UpstreamId, float], ...]:
         """Return no limits, since the baseline does not apply them."""
         return ()
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -70,6 +70,10 @@
     def mark_leaving(self, upstream: types.UpstreamId, now_ms: float) -> None:
         """Stop choosing an upstream that is leaving."""
 
+    def serves_version(self, version: str) -> bool:
+        """Return whether an upstream that is not leaving may run this version."""
+        ...
+
     def limits(self) -> tuple[tuple[types.UpstreamId, float], ...]:
         """Return the requests a second of the upstreams that name a limit."""
         ...
@@ -217,6 +221,9 @@
         """Queue a new request, or refuse it if it cannot get a slot in time."""
         if len(self._leaving_since_ms) == len(self.upstreams):
             return [self._refuse_waiting(waiting, types.Reason.NO_UPSTREAM, now_ms)]
+        version = waiting.request.version
+        if version is not None and not self.chooser.serves_version(version):
+            return [self._refuse_waiting(waiting, types.Reason.NO_UPSTREAM, now_ms)]
         if waiting.deadline_ms <= now_ms:
             return [self._refuse_waiting(waiting, types.Reason.DEADLINE, now_ms)]
         limit_wait_ms = self.queue.limit_wait_ms(waiting, now_ms)
--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -359,6 +359,7 @@
             deadline_ms=req.deadline_ms,
             excluded=req.excluded,
             delivered_tokens=req.answer.delivered_tokens,
+            version=req.answer.version,
         )
         return [*self._slots.request_slot(waiting, now_ms)]
 
@@ -404,6 +405,7 @@
             delivered_text=text,
             # Delivered text without a token count must be continued, not generated again.
             delivered_tokens=max(req.answer.delivered_tokens, 1 if text else 0),
+            version=req.answer.version or "",
         )
         wait = Count("slot_wait_ms", now_ms - req.arrived_ms, (("class", req.request_class.name),))
         started = _timeline_event(req, "attempt_started", (("attempt", req.attempt),))
@@ -450,7 +452,12 @@
             req.answer.receive_head(event)
             return []
         cancel = CancelAttempt(req.request_id, req.attempt)
-        return [cancel, *self._retry_or_fail(req, now_ms, f"The upstream answered {event.status}.")]
+        detail = (
+            f"The upstream answered {event.status}."
+            if matches or event.status != req.answer.status
+            else "The upstream runs another software version."
+        )
+        return [cancel, *self._retry_or_fail(req, now_ms, detail)]
 
     def _handle_chunk(self, req: InFlight, event: AttemptChunk, now_ms: float) -> list[Any]:
         """Deliver or buffer a chunk of the response."""
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -61,6 +61,7 @@
     deadline_ms: float
     excluded: tuple[UpstreamId, ...]
     delivered_tokens: int
+    version: str | None = None
     resend_at_ms: float = 0.0
     resend_interval_ms: float = FIRST_RESEND_MS
 
@@ -412,6 +413,7 @@
             deadline_in_ms=waiting.deadline_ms - now_ms,
             excluded=waiting.excluded,
             delivered_tokens=waiting.delivered_tokens,
+            version=waiting.version,
         )
         return _to_owner(view, request)
 
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -117,7 +117,9 @@
     """Request a slot from the shard owner; resent with updated times until it is answered.
 
     ``prefix`` holds 64-bit hashes of the successive prompt blocks, each covering the blocks
-    before it. ``deadline_in_ms`` is the time left to get a slot.
+    before it. ``deadline_in_ms`` is the time left to get a slot. A stream that has begun goes on
+    only at an upstream of the software ``version`` that began it, which is empty if that upstream
+    states none; None stands for any version.
     """
 
     request_id: RequestId
@@ -135,6 +137,7 @@
     deadline_in_ms: float
     excluded: tuple[UpstreamId, ...] = ()
     delivered_tokens: int = 0
+    version: str | None = None
 
 
 @message
@@ -283,7 +286,8 @@
     """Load reported by an upstream; ``age_ms`` is the age of the values on arrival.
 
     ``limit_per_second`` is the number of requests a second that the upstream takes from all entry
-    nodes together, or None if it names no limit.
+    nodes together, or None if it names no limit. ``version`` is that of its software, empty if it
+    states none.
     """
 
     upstream: UpstreamId
@@ -293,6 +297,7 @@
     slots: int
     leaving: bool = False
     limit_per_second: float | None = None
+    version: str = ""
 
 
 @message
--- a/packages/lab/src/goldcrestridge_lab/engine_http.py
+++ b/packages/lab/src/goldcrestridge_lab/engine_http.py
@@ -27,6 +27,7 @@
 from attrs import define, field
 from docopt import docopt
 
+from goldcrestridge_core.attempts import VERSION_HEADER
 from goldcrestridge_lab.asgi import (
     Receive,
     Scope,
@@ -89,6 +90,7 @@
     fail_times: int = 1  # Number of answers to abort.
     error_event: bool = False  # Send an error event before the abort.
     limit_per_second: float | msgspec.UnsetType | None = msgspec.UNSET
+    version: str | None = None
 
 
 class Order(msgspec.Struct):
@@ -165,6 +167,7 @@
     stats: Stats = field(factory=Stats)
     leaving: bool = False
     limit_per_second: float | None = None
+    version: str = ""
     requests: list[dict[str, Any]] = field(factory=list)  # The last 100 decoded bodies, for tests.
     _cache: PrefixCache = field(factory=PrefixCache)
     _fail_after_tokens: int = 0
@@ -211,6 +214,7 @@
             "slots": self.engine.slots,
             "leaving": self.leaving,
             "limit_per_second": self.limit_per_second,
+            "version": self.version,
         }
 
     async def _handle_control(self, control: Control, send: Send) -> None:
@@ -222,6 +226,8 @@
             self.leaving = control.leave
         if control.limit_per_second is not msgspec.UNSET:
             self.limit_per_second = control.limit_per_second
+        if control.version is not None:
+            self.version = control.version
         if control.slow_factor is not None:
             self.engine.slow_factor = control.slow_factor
         if control.fail_after_tokens is not None:
@@ -280,7 +286,7 @@
             self._cache.add(prefix_hashes(body.model, prompt))
             prompt_tokens = estimate_tokens(prompt + answer_prefix)
             await sleep_ms(self.engine.first_token_ms(prompt_tokens))
-            response = CompletionResponse(chat, body, prompt_tokens, send)
+            response = CompletionResponse(chat, body, prompt_tokens, send, self.version)
             await self._generate(response, TokenSource(prompt + answer_prefix), body)
             self.stats.completed += 1
         finally:
@@ -328,6 +334,7 @@
     body: CompletionRequest
     prompt_tokens: int
     send: Send
+    version: str = ""
     tokens: list[str] = field(factory=list)
     _chunk_frame: tuple[bytes, bytes] = field(init=False, default=(b"", b""))
 
@@ -341,7 +348,8 @@
         """Send the response head and the role event, if the response is streamed."""
         if not self.body.stream:
             return
-        await send_head(self.send, 200, EVENT_STREAM_HEADERS)
+        version = ((VERSION_HEADER, self.version.encode()),) if self.version else ()
+        await send_head(self.send, 200, EVENT_STREAM_HEADERS + version)
         if self.chat:
             await self._send_event({"delta": {"role": "assistant", "content": ""}}, None)
 
--- a/packages/node/src/goldcrestridge_node/reports.py
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -25,6 +25,7 @@
     age_ms: float = 0.0
     leaving: bool = False
     limit_per_second: float | None = None
+    version: str = ""
 
 
 class _CacheEvent(msgspec.Struct):
@@ -98,6 +99,7 @@
                 load.slots,
                 load.leaving,
                 load.limit_per_second,
+                load.version,
             )
         )
         if not self.is_engine(upstream.name):
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup, TaskStatus
 from attrs import define, field, frozen
 
+from goldcrestridge_core.attempts import VERSION_HEADER
 from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptEnd,
@@ -303,6 +304,8 @@
     async def _end_exhausted(self, start: StartAttempt) -> None:
         """End a stream that failed after its last token, without a request to an upstream."""
         headers: Headers = ((b"content-type", b"text/event-stream"),)
+        if start.version:
+            headers += ((VERSION_HEADER, start.version.encode("latin-1")),)
         await self.emit(AttemptHead(start.request_id, start.attempt, 200, headers))
         await self._emit_chunk(
             start, event_bytes(length_event(start, self._identity_of(start))), "", 0
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -519,3 +519,38 @@
     harness.send(limited(None))
     harness.send(types.GrantReport(ENTRY, SHARD, (), limits=limits))
     assert harness.owner.chooser.limits() == ()
+
+
+def versioned(version: str) -> types.LoadReport:
+    return types.LoadReport(types.UpstreamId("u"), 0.0, 0, 0, 4, version=version)
+
+
+def test_a_stream_gets_no_slot_at_an_upstream_that_reported_another_version() -> None:
+    # Guards against a continuation whose work is lost, since its answer can't be joined, and
+    # against a caller that waits for a version that no upstream of the pool runs.
+    harness = Harness(slots=4, chooser=PrefixChooser())
+    (grant,) = harness.send(harness.request(version="v1"))
+    assert isinstance(grant, types.SlotGrant)
+    harness.send(versioned("v2"))
+    (refusal,) = harness.send(harness.request(version="v1"))
+    assert refusal.reason is types.Reason.NO_UPSTREAM
+    for version in ("v2", None):
+        (grant,) = harness.send(harness.request(version=version))
+        assert isinstance(grant, types.SlotGrant)
+
+
+def test_a_stream_waits_for_an_upstream_of_its_version_instead_of_taking_another() -> None:
+    # Guards against a choice by prefix, by load or for a probe that overrides the version.
+    upstreams = tuple(
+        config.Upstream(types.UpstreamId(name), name, "dc", 1) for name in ("old", "new")
+    )
+    chooser = PrefixChooser()
+    chooser.set_upstreams(upstreams)
+    for upstream, version in zip(upstreams, ("v1", "v2"), strict=True):
+        report = types.LoadReport(upstream.name, 0.0, 0, 0, 1, version=version)
+        chooser.apply_load_report(report, 1.0)
+    request = Harness().request(version="v1")
+    assert chooser.choose(request, 10, 2.0) == "old"
+    assert chooser.choose(evolve(request, excluded=(upstreams[0].name,)), 10, 2.0) is None
+    assert chooser.serves_version("v1")
+    assert not chooser.serves_version("v3")
--- a/tests/core/test_request_cases.py
+++ b/tests/core/test_request_cases.py
@@ -12,7 +12,7 @@
 from returns.result import Failure
 from tests.core.fleet import RETRY_SHARE, SHARD, WALL_MS, Caller, Fleet, Run, make_call, uuid7
 
-from goldcrestridge_core.attempts import Answer
+from goldcrestridge_core.attempts import VERSION_HEADER, Answer
 from goldcrestridge_core.call_types import (
     AttemptChunk,
     AttemptFailed,
@@ -663,3 +663,28 @@
         send.message for send in client.tick(10_000.0) if isinstance(send.message, GrantReport)
     ]
     assert report.limits == summary.limits
+
+
+@pytest.mark.parametrize("stated", ["v1", "v2", ""])
+def test_a_stream_is_continued_only_by_an_upstream_that_states_its_version(stated: str) -> None:
+    # Guards against a stream with text of two software versions, also while the owner's report of
+    # the upstream is old, and against an upstream whose version is unknown.
+    fleet = start_fleet(4)
+    caller = fleet.request(first_entry(fleet), make_call())
+    run = run_until_started(fleet, caller)
+    run.script[0] = evolve(run.script[0], headers=((VERSION_HEADER, b"v1"),))
+    for _ in range(3):
+        fleet.step(run, "next")
+    received = len(caller.chunks)
+    fleet.step(run, "cut")
+    second = run_until_started(fleet, caller)
+    assert second.start.version == "v1"
+    headers = ((VERSION_HEADER, stated.encode()),) if stated else ()
+    second.script[0] = evolve(second.script[0], headers=headers)
+    if stated == "v1":
+        finish_attempt(fleet, second)
+        assert b"".join(caller.chunks) == caller.expected()
+        return
+    fleet.step(second, "next")
+    assert not second.active
+    assert len(caller.chunks) == received
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -18,10 +18,18 @@
 from tests.node.test_edge_faults import control
 from tests.node.test_edge_path import output
 
-from goldcrestridge_core.call_types import AttemptFailed, Call, CallKind, StartAttempt
-from goldcrestridge_core.types import RequestId
+from goldcrestridge_core.attempts import version_in
+from goldcrestridge_core.call_types import (
+    AttemptEnd,
+    AttemptFailed,
+    AttemptHead,
+    Call,
+    CallKind,
+    StartAttempt,
+)
+from goldcrestridge_core.types import RequestId, UpstreamId
 from goldcrestridge_lab.simple_engine import expected_output
-from goldcrestridge_node.upstream import UpstreamClient, UpstreamOptions
+from goldcrestridge_node.upstream import AttemptEvent, UpstreamClient, UpstreamOptions
 
 
 def check_one_stream(reply: Reply, expected: str) -> None:
@@ -284,3 +292,26 @@
             group.cancel_scope.cancel()
 
     run(scenario)
+
+
+def test_the_end_of_an_exhausted_stream_states_the_version_that_began_it() -> None:
+    # Guards against an end that the router writes itself and then rejects as another version's.
+    async def scenario() -> None:
+        async with running_stack() as stack, anyio.create_task_group() as tasks:
+            await chat(stack, "survey", stream=True, max_tokens=5)
+            events: list[AttemptEvent] = []
+
+            async def emit(event: AttemptEvent) -> None:
+                events.append(event)
+
+            client = UpstreamClient(stack.forwarder.client.upstream_of, emit)
+            await tasks.start(client.run)
+            request = stack.forwarder.calls[0]
+            name = UpstreamId("engines-0")
+            client.start(StartAttempt(RequestId("r"), 1, name, request, 0, "text", 5, "v1"))
+            await wait_until(lambda: bool(events) and isinstance(events[-1], AttemptEnd))
+            tasks.cancel_scope.cancel()
+        assert isinstance(events[0], AttemptHead)
+        assert version_in(events[0].headers) == "v1"
+
+    run(scenario)
