Let a stream of a split route go on at the service that began it

A retry that takes a stream up drew its service by weight, so on a split route it could land at the other service: the stream could not go on, though instances of its version served. The request is now admitted to the service of its origin, if the route still has it. The test fails without that.

--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -12,6 +12,7 @@
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.forwarding import Forwarding
 from goldcrestridge_core.placement import Demand, demand_of
+from goldcrestridge_core.routes import Route, RoutedWorkspace, RouteTable
 from goldcrestridge_core.types import Headers, Outcome, RequestId
 from goldcrestridge_node.dialect import CallerHead
 from goldcrestridge_node.dispatch import OutgoingRequest, UpstreamResponse
@@ -175,21 +176,20 @@
                 return UNKNOWN_KEY
             record.workspace = workspace.name
         service = route.pick_service(self.dependencies.placement.rng.random())
-        entry = table.services.get(service)
-        demand = Demand()
-        if entry is not None and entry.engine is not None:
-            tight = table.is_tight(route, service) if table.has_tight(service) else None
-            prefix, prefix_tokens = (
-                (head.shared_prefix_id, head.shared_tokens) if route.cached else ("", 0)
-            )
-            demand = demand_of(prefix, prefix_tokens, head.prompt_tokens, head.output_tokens, tight)
-        self.dependencies.placement.record_arrival(service, demand, now_ms)
-        rank = table.rank(route, workspace)
-        record.rank = rank
+        admitted = _admitted_request(table, route, workspace, service, head)
+        self.dependencies.placement.record_arrival(service, admitted.demand, now_ms)
+        record.rank = admitted.rank
         record.prompt_tokens, record.output_tokens = head.prompt_tokens, head.output_tokens
-        engine = entry.engine if entry is not None else None
-        least_urgent = table.is_least_urgent(service, route.priority)
-        return AdmittedRequest(route, workspace, service, demand, rank, engine, least_urgent)
+        return admitted
+
+    def admit_to_service(
+        self, admitted: AdmittedRequest, service: str, head: CallerHead
+    ) -> AdmittedRequest | None:
+        """Return a request as admitted to another service, or None if its route has no such one."""
+        table, route = self.dependencies.routes.table, admitted.route
+        if table is None or service not in {share.service for share in route.services}:
+            return None
+        return _admitted_request(table, route, admitted.workspace, service, head)
 
     def is_still_authorized(self, admitted: AdmittedRequest, key: str | None) -> bool:
         """Tell whether the key of a request that has waited is valid in the current routes."""
@@ -223,3 +223,31 @@
     path: bytes = scope["raw_path"]
     query: bytes = scope["query_string"]
     return path + b"?" + query if query else path
+
+
+def _admitted_request(
+    table: RouteTable,
+    route: Route,
+    workspace: RoutedWorkspace | None,
+    service: str,
+    head: CallerHead,
+) -> AdmittedRequest:
+    """Return the request as a service of its route gets it."""
+    entry = table.services.get(service)
+    engine = entry.engine if entry is not None else None
+    demand = Demand()
+    if engine is not None:
+        tight = table.is_tight(route, service) if table.has_tight(service) else None
+        prefix, prefix_tokens = (
+            (head.shared_prefix_id, head.shared_tokens) if route.cached else ("", 0)
+        )
+        demand = demand_of(prefix, prefix_tokens, head.prompt_tokens, head.output_tokens, tight)
+    return AdmittedRequest(
+        route,
+        workspace,
+        service,
+        demand,
+        table.rank(route, workspace),
+        engine,
+        table.is_least_urgent(service, route.priority),
+    )
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -126,7 +126,7 @@
         ticket = self.gateway.next_ticket()
         event = FindOrigin(ticket, self.request.caller_head.resumed_request_id)
         found: OriginFound = await deps.origins.ask(ticket, event)
-        if found.origin is not None and deps.placement.serves_version(found.origin):
+        if found.origin is not None and self._goes_on_at(found.origin):
             self._origin = found.origin
             return True
         may_be_held = found.origin is None and not found.complete
@@ -134,6 +134,15 @@
         await self.gateway.refuse(self.exchange, refusal, self.record)
         return False
 
+    def _goes_on_at(self, origin: StreamOrigin) -> bool:
+        """Admit the request to the service that began the stream; return False if none fits."""
+        head = self.request.caller_head
+        admitted = self.gateway.admit_to_service(self.admitted, origin.service, head)
+        if admitted is None or not self.gateway.dependencies.placement.serves_version(origin):
+            return False
+        self.admitted = self._permits.admitted = admitted
+        return True
+
     def _begin_stream(self, instance: UpstreamInstance) -> None:
         """Record the origin of a stream before its first event is written."""
         if self._origin is not None:
--- a/tests/node/test_gateway.py
+++ b/tests/node/test_gateway.py
@@ -18,7 +18,13 @@
     running_gateway,
 )
 
-from goldcrestridge_core.routes import EngineLimits, RoutedWorkspace, RouteTable
+from goldcrestridge_core.routes import (
+    EngineLimits,
+    RoutedService,
+    RoutedWorkspace,
+    RouteTable,
+    WeightedService,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -566,3 +572,35 @@
         for _ in range(6):
             await running.call("/resume/x", last_event_id="1", resumes="first")
         assert resumed_at(running) == {"v1"}
+
+
+async def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
+    # Guards against a stream that can't go on, or goes on at a service with the same version name,
+    # because the route gives the retry to another service.
+    upstreams = scripted("a", begin_or_resume), scripted("b", begin_or_resume)
+    async with running_gateway(*upstreams) as running:
+        deps = running.gateway.dependencies
+        table = deps.routes.table
+        assert table is not None
+        shares = (WeightedService("s", 1), WeightedService("other", 1_000_000))
+        routes = tuple(evolve(route, services=shares) for route in table.routes)
+        services = {**table.services, "other": RoutedService("other", 100)}
+        other = evolve(upstreams[1].instance(), service="other")
+        deps.placement.set_instances([upstreams[0].instance(), other])
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await running.call("/resume/x", x_goldcrestridge_request_id="first")
+        deps.routes.table = RouteTable(2, routes, services, table.limits, table.workspaces)
+        deps.placement.record_success(upstreams[0].instance(), 0.0)
+        assert (await running.call("/resume/x", last_event_id="1", resumes="first")).status == 200
+        assert "last-event-id" in upstreams[0].exchanges[-1].headers
+        deps.routes.table = RouteTable(
+            3,
+            tuple(evolve(route, services=shares[1:]) for route in table.routes),
+            services,
+            table.limits,
+            table.workspaces,
+        )
+        response = await running.call("/resume/x", last_event_id="1", resumes="first")
+        assert response.status == 503
+        assert b"retry-after" not in dict(response.headers)
+        assert upstreams[1].exchanges == []
