Name limits, run two versions and take streams up in the fault soak

Upstreams of the soak name limits, also in the time after the faults, run two software versions side by side, and sometimes come back under their id with another version. Callers take broken streams up at any entry node. Two checks are new: requests within a named limit, and streams of one version; each has a test in which it reports a violation.

--- a/packages/lab/src/goldcrestridge_lab/soak.py
+++ b/packages/lab/src/goldcrestridge_lab/soak.py
@@ -40,6 +40,10 @@
 # Runs with different seeds use different loopback networks, so that they can run concurrently.
 FIRST_NETWORK, NETWORKS = 20, 200
 UPSTREAM_PORT = 18095
+VERSIONS = ("v1", "v2")
+LIMITS_PER_SECOND = (1.0, 3.0, 8.0)
+# Share of restarted upstreams that keep their instance id, with any version.
+KEPT_ID_SHARE = 0.2
 CALLERS_PER_ENTRY = 3
 CALLER_PAUSE_MS = 60.0
 CONFIG_PROPAGATION_MS = 2_500.0  # The platform's bound for a new version to reach connected nodes.
@@ -75,6 +79,8 @@
     nodes: Nodes = field(init=False)
     operators: Operators = field(init=False)
     upstreams: list[Upstream] = field(factory=list)
+    # Start, end and requests a second of each limit that an instance named.
+    limits: dict[str, list[tuple[float, float, float]]] = field(factory=dict)
     entry_proxies: dict[str, Proxy] = field(factory=dict)
     upstream_proxies: dict[str, Proxy] = field(factory=dict)
     _upstream_numbers: itertools.count[int] = field(factory=itertools.count)
@@ -135,6 +141,7 @@
         upstream = Upstream(
             service, address, self._new_instance_id(), self.now_ms, self.arrivals.append, self._rng
         )
+        upstream.version = VERSIONS[number % len(VERSIONS)]
         self.upstreams.append(upstream)
         source = (self._ip(5, number), UPSTREAM_PORT)
         self.upstream_proxies[address[0]] = Proxy(source, address, random.Random(number))
@@ -171,6 +178,7 @@
             self.upstream_list.leaving_listed_ms,
             self.fault_spans,
             self.drains,
+            self.limits,
         )
         self.violations += [*self.operators.violations, *find_violations(observations)]
         self.violations += [
@@ -204,6 +212,7 @@
             for number in range(2):
                 rng = random.Random(f"{self.seed} faults {number}")
                 tasks.create_task(self._inject_faults(until_ms, rng))
+            tasks.create_task(self._limit_after_faults(until_ms, recovered_ms))
         final = await self._read_final_version()
         newest_acknowledged = self.operators.newest_acknowledged(self.now_ms())
         if final < newest_acknowledged:
@@ -258,6 +267,7 @@
             self._upstream_mode,
             self._upstream_crash,
             self._upstream_leaves,
+            self._upstream_limit,
             self._list_mode,
         )
         while self.now_ms() < until_ms:
@@ -383,7 +393,9 @@
         upstream.crash()
         await self._hold_fault(rng, crashed)
         if upstream.leaving_since_ms is None and not upstream.running:
-            upstream.instance = self._new_instance_id()
+            if rng.random() >= KEPT_ID_SHARE:
+                upstream.instance = self._new_instance_id()
+            upstream.version = rng.choice(VERSIONS)
             others = [item for item in self.upstreams if item is not upstream and item.running]
             if sum(item.service == upstream.service for item in others) >= 2:
                 upstream.service = rng.choice("ab")
@@ -403,6 +415,37 @@
         upstream.crash()
         self.upstreams.remove(upstream)
 
+    async def _upstream_limit(self, rng: random.Random) -> None:
+        """Let an upstream name a limit for some seconds."""
+        upstream = rng.choice(self.upstreams)
+        if upstream.limit_per_second is None:
+            await self._name_limit(upstream, rng.choice(LIMITS_PER_SECOND), rng.uniform(2.0, 8.0))
+
+    async def _limit_after_faults(self, until_ms: float, recovered_ms: float) -> None:
+        """Let an upstream of each service name a limit while no other fault is active."""
+        await asyncio.sleep((until_ms - self.now_ms()) / MS_PER_SECOND)
+        rng = random.Random(f"{self.seed} limits")
+        seconds = (recovered_ms - self.now_ms()) / MS_PER_SECOND
+        async with asyncio.TaskGroup() as tasks:
+            for service, _ in UPSTREAMS:
+                free = [
+                    item
+                    for item in self.upstreams
+                    if item.service == service and item.running and item.limit_per_second is None
+                ]
+                if free:
+                    limit = rng.choice(LIMITS_PER_SECOND)
+                    tasks.create_task(self._name_limit(rng.choice(free), limit, seconds))
+
+    async def _name_limit(self, upstream: Upstream, per_second: float, seconds: float) -> None:
+        """Let an upstream name a limit, and record it until the instance ends."""
+        instance, begin_ms = upstream.instance, self.now_ms()
+        upstream.limit_per_second = per_second
+        await asyncio.sleep(seconds)
+        upstream.limit_per_second = None
+        if upstream.instance == instance:
+            self.limits.setdefault(instance, []).append((begin_ms, self.now_ms(), per_second))
+
     async def _list_mode(self, rng: random.Random) -> None:
         self.upstream_list.mode = rng.choice(("down", "busy"))
         await self._hold_fault(rng, "list")
@@ -411,10 +454,14 @@
     def report(self) -> str:
         """Return a summary of the traffic, the faults and the violations."""
         outcomes = Counter("served" if call.served else str(call.status) for call in self.calls)
+        resumed = [call for call in self.calls if call.stream and call.stream.resumptions]
         lines = [
             f"seed {self.seed}: {len(self.calls)} calls {dict(outcomes)}",
             f"  {len(self.arrivals)} arrivals at upstreams; versions acknowledged: "
             f"{len(self.operators.acknowledged_ms)}, reads: {self.operators.reads}",
+            f"  attempts of streams that were taken up: {len(resumed)}, "
+            f"completed: {sum(call.served for call in resumed)}; limits named: "
+            f"{sum(map(len, self.limits.values()))}",
             f"  faults: {dict(sorted(self.faults.items()))}",
             *(f"  BROKEN {violation}" for violation in self.violations[:20]),
         ]
--- a/packages/lab/src/goldcrestridge_lab/soak_callers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_callers.py
@@ -33,6 +33,8 @@
 # A caller waits a little longer than the deadline that it sends with the request.
 CALL_TIMEOUT_MS = DEADLINE_MS + 1_000.0
 ADDRESS_CACHE_MS = 2_000.0
+# Attempts to take a broken stream up again.
+MAX_RESUMPTIONS = 2
 REQUEST_TIMEOUT_MS = 1_000.0
 PERMANENT_KEY, REVOCABLE_KEY = "k-lasting", "k-taken"
 REFUSALS = (408, 421, 429, 503)
@@ -77,6 +79,41 @@
     ).encode()
 
 
+@define(eq=False)
+class Stream:
+    """A stream over all attempts of its caller.
+
+    ``first_request_id`` is the attempt that brought the first event. ``events`` holds the number
+    and the software version of each event.
+    """
+
+    target: str
+    first_request_id: str = ""
+    events: list[tuple[int, str]] = field(factory=list)
+    resumptions: int = 0
+    _buffer: bytes = b""
+
+    def restart(self) -> None:
+        """Drop the incomplete event of an attempt that broke off."""
+        self._buffer = b""
+
+    def feed(self, request_id: str, data: bytes) -> bool:
+        """Add the events of an attempt; return False if they are not the next ones."""
+        *complete, self._buffer = (self._buffer + data).split(b"\n\n")
+        for event in complete:
+            number, version = len(self.events) + 1, event.rpartition(b" ")[2].decode("latin-1")
+            if event + b"\n\n" != encode_event(self.target, number, version):
+                return False
+            self.first_request_id = self.first_request_id or request_id
+            self.events.append((number, version))
+        return True
+
+    @property
+    def complete(self) -> bool:
+        """Return whether all events of the stream have arrived."""
+        return len(self.events) == STREAM_EVENTS and not self._buffer
+
+
 @define(eq=False)
 class Call:
     """One request and its result; times are in milliseconds since the start of the run."""
@@ -91,6 +128,14 @@
     served: bool = False
     mismatch: str = ""  # How a response that was framed completely differs from the expected one.
     closed: bool = False  # The connection ended before a complete, valid response.
+    stream: Stream | None = None
+
+    @property
+    def resumable(self) -> bool:
+        """Return whether the caller can take up a stream that broke off."""
+        return (
+            self.kind == "stream" and not self.served and bool(self.stream and self.stream.events)
+        )
 
 
 @define(eq=False)
@@ -116,18 +161,36 @@
         self._disconnect()
 
     async def call(self) -> None:
-        """Make one call and append it to ``calls``; skip it if no entry node can be reached."""
+        """Make one call, and take its stream up again if it breaks off."""
+        call = await self._attempt(None)
+        for _ in range(MAX_RESUMPTIONS):
+            if call is None or call.stream is None or not call.resumable:
+                return
+            call.stream.restart()
+            call.stream.resumptions += 1
+            call = await self._attempt(call)
+
+    async def _attempt(self, broken: Call | None) -> Call | None:
+        """Make one attempt and append it to ``calls``; return None if no entry node is reached.
+
+        With ``broken`` it takes up the stream of that call.
+        """
         await self._resolve()
         if not self._addresses:
-            return
+            return None
         if self._conn is None or self.rng.random() < 0.2 or self._conn[0] not in self._addresses:
             await self._connect()
         if self._conn is None:
-            return
+            return None
         entry, reader, writer = self._conn
-        key = REVOCABLE_KEY if self.rng.random() < 0.3 else PERMANENT_KEY
-        kind = self.rng.choice(KINDS)
-        call = Call(f"{self.name}-{next(self._call_numbers)}", kind, key, entry, self.now_ms())
+        request_id = f"{self.name}-{next(self._call_numbers)}"
+        if broken is not None:
+            call = Call(request_id, broken.kind, broken.key, entry, self.now_ms())
+            call.stream = broken.stream
+        else:
+            key = REVOCABLE_KEY if self.rng.random() < 0.3 else PERMANENT_KEY
+            kind = self.rng.choice(KINDS)
+            call = Call(request_id, kind, key, entry, self.now_ms())
         self.calls.append(call)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_MS / MS_PER_SECOND):
@@ -139,6 +202,7 @@
         call.ended_ms = self.now_ms()
         if not reusable:
             self._disconnect()
+        return call
 
     async def _exchange(
         self, call: Call, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -146,19 +210,29 @@
         """Send a request and read the response; return whether the connection can be reused."""
         body = b"b" * self.rng.choice((0, 10, 3_000))
         target = f"/{call.kind}/{self.rng.randrange(100)}?q={call.request_id}"
+        resume_headers: tuple[tuple[str, str], ...] = ()
+        if call.stream is not None:
+            target = call.stream.target
+            last_event_id, _ = call.stream.events[-1]
+            resume_headers = (
+                ("last-event-id", str(last_event_id)),
+                ("resumes", call.stream.first_request_id),
+            )
         headers = (
             ("host", HOST),
             (HEADER_PREFIX + "request-id", call.request_id),
             (HEADER_PREFIX + "deadline-ms", str(int(DEADLINE_MS))),
             ("x-api-key", call.key),
             ("content-length", str(len(body))),
+            *resume_headers,
         )
         writer.write(encode_head(f"POST {target} HTTP/1.1", headers) + body)
         await writer.drain()
         answer = await read_head(reader)
         status = int(answer.start_line[1])
         if answer.headers.get("transfer-encoding") == "chunked":
-            await self._read_stream(call, reader)
+            call.stream = call.stream or Stream(target)
+            await self._read_stream(call, call.stream, reader)
         else:
             content = await reader.readexactly(int(answer.headers.get("content-length", "0")))
             if status == 200:
@@ -179,15 +253,13 @@
         if call.status == 200 and HEADER_PREFIX + "server-stamp" not in answer.headers:
             call.mismatch = "successful response without an upstream's signature"
 
-    async def _read_stream(self, call: Call, reader: asyncio.StreamReader) -> None:
-        received = b""
+    async def _read_stream(self, call: Call, stream: Stream, reader: asyncio.StreamReader) -> None:
         while chunk := await read_chunk(reader):
-            received += chunk
-        expected = b"".join(encode_event(call.request_id, n) for n in range(1, STREAM_EVENTS + 1))
-        if received != expected:
+            if not stream.feed(call.request_id, chunk):
+                call.mismatch = "event of a stream is not the next one"
+        if not stream.complete and not call.mismatch:
             call.mismatch = (
-                f"complete stream of {len(received)} bytes differs from the "
-                f"{len(expected)} bytes expected"
+                f"complete stream of {len(stream.events)} events, {STREAM_EVENTS} expected"
             )
 
     async def _resolve(self) -> None:
--- a/packages/lab/src/goldcrestridge_lab/soak_checks.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from attrs import frozen
+from attrs import field, frozen
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_lab.soak_callers import REFUSALS, REVOCABLE_KEY, Call, Operators
@@ -15,6 +15,14 @@
 # are connected again within RECONNECT_MS after a fault.
 DRAIN_MS = 4_000.0
 RECONNECT_MS = 4_000.0
+# The platform allows 1.5 times a named limit in each window of LIMIT_WINDOW_MS, and LIMIT_EXTRA
+# requests more, from CONTACT_MS after the limit was first named.
+LIMIT_WINDOW_MS = 4_000.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+CONTACT_MS = 3_000.0
+# Streams that may hold events of two versions, since the list of upstreams lags.
+MAX_JOINED_STREAMS = 2
 # A request sent less than this time before its connection ended may not have been read.
 LOSS_SLACK_MS = 200.0
 AT_MOST_ONCE_KINDS = ("once", "single")  # Kinds of calls that run at most once.
@@ -29,7 +37,8 @@
 
     ``leaving_listed_ms`` holds when the list of upstreams first showed each instance as leaving.
     ``fault_spans`` and ``drains`` hold the start and end of faults and of planned shutdowns, keyed
-    by the address of a node, the instance of an upstream, or ``list``.
+    by the address of a node, the instance of an upstream, or ``list``. ``limits`` holds the start
+    and end of each time in which an instance named a limit, with the requests a second.
     """
 
     calls: list[Call]
@@ -38,6 +47,7 @@
     leaving_listed_ms: dict[str, float]
     fault_spans: Spans
     drains: Spans
+    limits: dict[str, list[tuple[float, float, float]]] = field(factory=dict)
 
 
 def find_violations(observations: Observations) -> Iterator[str]:
@@ -54,6 +64,8 @@
     yield from _check_revoked_keys(observations, runs)
     yield from _check_leaving_upstreams(observations)
     yield from _check_retry_budget(observations)
+    yield from _check_named_limits(observations)
+    yield from _check_joined_streams(observations)
 
 
 def _check_call(call: Call, runs: list[Arrival]) -> Iterator[str]:
@@ -140,3 +152,45 @@
         if count > allowed:
             yield f"{count} retries in the window from {begin_ms:.0f} ms, {allowed:.0f} allowed"
             return
+
+
+def _check_named_limits(observations: Observations) -> Iterator[str]:
+    """Check that an instance gets no more requests than the limit that it names allows.
+
+    Windows in which a node or the instance itself was disturbed or restarted are left out.
+    """
+    for instance, spans in observations.limits.items():
+        disturbed = [
+            span
+            for name, others in (*observations.fault_spans.items(), *observations.drains.items())
+            if name == instance or not name.startswith("i-")
+            for span in others
+        ]
+        at_ms = sorted(item.at_ms for item in observations.arrivals if item.instance == instance)
+        for named_ms, ended_ms, per_second in spans:
+            allowed = LIMIT_FACTOR * per_second * LIMIT_WINDOW_MS / MS_PER_SECOND + LIMIT_EXTRA
+            for begin_ms in at_ms:
+                end_ms = begin_ms + LIMIT_WINDOW_MS
+                if begin_ms < named_ms + CONTACT_MS or end_ms > ended_ms:
+                    continue
+                if any(begin < end_ms and end > begin_ms - CONTACT_MS for begin, end in disturbed):
+                    continue
+                count = sum(begin_ms <= time < end_ms for time in at_ms)
+                if count > allowed:
+                    yield (
+                        f"{count} requests from {begin_ms:.0f} ms on at {instance}, which named a "
+                        f"limit of {per_second:g} a second, {allowed:.0f} allowed"
+                    )
+                    break
+
+
+def _check_joined_streams(observations: Observations) -> Iterator[str]:
+    """Check that streams hold events of one software version over all attempts."""
+    streams = {id(call.stream): call.stream for call in observations.calls if call.stream}
+    joined = [
+        stream.first_request_id
+        for stream in streams.values()
+        if len({version for _, version in stream.events}) > 1
+    ]
+    if len(joined) > MAX_JOINED_STREAMS:
+        yield f"{len(joined)} streams hold events of two versions: {' '.join(joined[:5])}"
--- a/packages/lab/src/goldcrestridge_lab/soak_servers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_servers.py
@@ -34,9 +34,9 @@
     return f"{request_id} {digest}".encode()
 
 
-def encode_event(request_id: str, number: int) -> bytes:
-    """Encode one server-sent event of a stream."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+def encode_event(target: str, number: int, version: str) -> bytes:
+    """Encode one server-sent event of the stream of a target, with the upstream's version."""
+    return f"id: {number}\ndata: {target} {number} {version}\n\n".encode()
 
 
 @frozen
@@ -57,8 +57,9 @@
     """An upstream; ``mode`` selects its fault, and each start has its own ``instance``.
 
     The modes are ``sound``, ``slow``, ``grey`` (some responses are 500), ``lost`` (some
-    connections are reset), ``full`` (some requests are refused) and ``garbled`` (some responses
-    are followed by an unsolicited one).
+    connections are reset, also within a stream), ``full`` (some requests are refused) and
+    ``garbled`` (some responses are followed by an unsolicited one). ``version`` is that of its
+    software. While ``limit_per_second`` is set, all its responses name that limit.
     """
 
     service: str
@@ -71,6 +72,8 @@
     leaving_since_ms: float | None = None
     service_time_ms: float = 20.0
     slots: int = 6
+    version: str = "v1"
+    limit_per_second: float | None = None
     _busy: int = 0
     _writers: set[asyncio.StreamWriter] = field(factory=set)
     _server: asyncio.Server | None = None
@@ -162,12 +165,16 @@
         self, request: MessageHead, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
         first = int(request.headers.get("last-event-id", "0")) + 1
+        target, version = request.start_line[1], self.version
         framing = (("content-type", "text/event-stream"), ("transfer-encoding", "chunked"))
         writer.write(
             encode_head("HTTP/1.1 200 OK", (*self._signature_headers(request_id), *framing))
         )
         for number in range(first, STREAM_EVENTS + 1):
-            data = encode_event(request_id, number)
+            if self.mode == "lost" and self.rng.random() < 0.2:
+                abort(writer)
+                return
+            data = encode_event(target, number, version)
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             await writer.drain()
             await asyncio.sleep(self.service_time_ms / MS_PER_SECOND)
@@ -175,7 +182,9 @@
 
     def _signature_headers(self, request_id: str) -> tuple[tuple[str, str], ...]:
         load = f"{self._busy},0,{self.slots}"
+        limit = self.limit_per_second
         return (
+            *(() if limit is None else (("server-limit", f"{limit:g}"),)),
             (REQUEST_ID, request_id),
             (HEADER_PREFIX + "server-stamp", f"signed by {self.instance}"),
             (HEADER_PREFIX + "server-load", load),
@@ -258,7 +267,7 @@
                     "service": item.service,
                     "address": self.advertised_address(item),
                     "zone": "z1",
-                    "version": "v1",
+                    "version": item.version,
                     "slots": item.slots,
                     "state": "draining" if leaving else "ready",
                     "cold_left_ms": 0,
--- a/tests/lab/test_soak_checks.py
+++ b/tests/lab/test_soak_checks.py
@@ -6,10 +6,16 @@
 
 import pytest
 
-from goldcrestridge_lab.soak_callers import PERMANENT_KEY, REVOCABLE_KEY, Call, Operators
+from goldcrestridge_lab.soak_callers import (
+    PERMANENT_KEY,
+    REVOCABLE_KEY,
+    Call,
+    Operators,
+    Stream,
+)
 from goldcrestridge_lab.soak_checks import DRAIN_MS, RECONNECT_MS, Observations, find_violations
 from goldcrestridge_lab.soak_nodes import BOUNDS
-from goldcrestridge_lab.soak_servers import Arrival
+from goldcrestridge_lab.soak_servers import Arrival, encode_event
 
 ENTRY = "127.20.2.1:18080"
 
@@ -101,3 +107,48 @@
     assert violations(observations(calls, arrivals)) == []
     (violation,) = violations(observations(calls, [*arrivals, arrival(0)]))
     assert f"{allowed + 1} retries" in violation
+
+
+LIMITS = {"i-1": [(40_000.0, 60_000.0, 1.0)]}
+
+
+@pytest.mark.parametrize(
+    ("count", "begin_ms", "fault_spans", "reported"),
+    [
+        (11, 45_000.0, {}, False),
+        (12, 45_000.0, {}, True),
+        (12, 45_000.0, {"127.20.2.1": [(46_000.0, 46_500.0)]}, False),
+        (12, 45_000.0, {"i-2": [(46_000.0, 46_500.0)]}, True),
+        (12, 41_000.0, {}, False),
+    ],
+)
+def test_more_requests_than_a_named_limit_allows_are_reported(
+    count: int, begin_ms: float, fault_spans: dict[str, list[tuple[float, float]]], reported: bool
+) -> None:
+    arrivals = [arrival(n, begin_ms + 100.0 * n, instance="i-1") for n in range(count)]
+    calls = [call(n) for n in range(count)]
+    observed = observations(calls, arrivals, limits=LIMITS, fault_spans=fault_spans)
+    assert [f"{count} requests" in text for text in violations(observed)] == [True] * reported
+
+
+def test_streams_with_events_of_two_versions_are_reported() -> None:
+    calls = [call(number, kind="stream") for number in range(4)]
+    for number, item in enumerate(calls):
+        item.stream = Stream("/stream/x", item.request_id, [(1, "v1"), (2, "v2")])
+        if number == 3:
+            item.stream.events = [(1, "v1"), (2, "v1")]
+    assert violations(observations(calls[1:], [])) == []
+    (violation,) = violations(observations(calls, []))
+    assert "3 streams hold events of two versions" in violation
+
+
+def test_an_event_that_is_lost_repeated_or_of_another_stream_is_not_taken() -> None:
+    stream = Stream("/stream/x")
+    first, second = (encode_event("/stream/x", number, "v1") for number in (1, 2))
+    assert stream.feed("r0", first[:5])
+    assert stream.feed("r0", first[5:] + second[:3])
+    stream.restart()
+    assert stream.feed("r1", second)
+    assert (stream.first_request_id, stream.events) == ("r0", [(1, "v1"), (2, "v1")])
+    assert not stream.feed("r1", second)
+    assert not Stream("/stream/y").feed("r0", first)
