Let callers of the soak drop streams and take them up, and check the share

Callers now drop some connections in the middle of a stream and go on at any entry node. A new check compares the share that goes on with the share of new streams that begin, while no fault is active; its test sees it report.

--- a/packages/lab/src/goldcrestridge_lab/soak.py
+++ b/packages/lab/src/goldcrestridge_lab/soak.py
@@ -85,6 +85,7 @@
     upstream_proxies: dict[str, Proxy] = field(factory=dict)
     _upstream_numbers: itertools.count[int] = field(factory=itertools.count)
     _started_ms: float = 0.0
+    _recovered_ms: float = float("inf")
     _rng: random.Random = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -179,6 +180,7 @@
             self.fault_spans,
             self.drains,
             self.limits,
+            self._recovered_ms,
         )
         self.violations += [*self.operators.violations, *find_violations(observations)]
         self.violations += [
@@ -202,7 +204,7 @@
 
     async def _run_with_faults(self) -> None:
         until_ms = self.now_ms() + self.seconds * MS_PER_SECOND
-        recovered_ms = until_ms + RECOVERY_MS
+        recovered_ms = self._recovered_ms = until_ms + RECOVERY_MS
         async with asyncio.TaskGroup() as tasks:
             for number in range(CALLERS_PER_ENTRY * self.entry_count):
                 caller = self._caller(f"c{number}")
@@ -454,12 +456,12 @@
     def report(self) -> str:
         """Return a summary of the traffic, the faults and the violations."""
         outcomes = Counter("served" if call.served else str(call.status) for call in self.calls)
-        resumed = [call for call in self.calls if call.stream and call.stream.resumptions]
+        resumed = [call for call in self.calls if call.takes_up]
         lines = [
             f"seed {self.seed}: {len(self.calls)} calls {dict(outcomes)}",
             f"  {len(self.arrivals)} arrivals at upstreams; versions acknowledged: "
             f"{len(self.operators.acknowledged_ms)}, reads: {self.operators.reads}",
-            f"  attempts of streams that were taken up: {len(resumed)}, "
+            f"  attempts to take up a stream: {len(resumed)}, "
             f"completed: {sum(call.served for call in resumed)}; limits named: "
             f"{sum(map(len, self.limits.values()))}",
             f"  faults: {dict(sorted(self.faults.items()))}",
--- a/packages/lab/src/goldcrestridge_lab/soak_callers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_callers.py
@@ -35,6 +35,8 @@
 ADDRESS_CACHE_MS = 2_000.0
 # Attempts to take a broken stream up again.
 MAX_RESUMPTIONS = 2
+# Probability with which a caller drops its connection after a chunk of a resumable stream.
+DROP_PROBABILITY = 0.05
 REQUEST_TIMEOUT_MS = 1_000.0
 PERMANENT_KEY, REVOCABLE_KEY = "k-lasting", "k-taken"
 REFUSALS = (408, 421, 429, 503)
@@ -79,6 +81,10 @@
     ).encode()
 
 
+class _DroppedError(Exception):
+    """Raised when a caller drops its connection in the middle of a stream."""
+
+
 @define(eq=False)
 class Stream:
     """A stream over all attempts of its caller.
@@ -90,7 +96,6 @@
     target: str
     first_request_id: str = ""
     events: list[tuple[int, str]] = field(factory=list)
-    resumptions: int = 0
     _buffer: bytes = b""
 
     def restart(self) -> None:
@@ -129,6 +134,8 @@
     mismatch: str = ""  # How a response that was framed completely differs from the expected one.
     closed: bool = False  # The connection ended before a complete, valid response.
     stream: Stream | None = None
+    takes_up: bool = False  # The stream began in an earlier attempt.
+    received: int = 0  # Events that this attempt brought.
 
     @property
     def resumable(self) -> bool:
@@ -167,7 +174,6 @@
             if call is None or call.stream is None or not call.resumable:
                 return
             call.stream.restart()
-            call.stream.resumptions += 1
             call = await self._attempt(call)
 
     async def _attempt(self, broken: Call | None) -> Call | None:
@@ -186,7 +192,7 @@
         request_id = f"{self.name}-{next(self._call_numbers)}"
         if broken is not None:
             call = Call(request_id, broken.kind, broken.key, entry, self.now_ms())
-            call.stream = broken.stream
+            call.stream, call.takes_up = broken.stream, True
         else:
             key = REVOCABLE_KEY if self.rng.random() < 0.3 else PERMANENT_KEY
             kind = self.rng.choice(KINDS)
@@ -195,7 +201,7 @@
         try:
             async with asyncio.timeout(CALL_TIMEOUT_MS / MS_PER_SECOND):
                 reusable = await self._exchange(call, reader, writer)
-        except TimeoutError:
+        except (TimeoutError, _DroppedError):
             reusable = False
         except (*CONNECTION_ERRORS, ValueError):
             call.closed, reusable = True, False
@@ -254,9 +260,13 @@
             call.mismatch = "successful response without an upstream's signature"
 
     async def _read_stream(self, call: Call, stream: Stream, reader: asyncio.StreamReader) -> None:
+        first = len(stream.events)
         while chunk := await read_chunk(reader):
             if not stream.feed(call.request_id, chunk):
                 call.mismatch = "event of a stream is not the next one"
+            call.received = len(stream.events) - first
+            if call.kind == "stream" and self.rng.random() < DROP_PROBABILITY:
+                raise _DroppedError
         if not stream.complete and not call.mismatch:
             call.mismatch = (
                 f"complete stream of {len(stream.events)} events, {STREAM_EVENTS} expected"
--- a/packages/lab/src/goldcrestridge_lab/soak_checks.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_checks.py
@@ -23,6 +23,10 @@
 CONTACT_MS = 3_000.0
 # Streams that may hold events of two versions, since the list of upstreams lags.
 MAX_JOINED_STREAMS = 2
+# Of at least MIN_TAKEN_UP streams that callers take up, the share that goes on must be at least
+# MIN_TAKEN_UP_RATIO of the share of new streams that begin.
+MIN_TAKEN_UP = 12
+MIN_TAKEN_UP_RATIO = 0.5
 # A request sent less than this time before its connection ended may not have been read.
 LOSS_SLACK_MS = 200.0
 AT_MOST_ONCE_KINDS = ("once", "single")  # Kinds of calls that run at most once.
@@ -38,7 +42,8 @@
     ``leaving_listed_ms`` holds when the list of upstreams first showed each instance as leaving.
     ``fault_spans`` and ``drains`` hold the start and end of faults and of planned shutdowns, keyed
     by the address of a node, the instance of an upstream, or ``list``. ``limits`` holds the start
-    and end of each time in which an instance named a limit, with the requests a second.
+    and end of each time in which an instance named a limit, with the requests a second. No fault is
+    active from ``recovered_ms`` on.
     """
 
     calls: list[Call]
@@ -48,6 +53,7 @@
     fault_spans: Spans
     drains: Spans
     limits: dict[str, list[tuple[float, float, float]]] = field(factory=dict)
+    recovered_ms: float = float("inf")
 
 
 def find_violations(observations: Observations) -> Iterator[str]:
@@ -66,6 +72,7 @@
     yield from _check_retry_budget(observations)
     yield from _check_named_limits(observations)
     yield from _check_joined_streams(observations)
+    yield from _check_taken_up_streams(observations)
 
 
 def _check_call(call: Call, runs: list[Arrival]) -> Iterator[str]:
@@ -194,3 +201,22 @@
     ]
     if len(joined) > MAX_JOINED_STREAMS:
         yield f"{len(joined)} streams hold events of two versions: {' '.join(joined[:5])}"
+
+
+def _check_taken_up_streams(observations: Observations) -> Iterator[str]:
+    """Check that streams can be taken up while no fault is active."""
+    recovered_ms = observations.recovered_ms
+    streams = [
+        call
+        for call in observations.calls
+        if call.kind == "stream" and call.key != REVOCABLE_KEY and call.sent_ms > recovered_ms
+    ]
+    begun = {id(call.stream) for call in streams if not call.takes_up}
+    taken_up = [call for call in streams if call.takes_up and id(call.stream) in begun]
+    new = [call for call in streams if not call.takes_up]
+    if len(taken_up) < MIN_TAKEN_UP:
+        return
+    share = sum(call.served or call.received > 0 for call in taken_up) / len(taken_up)
+    new_share = sum(call.served or call.received > 0 for call in new) / len(new)
+    if share < MIN_TAKEN_UP_RATIO * new_share:
+        yield f"{share:.0%} of {len(taken_up)} streams went on, {new_share:.0%} of new ones began"
--- a/tests/lab/test_soak_checks.py
+++ b/tests/lab/test_soak_checks.py
@@ -152,3 +152,17 @@
     assert (stream.first_request_id, stream.events) == ("r0", [(1, "v1"), (2, "v1")])
     assert not stream.feed("r1", second)
     assert not Stream("/stream/y").feed("r0", first)
+
+
+@pytest.mark.parametrize(("went_on", "reported"), [(6, False), (5, True)])
+def test_streams_that_cannot_be_taken_up_are_reported(went_on: int, reported: bool) -> None:
+    calls = []
+    for number in range(12):
+        first, second = (call(2 * number + part, kind="stream", status=0) for part in (0, 1))
+        first.stream = second.stream = Stream("/stream/x", first.request_id, [(1, "v1")])
+        first.received, second.takes_up = 1, True
+        second.received = int(number < went_on)
+        calls += [first, second]
+    found = violations(observations(calls, [], recovered_ms=10_000.0))
+    assert ["streams went on" in text for text in found] == [True] * reported
+    assert violations(observations(calls, [], recovered_ms=60_000.0)) == []
