--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -143,6 +143,16 @@
     return UpstreamExchange(method, target, headers, body, reader, writer)
 
 
+def scripted(name: str, *script: Handler, version: str = "v1") -> ScriptedUpstream:
+    """Return an upstream whose handlers are called one after the other."""
+    return ScriptedUpstream(name, list(script), version)
+
+
+def event(number: int) -> bytes:
+    """Return an encoded event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
 async def ok(exchange: UpstreamExchange) -> None:
     """Respond with the path of the request as the body."""
     await exchange.respond(200, exchange.target.encode())
--- a/tests/node/test_gateway.py
+++ b/tests/node/test_gateway.py
@@ -10,21 +10,16 @@
 from attrs import evolve
 from tests.node.gateway_helpers import (
     KEY,
-    RunningGateway,
     ScriptedUpstream,
     UpstreamExchange,
+    event,
     not_run,
     ok,
     running_gateway,
+    scripted,
 )
 
-from goldcrestridge_core.routes import (
-    EngineLimits,
-    RoutedService,
-    RoutedWorkspace,
-    RouteTable,
-    WeightedService,
-)
+from goldcrestridge_core.routes import EngineLimits, RoutedWorkspace, RouteTable
 
 pytestmark = pytest.mark.anyio
 
@@ -34,14 +29,6 @@
     return "asyncio"
 
 
-def scripted(name: str, *script: object, version: str = "v1") -> ScriptedUpstream:
-    return ScriptedUpstream(name, list(script), version)  # type: ignore[arg-type]
-
-
-def event(number: int) -> bytes:
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
-
-
 async def reset(exchange: UpstreamExchange) -> None:
     exchange.reset()
 
@@ -422,185 +409,3 @@
         for exchange in upstream.exchanges
     )
     assert urgent < other
-
-
-async def test_an_upstream_that_named_a_limit_gets_no_more_requests_than_that() -> None:
-    # Guards against an overloaded upstream that gets as many requests as before it named its limit.
-    async def limited(exchange: UpstreamExchange) -> None:
-        await exchange.respond(200, b"ok", server_limit="1")
-
-    async with running_gateway(scripted("a", limited), scripted("b", ok)) as running:
-        started_ms = running.gateway.dependencies.clock.now_ms()
-        for number in range(60):
-            assert (await running.call(f"/read/{number}")).status == 200
-            assert (await running.call(f"/charge/{number}")).status == 200
-        seconds = (running.gateway.dependencies.clock.now_ms() - started_ms) / 1_000.0
-        # The first answer names the limit; one more request may be sent each second.
-        assert len(running.upstreams[0].exchanges) <= 2 + seconds
-
-
-async def limited_to_one(exchange: UpstreamExchange) -> None:
-    """Answer and name a limit of one request a second."""
-    await exchange.respond(200, b"ok", server_limit="1")
-
-
-async def test_a_request_beyond_the_limits_of_all_upstreams_is_refused_at_once() -> None:
-    # Guards against a request that waits for a permit or is sent without one, and against refused
-    # callers that all return at the same time.
-    upstreams = scripted("a", limited_to_one), scripted("b", limited_to_one)
-    async with running_gateway(*upstreams) as running:
-        while not all(upstream.exchanges for upstream in upstreams):
-            await running.call("/read/x")
-        refused = [
-            response
-            for response in [await running.call("/charge/x") for _ in range(6)]
-            if response.status == 503
-        ]
-        assert len(refused) >= 4
-        assert all(
-            dict(item.headers)[b"x-goldcrestridge-outcome"] == b"not_run" for item in refused
-        )
-        retries = [float(dict(item.headers)[b"retry-after"]) for item in refused]
-        assert min(retries) > 0.0
-        assert len(set(retries)) == len(retries)
-    assert any("no_permit" in str(line.get("attempts")) for line in running.log_lines)
-
-
-async def test_a_rejection_that_names_a_limit_and_an_engine_count_as_well() -> None:
-    # Guards against a limit that is read from successful answers or at plain services only.
-    async def reject(exchange: UpstreamExchange) -> None:
-        await exchange.respond(503, b"", server_limit="1", x_goldcrestridge_not_executed="1")
-
-    for engine in (None, EngineLimits(24, 100_000)):
-        async with running_gateway(
-            scripted("a", reject), scripted("b", ok), engine=engine
-        ) as running:
-            started_ms = running.gateway.dependencies.clock.now_ms()
-            for number in range(40):
-                assert (await running.call(f"/read/{number}")).status == 200
-            seconds = (running.gateway.dependencies.clock.now_ms() - started_ms) / 1_000.0
-            assert 1 <= len(running.upstreams[0].exchanges) <= 2 + seconds
-
-
-async def test_a_resumed_stream_waits_for_a_permit_instead_of_being_cut() -> None:
-    # Guards against a continued stream that exceeds the limit, and against one that is cut although
-    # a permit comes in time.
-    async def fail_once(exchange: UpstreamExchange) -> None:
-        if "last-event-id" in exchange.headers:
-            await exchange.stream(event(2))
-        elif exchange.target.startswith("/resume/"):
-            await exchange.stream(event(1), end=False)
-            exchange.reset()
-        else:
-            await exchange.respond(200, exchange.target.encode())
-
-    async def fail_once_and_name_a_limit(exchange: UpstreamExchange) -> None:
-        if exchange.target.startswith("/resume/"):
-            await fail_once(exchange)
-        else:
-            await exchange.respond(200, b"limited", server_limit="5")
-
-    first, second = scripted("a", fail_once), scripted("b", fail_once_and_name_a_limit)
-    async with running_gateway(first, second) as running:
-        while not second.exchanges:
-            await running.call("/read/x")
-        while (await running.call("/read/x")).content == b"limited":
-            pass  # Uses the permits that are left.
-        sent = len(second.exchanges)
-        response = await running.call("/resume/x")
-        assert response.content == event(1) + event(2)
-        assert len(second.exchanges) == sent + 1
-
-
-async def begin_or_resume(exchange: UpstreamExchange) -> None:
-    """Break a new stream off after one event, and end a resumed one."""
-    if "last-event-id" in exchange.headers:
-        await exchange.stream(event(int(exchange.headers["last-event-id"]) + 1))
-        return
-    await exchange.stream(event(1), end=False)
-    await asyncio.sleep(0.05)
-    exchange.reset()
-
-
-def resumed_at(running: RunningGateway) -> set[str]:
-    """Return the versions of the upstreams at which streams were resumed."""
-    return {
-        upstream.version
-        for upstream in running.upstreams
-        for exchange in upstream.exchanges
-        if "last-event-id" in exchange.headers
-    }
-
-
-@pytest.mark.parametrize("engine", [None, EngineLimits(24, 100_000)])
-async def test_a_failed_stream_is_not_resumed_at_another_software_version(
-    engine: EngineLimits | None,
-) -> None:
-    # Guards against an answer that holds events of two versions, which do not fit together.
-    upstreams = (
-        scripted("a", begin_or_resume, version="v1"),
-        scripted("b", begin_or_resume, version="v2"),
-    )
-    async with running_gateway(*upstreams, engine=engine) as running:
-        for number in range(6):
-            with pytest.raises(httpcore.RemoteProtocolError):
-                await running.call(f"/resume/{number}")
-        assert resumed_at(running) == set()
-
-
-@pytest.mark.parametrize("engine", [None, EngineLimits(24, 100_000)])
-async def test_a_callers_retry_resumes_a_stream_only_at_the_version_that_began_it(
-    engine: EngineLimits | None,
-) -> None:
-    # Guards against a caller that gets events of two versions over its attempts, and against an
-    # attempt to resume a stream whose beginning is unknown.
-    upstreams = [scripted("a", begin_or_resume, version="v1")]
-    upstreams += [scripted(f"b{number}", begin_or_resume, version="v2") for number in range(4)]
-    async with running_gateway(*upstreams, engine=engine) as running:
-        placement = running.gateway.dependencies.placement
-        placement.set_instances([upstreams[0].instance()])
-        with pytest.raises(httpcore.RemoteProtocolError):
-            await running.call("/resume/x", x_goldcrestridge_request_id="first")
-        placement.set_instances([upstream.instance() for upstream in upstreams])
-        for resumed in ("unheard", ""):
-            response = await running.call("/resume/x", last_event_id="1", resumes=resumed)
-            assert response.status == 503
-            assert dict(response.headers)[b"x-goldcrestridge-outcome"] == b"not_run"
-        assert resumed_at(running) == set()
-        upstreams[0].script = [begin_or_resume]
-        placement.record_success(upstreams[0].instance(), 0.0)
-        for _ in range(6):
-            await running.call("/resume/x", last_event_id="1", resumes="first")
-        assert resumed_at(running) == {"v1"}
-
-
-async def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
-    # Guards against a stream that can't go on, or goes on at a service with the same version name,
-    # because the route gives the retry to another service.
-    upstreams = scripted("a", begin_or_resume), scripted("b", begin_or_resume)
-    async with running_gateway(*upstreams) as running:
-        deps = running.gateway.dependencies
-        table = deps.routes.table
-        assert table is not None
-        shares = (WeightedService("s", 1), WeightedService("other", 1_000_000))
-        routes = tuple(evolve(route, services=shares) for route in table.routes)
-        services = {**table.services, "other": RoutedService("other", 100)}
-        other = evolve(upstreams[1].instance(), service="other")
-        deps.placement.set_instances([upstreams[0].instance(), other])
-        with pytest.raises(httpcore.RemoteProtocolError):
-            await running.call("/resume/x", x_goldcrestridge_request_id="first")
-        deps.routes.table = RouteTable(2, routes, services, table.limits, table.workspaces)
-        deps.placement.record_success(upstreams[0].instance(), 0.0)
-        assert (await running.call("/resume/x", last_event_id="1", resumes="first")).status == 200
-        assert "last-event-id" in upstreams[0].exchanges[-1].headers
-        deps.routes.table = RouteTable(
-            3,
-            tuple(evolve(route, services=shares[1:]) for route in table.routes),
-            services,
-            table.limits,
-            table.workspaces,
-        )
-        response = await running.call("/resume/x", last_event_id="1", resumes="first")
-        assert response.status == 503
-        assert b"retry-after" not in dict(response.headers)
-        assert upstreams[1].exchanges == []
--- /dev/null
+++ b/tests/node/test_gateway_streams.py
@@ -0,0 +1,119 @@
+"""Tests of a gateway that resumes streams in front of upstreams of two software versions."""
+
+from __future__ import annotations
+
+import asyncio
+
+import httpcore
+import pytest
+from attrs import evolve
+from tests.node.gateway_helpers import (
+    RunningGateway,
+    UpstreamExchange,
+    event,
+    running_gateway,
+    scripted,
+)
+
+from goldcrestridge_core.routes import EngineLimits, RoutedService, RouteTable, WeightedService
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def begin_or_resume(exchange: UpstreamExchange) -> None:
+    """Break a new stream off after one event, and end a resumed one."""
+    if "last-event-id" in exchange.headers:
+        await exchange.stream(event(int(exchange.headers["last-event-id"]) + 1))
+        return
+    await exchange.stream(event(1), end=False)
+    await asyncio.sleep(0.05)
+    exchange.reset()
+
+
+def resumed_at(running: RunningGateway) -> set[str]:
+    """Return the versions of the upstreams at which streams were resumed."""
+    return {
+        upstream.version
+        for upstream in running.upstreams
+        for exchange in upstream.exchanges
+        if "last-event-id" in exchange.headers
+    }
+
+
+@pytest.mark.parametrize("engine", [None, EngineLimits(24, 100_000)])
+async def test_a_failed_stream_is_not_resumed_at_another_software_version(
+    engine: EngineLimits | None,
+) -> None:
+    # Guards against an answer that holds events of two versions, which do not fit together.
+    upstreams = (
+        scripted("a", begin_or_resume, version="v1"),
+        scripted("b", begin_or_resume, version="v2"),
+    )
+    async with running_gateway(*upstreams, engine=engine) as running:
+        for number in range(6):
+            with pytest.raises(httpcore.RemoteProtocolError):
+                await running.call(f"/resume/{number}")
+        assert resumed_at(running) == set()
+
+
+@pytest.mark.parametrize("engine", [None, EngineLimits(24, 100_000)])
+async def test_a_callers_retry_resumes_a_stream_only_at_the_version_that_began_it(
+    engine: EngineLimits | None,
+) -> None:
+    # Guards against a caller that gets events of two versions over its attempts, and against an
+    # attempt to resume a stream whose beginning is unknown.
+    upstreams = [scripted("a", begin_or_resume, version="v1")]
+    upstreams += [scripted(f"b{number}", begin_or_resume, version="v2") for number in range(4)]
+    async with running_gateway(*upstreams, engine=engine) as running:
+        placement = running.gateway.dependencies.placement
+        placement.set_instances([upstreams[0].instance()])
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await running.call("/resume/x", x_goldcrestridge_request_id="first")
+        placement.set_instances([upstream.instance() for upstream in upstreams])
+        for resumed in ("unheard", ""):
+            response = await running.call("/resume/x", last_event_id="1", resumes=resumed)
+            assert response.status == 503
+            assert dict(response.headers)[b"x-goldcrestridge-outcome"] == b"not_run"
+        assert resumed_at(running) == set()
+        upstreams[0].script = [begin_or_resume]
+        placement.record_success(upstreams[0].instance(), 0.0)
+        for _ in range(6):
+            await running.call("/resume/x", last_event_id="1", resumes="first")
+        assert resumed_at(running) == {"v1"}
+
+
+async def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
+    # Guards against a stream that can't go on, or goes on at a service with the same version name,
+    # because the route gives the retry to another service.
+    upstreams = scripted("a", begin_or_resume), scripted("b", begin_or_resume)
+    async with running_gateway(*upstreams) as running:
+        deps = running.gateway.dependencies
+        table = deps.routes.table
+        assert table is not None
+        shares = (WeightedService("s", 1), WeightedService("other", 1_000_000))
+        routes = tuple(evolve(route, services=shares) for route in table.routes)
+        services = {**table.services, "other": RoutedService("other", 100)}
+        other = evolve(upstreams[1].instance(), service="other")
+        deps.placement.set_instances([upstreams[0].instance(), other])
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await running.call("/resume/x", x_goldcrestridge_request_id="first")
+        deps.routes.table = RouteTable(2, routes, services, table.limits, table.workspaces)
+        deps.placement.record_success(upstreams[0].instance(), 0.0)
+        assert (await running.call("/resume/x", last_event_id="1", resumes="first")).status == 200
+        assert "last-event-id" in upstreams[0].exchanges[-1].headers
+        deps.routes.table = RouteTable(
+            3,
+            tuple(evolve(route, services=shares[1:]) for route in table.routes),
+            services,
+            table.limits,
+            table.workspaces,
+        )
+        response = await running.call("/resume/x", last_event_id="1", resumes="first")
+        assert response.status == 503
+        assert b"retry-after" not in dict(response.headers)
+        assert upstreams[1].exchanges == []
