--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -22,8 +22,9 @@
 import random
 from collections.abc import Collection, Iterable
 
-from attrs import define, field, frozen
+from attrs import define, field
 
+from goldcrestridge_core.demand import Demand
 from goldcrestridge_core.follow_types import (
     InstanceLoad,
     ServiceWork,
@@ -52,18 +53,6 @@
 FAILURE_MARGIN = 0.2
 
 
-# The prefill of a longer prompt takes more than four engine steps with a full chunk, which exceeds
-# the longest gap that a tight stream allows.
-LONG_PROMPT_TOKENS = 4_096
-# Recomputing a prefix shorter than one prefill chunk costs less than an uneven load.
-MIN_PREFIX_TOKENS = 1_024
-# Expected share of prefix tokens that miss the cache after an eviction or a move to another engine.
-CACHE_MISS_SHARE = 0.15
-# Relative increase of the prefill time of a token for each token before it, due to attention.
-ATTENTION_WORK_PER_TOKEN = 2.4e-5
-# Engine time of one output token, in prompt tokens of prefill: a decode step takes 5 ms and serves
-# about 40 running requests, and prefill runs at 41 tokens/ms.
-OUTPUT_TOKEN_WORK = 3.0
 # A long prompt queues behind other long prompts, so at equal utilisation it waits longer than a
 # short one. The weight gives long prompts slightly more engines than their share of the work.
 LONG_PROMPT_WEIGHT = 1.15
@@ -93,57 +82,6 @@
 PARTITION_HYSTERESIS = 0.65
 
 
-@frozen
-class Demand:
-    """What placement needs to know about a request.
-
-    ``prefix`` identifies the shared prefix of the prompt, or is empty. ``partitioned`` tells
-    whether the engines of the service are partitioned by kind of request, and ``long`` whether the
-    request has a long prompt. ``tight`` tells whether its stream allows only short gaps between
-    events. ``work`` is the engine time of the request in units of one prompt token of prefill,
-    ``uncached_work`` the same on an engine that holds no prefix of it. ``memory`` is in tokens,
-    without the shared prefix. A stream that has begun has an ``origin`` and goes on only at an
-    instance that fits it.
-    """
-
-    prefix: str = ""
-    partitioned: bool = False
-    long: bool = False
-    work: float = 0.0
-    tight: bool = False
-    uncached_work: float = 0.0
-    memory: float = 0.0
-    origin: StreamOrigin | None = None
-
-
-def demand_of(
-    prefix: str, shared_tokens: int, prompt_tokens: int, output_tokens: int, tight: bool | None
-) -> Demand:
-    """Return the demand of a request for an engine.
-
-    ``tight`` tells whether the stream allows only short gaps; it is None if the service has no
-    such streams, so that its engines are not partitioned.
-    """
-    prefix_id = prefix if shared_tokens >= MIN_PREFIX_TOKENS else ""
-
-    def work(uncached_tokens: float) -> float:
-        context = prompt_tokens - uncached_tokens / 2
-        return (
-            uncached_tokens * (1.0 + ATTENTION_WORK_PER_TOKEN * context)
-            + OUTPUT_TOKEN_WORK * output_tokens
-        )
-
-    return Demand(
-        prefix=prefix_id,
-        partitioned=tight is not None,
-        long=not tight and prompt_tokens > LONG_PROMPT_TOKENS,
-        work=work(prompt_tokens - (1.0 - CACHE_MISS_SHARE) * shared_tokens),
-        tight=bool(tight),
-        uncached_work=work(prompt_tokens),
-        memory=float(prompt_tokens - shared_tokens + output_tokens),
-    )
-
-
 @define
 class _Health:
     """Health and load of one instance as this node knows it."""
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -10,8 +10,8 @@
 from attrs import Factory, define, evolve, field
 
 from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.demand import Demand, demand_of
 from goldcrestridge_core.forwarding import Forwarding
-from goldcrestridge_core.placement import Demand, demand_of
 from goldcrestridge_core.routes import Route, RoutedWorkspace, RouteTable
 from goldcrestridge_core.types import Headers, Outcome, RequestId
 from goldcrestridge_node.dialect import CallerHead
--- a/packages/node/src/goldcrestridge_node/gateway_parts.py
+++ b/packages/node/src/goldcrestridge_node/gateway_parts.py
@@ -7,7 +7,8 @@
 from attrs import define, field, frozen
 
 from goldcrestridge_core.clock import Clock
-from goldcrestridge_core.placement import Demand, Placement
+from goldcrestridge_core.demand import Demand
+from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import EngineLimits, Route, RoutedWorkspace, RouteTable
 from goldcrestridge_node.dialect import Dialect
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -10,10 +10,10 @@
 
 from goldcrestridge_core.admission import TimeBudget, fallback_wait_ms, max_wait_ms, retry_delay_ms
 from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.demand import Demand
 from goldcrestridge_core.engine_types import Candidate, EngineDenied, FindEngine
 from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.forwarding import AttemptOutcome, Decision, Forwarding, Step
-from goldcrestridge_core.placement import Demand
 from goldcrestridge_core.routes import EngineLimits
 from goldcrestridge_core.stream_origins import (
     FindOrigin,
--- a/tests/core/engine_fleet.py
+++ b/tests/core/engine_fleet.py
@@ -18,6 +18,7 @@
     max_wait_ms,
     retry_delay_ms,
 )
+from goldcrestridge_core.demand import Demand, demand_of
 from goldcrestridge_core.engine_slots import EngineAdmission
 from goldcrestridge_core.engine_types import (
     Candidate,
@@ -30,7 +31,7 @@
 )
 from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
 from goldcrestridge_core.follower import poll_interval_ms
-from goldcrestridge_core.placement import Demand, Placement, demand_of
+from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.types import NodeId, Receive, Send, Tick
 from goldcrestridge_lab.chunked_engine import ChunkedEngine, PromptSegment, Run, Step
 
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -6,15 +6,14 @@
 import random
 from collections import Counter
 
+from goldcrestridge_core.demand import Demand, demand_of
 from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
 from goldcrestridge_core.placement import (
     LONG_PROMPT_WEIGHT,
     RESTART_DOUBT_MS,
     SPILL_FACTOR,
     SPILL_REQUESTS,
-    Demand,
     Placement,
-    demand_of,
 )
 from goldcrestridge_core.stream_origins import StreamOrigin
 
