Tell a refused caller that must yield when it gets a permit

Its time to return was that of the next permit, which goes to a more urgent request, so that it was refused again.

--- a/packages/core/src/goldcrestridge_core/permits.py
+++ b/packages/core/src/goldcrestridge_core/permits.py
@@ -109,10 +109,11 @@
         self.bucket.refill(per_second, now_ms)
         rate = request_rate(per_second)
         floor_due_ms = self._floor_ms + 1.0 / (FLOOR_SHARE * rate)
-        must_yield = self._must_yield(rate, priority, now_ms)
-        if self.bucket.requests >= 1.0 and (not must_yield or now_ms >= floor_due_ms):
+        # A request that must yield is granted at one of these times at the earliest.
+        yields_until_ms = min(floor_due_ms, self._yield_until_ms(rate, priority))
+        if self.bucket.requests >= 1.0 and now_ms >= yields_until_ms:
             self.bucket.requests -= 1.0
-            if must_yield:
+            if now_ms < self._yield_until_ms(rate, priority):
                 self._floor_ms = now_ms
             return None
         self._refused_ms[priority] = now_ms
@@ -120,16 +121,16 @@
         while self._backlog[0] <= now_ms - BACKLOG_MS:
             self._backlog.popleft()
         next_ms = self.bucket.next_ms(per_second)
-        return next_ms, next_ms + (len(self._backlog) - 1) / rate
-
-    def _must_yield(self, rate: float, priority: int, now_ms: float) -> bool:
-        """Return whether a more urgent request was refused recently."""
-        yield_ms = max(YIELD_MS, 2.0 / rate)
-        return any(
-            now_ms - at_ms < yield_ms
-            for other, at_ms in self._refused_ms.items()
-            if other < priority
+        retry_ms = next_ms + (len(self._backlog) - 1) / rate
+        return next_ms, max(retry_ms, yields_until_ms - now_ms)
+
+    def _yield_until_ms(self, rate: float, priority: int) -> float:
+        """Return until when requests of a priority yield to more urgent ones that were refused."""
+        refused_ms = max(
+            (at_ms for other, at_ms in self._refused_ms.items() if other < priority),
+            default=-math.inf,
         )
+        return refused_ms + max(YIELD_MS, 2.0 / rate)
 
 
 @frozen
--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -301,3 +301,16 @@
         if isinstance(effect, PermitDecided)
     ]
     assert sum(item.granted for item in decided) <= 2
+
+
+def test_a_refused_request_that_must_yield_is_told_when_it_gets_a_permit() -> None:
+    # Guards against a caller that returns at the next permit, which goes to more urgent requests.
+    ledger = PermitLedger(RequestBucket(0.0))
+    assert ledger.take(100.0, 0, 0.0) is not None
+    assert ledger.take(100.0, 1, 50.0) is None
+    waits = ledger.take(100.0, 1, 60.0)
+    assert waits is not None
+    next_ms, retry_ms = waits
+    assert next_ms == 0.0
+    assert retry_ms == pytest.approx(1_000.0 / (FLOOR_SHARE * 100.0) - 10.0)
+    assert ledger.take(100.0, 1, 60.0 + retry_ms) is None
