--- a/packages/core/src/goldcrestridge_core/entry.py
+++ b/packages/core/src/goldcrestridge_core/entry.py
@@ -14,6 +14,11 @@
 from goldcrestridge_core.stream_origins import ORIGIN_EVENTS, ORIGIN_MESSAGES, StreamOrigins
 from goldcrestridge_core.types import Receive, Tick
 
+# Events and messages of the roles that serve requests.
+ADMISSION_INPUTS = (*ENGINE_EVENTS, *ENGINE_MESSAGES)
+PERMIT_INPUTS = (SeekPermit, *PERMIT_MESSAGES)
+ORIGIN_INPUTS = (*ORIGIN_EVENTS, *ORIGIN_MESSAGES)
+
 
 @define
 class EntryNode:
@@ -38,11 +43,11 @@
     def handle(self, event: Any, now_ms: float) -> list[Any]:
         """Apply one event to the role that handles it; a Tick goes to all."""
         content = event.message if isinstance(event, Receive) else event
-        if isinstance(content, (*ENGINE_EVENTS, *ENGINE_MESSAGES)):
+        if isinstance(content, ADMISSION_INPUTS):
             return self.admission.handle(event, now_ms)
-        if isinstance(content, (SeekPermit, *PERMIT_MESSAGES)):
+        if isinstance(content, PERMIT_INPUTS):
             return self.permits.handle(event, now_ms)
-        if isinstance(content, (*ORIGIN_EVENTS, *ORIGIN_MESSAGES)):
+        if isinstance(content, ORIGIN_INPUTS):
             return self.origins.handle(event, now_ms)
         effects = self.follower.handle(event, now_ms)
         for effect in list(effects):
--- a/packages/core/src/goldcrestridge_core/rate_limits.py
+++ b/packages/core/src/goldcrestridge_core/rate_limits.py
@@ -9,7 +9,7 @@
 from goldcrestridge_core.follow_types import NamedLimit
 
 # An answer without a limit is shared with the other nodes for this long, which covers several
-# polls of a large fleet. After that the instance is forgotten.
+# polls of a large fleet. It is kept for longer, so that an older limit does not replace it.
 SHARE_RELEASE_MS = 10_000.0
 
 
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -126,7 +126,7 @@
         ticket = self.gateway.next_ticket()
         event = FindOrigin(ticket, self.request.caller_head.resumed_request_id)
         found: OriginFound = await deps.origins.ask(ticket, event)
-        if found.origin is not None and self._goes_on_at(found.origin):
+        if found.origin is not None and self._admit_to_origin(found.origin):
             self._origin = found.origin
             return True
         may_be_held = found.origin is None and not found.complete
@@ -134,7 +134,7 @@
         await self.gateway.refuse(self.exchange, refusal, self.record)
         return False
 
-    def _goes_on_at(self, origin: StreamOrigin) -> bool:
+    def _admit_to_origin(self, origin: StreamOrigin) -> bool:
         """Admit the request to the service that began the stream; return False if none fits."""
         head = self.request.caller_head
         admitted = self.gateway.admit_to_service(self.admitted, origin.service, head)
