Test that limits reach all entry nodes through the control leader

The leader adds the time since a node's last report to the age of its observations; with that left out the test does not fail, since nodes report every 500 ms.

--- a/tests/core/test_control.py
+++ b/tests/core/test_control.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 from tests.core.control_net import OPTIONS, Net
 
-from goldcrestridge_core.follow_types import EntriesReceived, InstancesListed, UpstreamInstance
+from goldcrestridge_core.follow_types import (
+    EntriesReceived,
+    InstancesListed,
+    UpstreamInstance,
+    Workload,
+    WorkloadReceived,
+)
 from goldcrestridge_core.follower import Follower
+from goldcrestridge_core.rate_limits import RateLimits
 from goldcrestridge_core.types import NodeId
 from goldcrestridge_core.versions import ReplaceResult, ReplaceStatus, VersionedDocument
 
@@ -174,3 +183,30 @@
     commit(net, D, 2)
     net.run(2_000.0)
     assert entry.version == 2
+
+
+def workload_of(table: RateLimits) -> Callable[[float], Workload]:
+    return lambda now_ms: Workload(limits=table.shared(now_ms))
+
+
+def test_a_limit_that_one_entry_node_has_seen_reaches_the_others_with_its_age() -> None:
+    # Guards against entry nodes that exceed the limit of an upstream until each has seen an answer,
+    # and against an older limit that replaces a newer one on the way.
+    net = formed_net(6)
+    tables = [RateLimits() for _ in range(3)]
+    for number, table in enumerate(tables):
+        entry = net.start_follower(NodeId(f"x{number}:2"), SEEDS)
+        entry.workload = workload_of(table)
+    net.run(1_000.0)
+    tables[0].observe("i", 1.0, net.now_ms - 20.0, net.now_ms - 10.0)
+    tables[1].observe("i", 5.0, net.now_ms - 5.0, net.now_ms)
+    net.run(2_000.0)
+    received = [
+        effect.workload.limits
+        for node, effect in net.effects
+        if isinstance(effect, WorkloadReceived) and node == "x2:2"
+    ]
+    (limit,) = received[-1]
+    assert limit.per_second == 5.0
+    assert 1_000.0 <= limit.answered_age_ms <= 2_500.0
+    assert limit.sent_age_ms == pytest.approx(limit.answered_age_ms + 5.0)
