Take up streams whose origin is unknown while only one version serves

Entry nodes know since when a service has been listed with its versions. If all listed instances have run one version for as long as the route's time limit, that version began the stream. A node that just started learns so from the nodes that it asks; none of them may list another version. This also helps where all nodes that held an origin are lost.

--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -33,7 +33,7 @@
 )
 from goldcrestridge_core.rate_limits import RateLimits
 from goldcrestridge_core.rendezvous import weight
-from goldcrestridge_core.stream_origins import StreamOrigin
+from goldcrestridge_core.stream_origins import ServedVersions, StreamOrigin
 
 # Backoff of an instance after its first failure; it doubles with each consecutive failure.
 INITIAL_BACKOFF_MS = 400.0
@@ -168,15 +168,18 @@
     _services: dict[str, tuple[UpstreamInstance, ...]] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
     _recent_work: dict[str, _RecentWork] = field(factory=dict)
+    # By service: the versions in the list, and since when.
+    _versions: dict[str, tuple[tuple[str, ...], float]] = field(factory=dict)
     _partition_weights: dict[str, int] = field(factory=dict)  # By instance.
 
-    def set_instances(self, instances: Iterable[UpstreamInstance]) -> None:
+    def set_instances(self, instances: Iterable[UpstreamInstance], now_ms: float = 0.0) -> None:
         """Replace the list of instances and drop the state of those that are no longer listed."""
         self.listed = True
         services: dict[str, list[UpstreamInstance]] = {}
         for item in instances:
             services.setdefault(item.service, []).append(item)
         self._services = {name: tuple(items) for name, items in services.items()}
+        self._record_versions(now_ms)
         listed = {item.instance for items in services.values() for item in items}
         self._partition_weights = {name: weight("long prompts", name) for name in listed}
         self._health = {
@@ -186,6 +189,18 @@
         }
         self.limits.retain(listed)
 
+    def _record_versions(self, now_ms: float) -> None:
+        """Record since when each service has been listed with its versions."""
+        for service, items in self._services.items():
+            versions = tuple(sorted({item.version for item in items}))
+            if self._versions.get(service, ((), 0.0))[0] != versions:
+                self._versions[service] = versions, now_ms
+
+    def served_versions(self, service: str, now_ms: float) -> ServedVersions:
+        """Return the versions of a service in the list, and for how long without a change."""
+        versions, since_ms = self._versions.get(service, ((), now_ms))
+        return ServedVersions(versions, now_ms - since_ms)
+
     def choose(
         self, service: str, demand: Demand, excluded: Collection[str], now_ms: float
     ) -> UpstreamInstance | None:
--- a/packages/core/src/goldcrestridge_core/stream_origins.py
+++ b/packages/core/src/goldcrestridge_core/stream_origins.py
@@ -4,11 +4,15 @@
 stream up may reach any entry node, also when the node that began it is lost. Each origin is
 therefore copied to several entry nodes, which rendezvous hashing chooses by the id of the caller's
 attempt that brought the first event.
+
+If all listed instances of a service have run one version for as long as its streams last, that is
+the origin's version as well, whether or not a node holds the origin.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field, frozen
@@ -54,22 +58,42 @@
     origins: tuple[StreamOrigin, ...]
 
 
+@message
+@frozen
+class ServedVersions:
+    """The software versions that a service is listed with, and for how long without a change."""
+
+    versions: tuple[str, ...] = ()
+    unchanged_ms: float = 0.0
+
+    def only_version(self, lasts_ms: float) -> str | None:
+        """Return the only version of at least the last ``lasts_ms``, or None."""
+        if len(self.versions) != 1 or self.unchanged_ms < lasts_ms:
+            return None
+        return self.versions[0] or None
+
+
 @message
 @frozen
 class OriginQuery:
-    """Ask for the origin of the stream that an attempt of a caller began."""
+    """Ask for the origin of the stream that an attempt of a caller began at a service."""
 
     ticket: str
     request_id: str
+    service: str
 
 
 @message
 @frozen
 class OriginReply:
-    """Answer an OriginQuery; ``origin`` is None if the sender does not hold it."""
+    """Answer an OriginQuery; ``origin`` is None if the sender does not hold it.
+
+    ``served`` is what the sender knows of the service.
+    """
 
     ticket: str
     origin: StreamOrigin | None
+    served: ServedVersions
 
 
 ORIGIN_MESSAGES = (RecordOrigins, OriginQuery, OriginReply)
@@ -84,15 +108,21 @@
 
 @frozen
 class FindOrigin:
-    """Event: a caller takes up the stream that its attempt ``request_id`` began."""
+    """Event: a caller takes up the stream that its attempt ``request_id`` began at a service.
+
+    ``request_id`` is empty if the caller names no attempt. The stream began within the last
+    ``lasts_ms``.
+    """
 
     ticket: str
     request_id: str
+    service: str
+    lasts_ms: float
 
 
 @frozen
 class OriginFound:
-    """Effect: the answer to FindOrigin; ``origin`` is None if no node that answered holds it.
+    """Effect: the answer to FindOrigin; ``origin`` is None if no node that answered knows it.
 
     ``complete`` tells whether all nodes that were asked have answered.
     """
@@ -105,10 +135,26 @@
 ORIGIN_EVENTS = (StreamBegan, FindOrigin)
 
 
+def _unknown_versions(_service: str, _now_ms: float) -> ServedVersions:
+    return ServedVersions()
+
+
 @define
 class _Search:
+    event: FindOrigin
     awaiting: set[NodeId]
     reply_by_ms: float
+    served: list[ServedVersions]
+
+    def inferred_origin(self) -> StreamOrigin | None:
+        """Return the origin if only one version can have begun the stream."""
+        versions = {version for served in self.served for version in served.versions}
+        event = self.event
+        known = (served.only_version(event.lasts_ms) for served in self.served)
+        only = next(filter(None, known), None)
+        if only is None or versions != {only}:
+            return None
+        return StreamOrigin(event.request_id, event.service, "", only)
 
 
 @define
@@ -116,10 +162,12 @@
     """Record the origins of this node's streams, hold those of others, and find them.
 
     Events: Tick; StreamBegan, FindOrigin; EntriesChanged; Receive of the origin messages. Effects:
-    OriginFound for each FindOrigin; Send.
+    OriginFound for each FindOrigin; Send. ``served_versions`` returns what this node knows of a
+    service at a monotonic time in milliseconds.
     """
 
     node_id: NodeId
+    served_versions: Callable[[str, float], ServedVersions] = _unknown_versions
     _nodes: tuple[NodeId, ...] = ()
     # In the order of their arrival, with the time at which they are dropped.
     _held: dict[str, tuple[StreamOrigin, float]] = field(factory=dict)
@@ -149,7 +197,8 @@
                     self._hold(origin, now_ms)
             case Receive(sender=sender, message=OriginQuery() as query):
                 found = self._held_origin(query.request_id, now_ms)
-                effects.append(Send(sender, OriginReply(query.ticket, found)))
+                served = self.served_versions(query.service, now_ms)
+                effects.append(Send(sender, OriginReply(query.ticket, found, served)))
             case Receive(sender=sender, message=OriginReply() as reply):
                 effects += self._receive_reply(sender, reply)
         return [*effects, *self._expire(now_ms), *self._send_due_batches(now_ms)]
@@ -189,25 +238,33 @@
 
     def _find(self, event: FindOrigin, now_ms: float) -> list[Any]:
         origin = self._held_origin(event.request_id, now_ms)
-        others = [node for node in rank(event.request_id, self._nodes) if node != self.node_id]
-        if origin is not None or not event.request_id or not others:
+        key = event.request_id or event.ticket
+        asked = [node for node in rank(key, self._nodes) if node != self.node_id][:ASKED]
+        served = self.served_versions(event.service, now_ms)
+        search = _Search(event, set(asked), now_ms + REPLY_TIMEOUT_MS, [served])
+        if origin is None and (not event.request_id or not asked):
+            origin = search.inferred_origin()
+        if origin is not None or not asked:
             return [OriginFound(event.ticket, origin, complete=bool(self._nodes))]
-        asked = others[:ASKED]
-        self._searches[event.ticket] = _Search(set(asked), now_ms + REPLY_TIMEOUT_MS)
-        return [Send(node, OriginQuery(event.ticket, event.request_id)) for node in asked]
+        self._searches[event.ticket] = search
+        query = OriginQuery(event.ticket, event.request_id, event.service)
+        return [Send(node, query) for node in asked]
 
     def _receive_reply(self, sender: NodeId, reply: OriginReply) -> list[Any]:
         search = self._searches.get(reply.ticket)
         if search is None:
             return []
         search.awaiting.discard(sender)
+        search.served.append(reply.served)
         if reply.origin is None and search.awaiting:
             return []
-        del self._searches[reply.ticket]
-        return [OriginFound(reply.ticket, reply.origin, complete=not search.awaiting)]
+        return [self._end(reply.ticket, reply.origin)]
+
+    def _end(self, ticket: str, origin: StreamOrigin | None) -> OriginFound:
+        """End a search with the origin that a node holds, or with the inferred one."""
+        search = self._searches.pop(ticket)
+        return OriginFound(ticket, origin or search.inferred_origin(), complete=not search.awaiting)
 
     def _expire(self, now_ms: float) -> list[Any]:
         expired = [name for name, item in self._searches.items() if item.reply_by_ms <= now_ms]
-        for name in expired:
-            del self._searches[name]
-        return [OriginFound(name, None, complete=False) for name in expired]
+        return [self._end(name, None) for name in expired]
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -145,7 +145,10 @@
         )
         permits = Permits(cfg.node, self.placement.limits, lambda: self.follower.confirmed_ms)
         entry_node = EntryNode(
-            self.follower, EngineAdmission(cfg.node), permits, StreamOrigins(cfg.node)
+            self.follower,
+            EngineAdmission(cfg.node),
+            permits,
+            StreamOrigins(cfg.node, self.placement.served_versions),
         )
         self.driver = Driver(entry_node, self.clock, outputs)
         self.transport = addressed_transport(cfg.node, self.driver.post, self.metrics.record)
@@ -199,7 +202,7 @@
             case RoutesReceived(version=version, document=document):
                 self._set_routes(version, document)
             case InstancesReceived(instances=instances):
-                self.placement.set_instances(instances)
+                self.placement.set_instances(instances, self.clock.now_ms())
                 self._log.info("upstreams_in_force", count=len(instances))
             case EngineFound() | EngineDenied():
                 self._engines.resolve(effect)
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -124,7 +124,13 @@
         """Find the origin of the stream that the caller takes up, or refuse the request."""
         deps = self.gateway.dependencies
         ticket = self.gateway.next_ticket()
-        event = FindOrigin(ticket, self.request.caller_head.resumed_request_id)
+        event = FindOrigin(
+            ticket,
+            self.request.caller_head.resumed_request_id,
+            self.admitted.service,
+            # The attempts of a caller share the time limit of the route.
+            self.admitted.route.timeout_ms,
+        )
         found: OriginFound = await deps.origins.ask(ticket, event)
         if found.origin is not None and self._admit_to_origin(found.origin):
             self._origin = found.origin
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -15,7 +15,7 @@
     SPILL_REQUESTS,
     Placement,
 )
-from goldcrestridge_core.stream_origins import StreamOrigin
+from goldcrestridge_core.stream_origins import ServedVersions, StreamOrigin
 
 
 def engines(count: int, slots: int = 96, leaving: int = 0) -> list[UpstreamInstance]:
@@ -271,3 +271,17 @@
     origin = StreamOrigin("r", "app", "i2", "v1")
     assert fitting(node, origin, 1_100.0) == {"i2"}
     assert fitting(node, origin, 1_000.0 + RESTART_DOUBT_MS) == {"i1", "i2"}
+
+
+def test_the_versions_of_a_service_are_known_since_the_list_last_changed_them() -> None:
+    # Guards against a version that counts as the only one although another one served just now.
+    node = Placement("dc", random.Random(1))
+    assert node.served_versions("app", 0.0) == ServedVersions()
+    node.set_instances(versions("v1"), 1_000.0)
+    node.set_instances(versions("v1", "v1"), 2_000.0)
+    assert node.served_versions("app", 5_000.0) == ServedVersions(("v1",), 4_000.0)
+    node.set_instances(versions("v1", "v2"), 6_000.0)
+    assert node.served_versions("app", 7_000.0) == ServedVersions(("v1", "v2"), 1_000.0)
+    node.set_instances(versions("v1"), 8_000.0)
+    assert node.served_versions("app", 8_500.0).only_version(1_000.0) is None
+    assert node.served_versions("app", 9_000.0).only_version(1_000.0) == "v1"
--- a/tests/core/test_stream_origins.py
+++ b/tests/core/test_stream_origins.py
@@ -21,6 +21,7 @@
     FindOrigin,
     OriginFound,
     RecordOrigins,
+    ServedVersions,
     StreamBegan,
     StreamOrigin,
     StreamOrigins,
@@ -32,6 +33,13 @@
     return StreamOrigin(request_id, "s", "i", version)
 
 
+LASTS_MS = 15_000.0
+
+
+def find(ticket: str, request_id: str) -> FindOrigin:
+    return FindOrigin(ticket, request_id, "s", LASTS_MS)
+
+
 @define(eq=False)
 class Net:
     """Entry nodes with delayed messages; nodes in ``down`` receive and send nothing."""
@@ -40,6 +48,7 @@
     seed: int = 1
     now_ms: float = 0.0
     down: set[NodeId] = field(factory=set)
+    served: dict[NodeId, ServedVersions] = field(factory=dict)
     found: dict[str, OriginFound] = field(factory=dict)
     sent: int = 0
     roles: dict[NodeId, StreamOrigins] = field(factory=dict)
@@ -58,7 +67,9 @@
 
     def restart(self, node: NodeId) -> None:
         """Start a node anew, with the list of all nodes and without any origin."""
-        self.roles[node] = StreamOrigins(node)
+        self.roles[node] = StreamOrigins(
+            node, lambda _service, _now_ms: self.served.get(node, ServedVersions())
+        )
         self.post(node, EntriesChanged(self.nodes))
 
     def post(self, node: NodeId, event: Any) -> None:
@@ -89,7 +100,7 @@
     def find(self, node: NodeId, request_id: str) -> OriginFound:
         """Find an origin at a node; the answer must come within the reply timeout."""
         ticket = f"t{next(self._order)}"
-        self.post(node, FindOrigin(ticket, request_id))
+        self.post(node, find(ticket, request_id))
         self.run(REPLY_TIMEOUT_MS)
         return self.found[ticket]
 
@@ -143,7 +154,7 @@
     net.down.update(net.nodes[1:])
     answer = net.find(net.nodes[0], "unheard")
     assert (answer.origin, answer.complete) == (None, False)
-    assert not StreamOrigins(NodeId("new")).handle(FindOrigin("t", "r"), 0.0)[0].complete
+    assert not StreamOrigins(NodeId("new")).handle(find("t", "r"), 0.0)[0].complete
 
 
 def test_origins_are_dropped_after_their_time_and_beyond_a_number() -> None:
@@ -151,10 +162,10 @@
     role = StreamOrigins(NodeId("e"))
     many = tuple(origin(f"r{number}") for number in range(MAX_KEPT + 10))
     role.handle(Receive(NodeId("x"), RecordOrigins(many)), 0.0)
-    (oldest,) = role.handle(FindOrigin("t", "r0"), 1.0)
-    (newest,) = role.handle(FindOrigin("t", f"r{MAX_KEPT}"), 1.0)
+    (oldest,) = role.handle(find("t", "r0"), 1.0)
+    (newest,) = role.handle(find("t", f"r{MAX_KEPT}"), 1.0)
     assert (oldest.origin, newest.origin) == (None, origin(f"r{MAX_KEPT}"))
-    (late,) = role.handle(FindOrigin("t", f"r{MAX_KEPT}"), KEPT_MS)
+    (late,) = role.handle(find("t", f"r{MAX_KEPT}"), KEPT_MS)
     assert late.origin is None
     role.handle(Receive(NodeId("x"), RecordOrigins((origin("r"),))), KEPT_MS)
     assert len(role._held) == 1
@@ -208,4 +219,36 @@
     # Guards against a caller that waits for nodes that can't know its stream.
     role = StreamOrigins(NodeId("e"))
     role.handle(EntriesChanged((NodeId("e"),)), 0.0)
-    assert role.handle(FindOrigin("t", request_id), 0.0) == [OriginFound("t", None, complete=True)]
+    assert role.handle(find("t", request_id), 0.0) == [OriginFound("t", None, complete=True)]
+
+
+def test_a_stream_fits_the_only_version_that_has_served_as_long_as_it_may_last() -> None:
+    # Guards against a caller that names no attempt, or whose origin is lost, and can't take its
+    # stream up although all upstreams have always run one version.
+    net = Net(6)
+    net.served = dict.fromkeys(net.nodes, ServedVersions(("v1",), LASTS_MS))
+    for request_id in ("", "lost"):
+        assert net.find(net.nodes[0], request_id).origin == StreamOrigin(request_id, "s", "", "v1")
+    net.served = dict.fromkeys(net.nodes, ServedVersions(("v1",), LASTS_MS - 1.0))
+    assert net.find(net.nodes[0], "").origin is None
+
+
+def test_a_node_that_just_started_learns_the_only_version_from_the_others() -> None:
+    # Guards against callers that are refused for as long as streams last after each restart.
+    net = Net(6)
+    net.served = dict.fromkeys(net.nodes, ServedVersions(("v1",), 60_000.0))
+    net.served[net.nodes[0]] = ServedVersions(("v1",), 5.0)
+    found = net.find(net.nodes[0], "").origin
+    assert found is not None
+    assert found.version == "v1"
+
+
+def test_no_version_is_inferred_if_any_node_lists_another_one() -> None:
+    # Guards against a stream of a new version that a node with an old list joins with the old one.
+    net = Net(6)
+    net.served = dict.fromkeys(net.nodes, ServedVersions(("v1",), 60_000.0))
+    net.served[net.nodes[0]] = ServedVersions(("v1",), 5.0)
+    net.served[net.nodes[3]] = ServedVersions(("v1", "v2"), 100.0)
+    assert net.find(net.nodes[0], "lost").origin is None
+    net.served = dict.fromkeys(net.nodes, ServedVersions(("",), 60_000.0))
+    assert net.find(net.nodes[0], "").origin is None
--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -238,10 +238,10 @@
     return pending
 
 
-def single_node_origins(clock: Clock) -> PendingRequests:
+def single_node_origins(clock: Clock, placement: Placement) -> PendingRequests:
     """Return the stream origins of a node that is alone."""
     lone = NodeId("lone")
-    role = StreamOrigins(lone)
+    role = StreamOrigins(lone, placement.served_versions)
     role.handle(EntriesChanged((lone,)), clock.now_ms())
 
     def post(event: Any) -> None:
@@ -264,7 +264,8 @@
         upstream.port = server.sockets[0].getsockname()[1]
         servers.append(server)
     placement = Placement("dc", random.Random(1))
-    placement.set_instances([upstream.instance() for upstream in upstreams])
+    listed = [upstream.instance() for upstream in upstreams]
+    placement.set_instances(listed, clock.now_ms())
     confirmed_ms = [clock.now_ms()]
     routes = ActiveRoutes(
         route_table(RoutedWorkspace("w1", (KEY,)), engine=engine), 60_000.0, lambda: confirmed_ms[0]
@@ -287,7 +288,7 @@
         RequestLog(log, lambda _count: None),
         single_node_engines(clock),
         single_node_permits(clock, placement.limits),
-        single_node_origins(clock),
+        single_node_origins(clock, placement),
         "lone",
     )
     gateway = Gateway(dependencies)
--- a/tests/node/test_gateway_streams.py
+++ b/tests/node/test_gateway_streams.py
@@ -117,3 +117,21 @@
         assert response.status == 503
         assert b"retry-after" not in dict(response.headers)
         assert upstreams[1].exchanges == []
+
+
+async def test_a_caller_that_names_no_attempt_takes_a_stream_up_if_only_one_version_served() -> (
+    None
+):
+    # Guards against refusing callers that send Last-Event-Id alone while all upstreams are alike.
+    upstreams = (
+        scripted("a", begin_or_resume, version="v7"),
+        scripted("b", begin_or_resume, version="v7"),
+    )
+    async with running_gateway(*upstreams) as running:
+        deps = running.gateway.dependencies
+        assert (await running.call("/resume/x", last_event_id="1")).status == 503
+        for upstream in upstreams:
+            upstream.version = "v8"
+        long_ago_ms = deps.clock.now_ms() - 60_000.0
+        deps.placement.set_instances([item.instance() for item in upstreams], long_ago_ms)
+        assert (await running.call("/resume/x", last_event_id="1")).status == 200
