Pass the announcement of an empty replica on to the leader

Cause: a replica with an empty disk announces itself to the seeds of its settings only. After replacements the leader may be none of them, and followers ignored the announcement.

A follower now passes an announcement that it gets from the replica itself on to its leader.

--- a/packages/core/src/goldcrestridge_core/log_members.py
+++ b/packages/core/src/goldcrestridge_core/log_members.py
@@ -60,7 +60,11 @@
 
 
 def on_join(state: LogState, sender: NodeId, message: JoinReplica, now_ms: float) -> None:
-    """Handle an announcement: form the log, send its first entry, or add the replica."""
+    """Handle an announcement: form the log, send its first entry, or add the replica.
+
+    A replica with an empty disk knows only the seeds, none of which may lead, so a follower passes
+    its announcement on to the leader.
+    """
     if is_fresh(state):
         if message.fresh:
             _try_form(state, message.replica, now_ms)
@@ -71,7 +75,11 @@
         if membership is not None and message.replica in membership.voters:
             state.effects.append(Send(sender, JoinReply(first)))
             return
-    if state.position is Position.LEADER and message.replica not in _all_replicas(state.membership):
+    if state.position is not Position.LEADER:
+        # An announcement that was passed on already stays here.
+        if state.leader is not None and sender == message.replica.node != state.leader.node:
+            state.effects.append(Send(state.leader.node, message))
+    elif message.replica not in _all_replicas(state.membership):
         _start_replacement(state, message.replica, now_ms)
 
 
--- a/tests/core/test_control.py
+++ b/tests/core/test_control.py
@@ -210,3 +210,30 @@
     assert limit.per_second == 5.0
     assert 1_000.0 <= limit.answered_age_ms <= 2_500.0
     assert limit.sent_age_ms == pytest.approx(limit.answered_age_ms + 5.0)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_wiped_replica_is_replaced_although_no_seed_leads(seed: int) -> None:
+    # Guards against a log that loses its quorum at the next loss, because a replica with an empty
+    # disk knows only the seeds and the leader is none of them.
+    net = formed_net(seed)
+    commit(net, B, 1)
+    net.start_control(D, bootstrap=False)
+    net.kill(A, wipe=True)
+    net.run(8_000.0)
+    for _ in range(20):
+        if net.leaders() == [D]:
+            break
+        leader = net.leaders()[0]
+        net.kill(leader)
+        net.run(1_500.0)
+        net.start_control(leader, bootstrap=False)
+        net.run(1_500.0)
+    assert net.leaders() == [D]
+    net.kill(C, wipe=True)
+    net.run(500.0)
+    net.start_control(C, bootstrap=False)
+    net.run(6_000.0)
+    net.kill(B, wipe=True)
+    net.run(6_000.0)
+    commit(net, D, 2)
