Move health and recent work out of the placement

The health of one instance and the work of one service are states of their own, so they become modules of their own; no decision changes. The tests of the placement and of the engine slots pass as before.

--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -31,31 +31,18 @@
     UpstreamInstance,
     Workload,
 )
+from goldcrestridge_core.instance_health import InstanceHealth
 from goldcrestridge_core.rate_limits import RateLimits
+from goldcrestridge_core.recent_work import RecentWork
 from goldcrestridge_core.rendezvous import weight
 from goldcrestridge_core.stream_origins import ServedVersions, StreamOrigin
 
-# Backoff of an instance after its first failure; it doubles with each consecutive failure.
-INITIAL_BACKOFF_MS = 400.0
-MAX_BACKOFF_MS = 6_000.0
-# Maximum age of a load report from an answer header. After that only the in-flight counts of the
-# entry nodes are used.
-REPORT_VALID_MS = 1_500.0
 # A request spills over to the next engine if the load of the preferred one exceeds the mean load
 # times this factor plus this many requests.
 SPILL_FACTOR = 1.25
 SPILL_REQUESTS = 4.0
-# The failure share is an EWMA over about ten requests. It also decays with this half-life, so that
-# an instance that gets no requests is eventually tried again.
-FAILURE_EWMA_WEIGHT = 0.1
-FAILURE_HALF_LIFE_MS = 4_000.0
 # Instances whose failure share exceeds the lowest one by more than this margin are not used.
 FAILURE_MARGIN = 0.2
-
-
-# A long prompt queues behind other long prompts, so at equal utilisation it waits longer than a
-# short one. The weight gives long prompts slightly more engines than their share of the work.
-LONG_PROMPT_WEIGHT = 1.15
 # Highest slot utilisation of the engines for short prompts, which are the more urgent ones, before
 # they take over engines from the long prompts.
 SHORT_MAX_UTILISATION = 0.8
@@ -76,80 +63,6 @@
 RESTART_DOUBT_MS = 3_000.0
 # With fewer usable engines the engines of a service are not partitioned.
 MIN_ENGINES_TO_PARTITION = 3
-# The partition follows the work of about this time, and changes only if the ideal engine count
-# differs from the current one by more than the hysteresis.
-WORK_TIME_CONSTANT_MS = 1_500.0
-PARTITION_HYSTERESIS = 0.65
-
-
-@define
-class _Health:
-    """Health and load of one instance as this node knows it."""
-
-    in_flight: int = 0
-    consecutive_failures: int = 0
-    backoff_until_ms: float = 0.0
-    failure_share: float = 0.0
-    failure_updated_ms: float = 0.0
-    reported_requests: int = 0  # Running and waiting requests in the last load report.
-    in_flight_at_report: int = 0
-    reported_ms: float = float("-inf")
-    peer_requests: int = 0  # In-flight requests of all other entry nodes.
-    replaced: bool = False  # Another instance answers at its address.
-    unreachable_ms: float = float("-inf")  # Time of the last refused connection.
-
-    def failure_share_at(self, now_ms: float) -> float:
-        """Return the failure share, decayed since the last update."""
-        if not self.failure_share:
-            return 0.0
-        age_ms = max(0.0, now_ms - self.failure_updated_ms)
-        return self.failure_share * math.exp2(-age_ms / FAILURE_HALF_LIFE_MS)
-
-    def record(self, failed: bool, now_ms: float) -> None:
-        """Update the failure share with the outcome of one request."""
-        share = self.failure_share_at(now_ms)
-        self.failure_share = share + (float(failed) - share) * FAILURE_EWMA_WEIGHT
-        self.failure_updated_ms = now_ms
-
-
-@define
-class _RecentWork:
-    """Recent work of one service by kind of request, at this node and at its peers."""
-
-    short: float = 0.0
-    long: float = 0.0
-    tight: float = 0.0
-    updated_ms: float = 0.0
-    peers: ServiceWork = field(factory=lambda: ServiceWork("", 0.0, 0.0))
-    long_count: int = 0  # Engines for long prompts.
-    tight_count: int = 0  # Engines reserved for tight streams.
-
-    def decay(self, now_ms: float) -> None:
-        """Decay the recorded work exponentially up to ``now_ms``."""
-        factor = math.exp(-max(0.0, now_ms - self.updated_ms) / WORK_TIME_CONSTANT_MS)
-        self.short *= factor
-        self.long *= factor
-        self.tight *= factor
-        self.updated_ms = now_ms
-
-    def long_engines(self, engines: int, min_short: int) -> int:
-        """Return the number of engines for long prompts, leaving ``min_short`` for the others."""
-        long = LONG_PROMPT_WEIGHT * (self.long + self.peers.long)
-        total = long + self.short + self.peers.short
-        wanted = engines * long / total if total else 0.0
-        if (
-            abs(wanted - self.long_count) > PARTITION_HYSTERESIS
-            or not 0 < self.long_count < engines
-        ):
-            self.long_count = round(wanted)
-        self.long_count = min(max(self.long_count, 1), engines - 1)
-        return max(1, min(self.long_count, engines - min_short))
-
-    def tight_engines(self, engines: int, min_tight: int) -> int:
-        """Return how many engines for short prompts are reserved for tight streams."""
-        short = self.short + self.peers.short
-        share = (self.tight + self.peers.tight) / short if short else 0.0
-        return max(1, min(max(round(engines * share), min_tight), engines - 1))
 
 
 @define
@@ -166,8 +79,8 @@
     listed: bool = False
     limits: RateLimits = field(factory=RateLimits)
     _services: dict[str, tuple[UpstreamInstance, ...]] = field(factory=dict)
-    _health: dict[str, _Health] = field(factory=dict)
-    _recent_work: dict[str, _RecentWork] = field(factory=dict)
+    _health: dict[str, InstanceHealth] = field(factory=dict)
+    _recent_work: dict[str, RecentWork] = field(factory=dict)
     # By service: the versions in the list, and since when.
     _versions: dict[str, tuple[tuple[str, ...], float]] = field(factory=dict)
     _partition_weights: dict[str, int] = field(factory=dict)  # By instance.
@@ -370,7 +283,7 @@
         """Add the work of a request that arrived at this node."""
         if not demand.partitioned:
             return
-        work = self._recent_work.setdefault(service, _RecentWork(updated_ms=now_ms))
+        work = self._recent_work.setdefault(service, RecentWork(updated_ms=now_ms))
         work.decay(now_ms)
         if demand.long:
             work.long += demand.work
@@ -384,7 +297,7 @@
         for item in itertools.chain.from_iterable(self._services.values()):
             self._health_of(item).peer_requests = loads.get(item.instance, 0)
         for service_work in workload.works:
-            work = self._recent_work.setdefault(service_work.service, _RecentWork())
+            work = self._recent_work.setdefault(service_work.service, RecentWork())
             work.peers = service_work
 
     def workload(self, now_ms: float) -> Workload:
@@ -426,16 +339,12 @@
         health = self._health.get(instance)
         if health is None:
             return 0.0
-        in_flight = health.in_flight + health.peer_requests
-        if now_ms - health.reported_ms > REPORT_VALID_MS:
-            return float(in_flight)
-        started_since_report = health.in_flight - health.in_flight_at_report
-        return float(max(in_flight, health.reported_requests + started_since_report))
+        return health.load_at(now_ms)
 
-    def _health_of(self, item: UpstreamInstance) -> _Health:
+    def _health_of(self, item: UpstreamInstance) -> InstanceHealth:
         health = self._health.get(item.instance)
         if health is None:
-            health = self._health[item.instance] = _Health()
+            health = self._health[item.instance] = InstanceHealth()
         return health
 
     # Outcomes of requests.
@@ -450,18 +359,11 @@
 
     def record_success(self, item: UpstreamInstance, now_ms: float) -> None:
         """Record an answer and end the backoff of the instance."""
-        health = self._health_of(item)
-        health.consecutive_failures = 0
-        health.backoff_until_ms = 0.0
-        health.record(failed=False, now_ms=now_ms)
+        self._health_of(item).record_success(now_ms)
 
     def record_failure(self, item: UpstreamInstance, now_ms: float) -> None:
         """Record a failure of the instance, such as a cut connection, and start its backoff."""
-        health = self._health_of(item)
-        backoff_ms = min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2.0**health.consecutive_failures)
-        health.consecutive_failures += 1
-        health.backoff_until_ms = now_ms + backoff_ms
-        health.record(failed=True, now_ms=now_ms)
+        self._health_of(item).record_failure(now_ms)
 
     def record_unreachable(self, item: UpstreamInstance, now_ms: float) -> None:
         """Record that the instance accepted no connection, and start its backoff."""
@@ -483,7 +385,4 @@
 
     def set_reported_load(self, item: UpstreamInstance, requests: int, now_ms: float) -> None:
         """Store the number of running and waiting requests that an instance reported."""
-        health = self._health_of(item)
-        health.reported_requests = requests
-        health.reported_ms = now_ms
-        health.in_flight_at_report = health.in_flight
+        self._health_of(item).set_reported_load(requests, now_ms)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -9,12 +9,12 @@
 from goldcrestridge_core.demand import Demand, demand_of
 from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
 from goldcrestridge_core.placement import (
-    LONG_PROMPT_WEIGHT,
     RESTART_DOUBT_MS,
     SPILL_FACTOR,
     SPILL_REQUESTS,
     Placement,
 )
+from goldcrestridge_core.recent_work import LONG_PROMPT_WEIGHT
 from goldcrestridge_core.stream_origins import ServedVersions, StreamOrigin
 
 
