Obey upstreams that say that they leave or ask for a rest

Cause: entry nodes read neither the header by which an upstream says in all its answers that it leaves, nor Retry-After in a rejection. They went on sending until the list showed the end, for as long as they could not read the list, and to an upstream that wanted nothing.

Change: a state machine of notices (upstream_notices) keeps what each run of an instance said, by id, address and start. Placement leaves out what leaves or rests; the dispatcher asks again right before it sends; entry nodes tell each other through the leader. A service that leaves as a whole is used for half of its drain time; callers of one that rests as a whole are refused at once and return after the rest, the urgent ones first. A rest no longer counts as an error answer.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -14,6 +14,8 @@
     """One run of an upstream process; a later run at its address may serve another service.
 
     ``version`` is that of its software, not of the weights of a model; it is empty if unknown.
+    ``born`` is the Unix time of its start in milliseconds, or 0 if unknown; a later run can have
+    the same name.
     """
 
     instance: str
@@ -23,6 +25,12 @@
     slots: int
     leaving: bool
     version: str = ""
+    born: int = 0
+
+    @property
+    def life(self) -> str:
+        """Return a name of this run that no other run has, if ``born`` is known."""
+        return f"{self.instance} {self.address} {self.born}"
 
 
 @message
@@ -76,14 +84,38 @@
     answered_age_ms: float
 
 
+@message
+@frozen
+class LeavingNotice:
+    """A run of an instance said in its answers that it leaves.
+
+    The ages are the times since the first and the last of these answers arrived at an entry node.
+    """
+
+    life: str
+    first_age_ms: float
+    last_age_ms: float
+
+
+@message
+@frozen
+class RestNotice:
+    """A run of an instance wants no requests from an entry node for ``left_ms``."""
+
+    life: str
+    left_ms: float
+
+
 @message
 @frozen
 class Workload:
-    """Load of upstreams and their limits, exchanged between entry nodes through the leader."""
+    """Load, limits and notices of upstreams, exchanged between entry nodes through the leader."""
 
     loads: tuple[InstanceLoad, ...] = ()
     works: tuple[ServiceWork, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
+    leaving: tuple[LeavingNotice, ...] = ()
+    rests: tuple[RestNotice, ...] = ()
 
 
 @message
--- a/packages/core/src/goldcrestridge_core/forwarding.py
+++ b/packages/core/src/goldcrestridge_core/forwarding.py
@@ -146,6 +146,10 @@
         reason = "every upstream has reached the limit that it named"
         return self._give_up_until(reason, retry_delay_ms)
 
+    def after_rest(self, retry_delay_ms: float) -> Decision:
+        """Return the final decision for a request while every upstream wants no requests."""
+        return self._give_up_until("every upstream has asked for a rest", retry_delay_ms)
+
     def _give_up_until(self, reason: str, retry_delay_ms: float) -> Decision:
         decision = self.give_up(reason)
         if decision.step is Step.REFUSE:
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -11,6 +11,7 @@
 - Many entry nodes that learn each other's load late: each chooses among a random sample of the
   engines, so that they do not all send their requests to the same one.
 - Instances that name a limit on their requests: others are preferred while they have no permit.
+- Instances that say that they leave or ask for a rest: they are left out, see `upstream_notices`.
 - Instances that fail, hang or crash while they are still listed: they get no requests during a
   backoff that doubles with each consecutive failure, and then a single probe request.
 """
@@ -36,6 +37,7 @@
 from goldcrestridge_core.recent_work import RecentWork
 from goldcrestridge_core.rendezvous import weight
 from goldcrestridge_core.stream_origins import ServedVersions, StreamOrigin
+from goldcrestridge_core.upstream_notices import Avoidance, UpstreamNotices, Usability
 
 # A request spills over to the next engine if the load of the preferred one exceeds the mean load
 # times this factor plus this many requests.
@@ -70,7 +72,8 @@
     """Choose an instance for each request from the health and load of all instances.
 
     ``live_entries`` is the number of live entry nodes. ``listed`` tells whether the list of
-    instances has been received. ``limits`` holds the request rates that instances name.
+    instances has been received. ``limits`` holds the request rates that instances name, ``notices``
+    what they say of their leaving and of rests.
     """
 
     data_centre: str
@@ -78,6 +81,7 @@
     live_entries: int = 1
     listed: bool = False
     limits: RateLimits = field(factory=RateLimits)
+    notices: UpstreamNotices = field(init=False)
     _services: dict[str, tuple[UpstreamInstance, ...]] = field(factory=dict)
     _health: dict[str, InstanceHealth] = field(factory=dict)
     _recent_work: dict[str, RecentWork] = field(factory=dict)
@@ -85,6 +89,10 @@
     _versions: dict[str, tuple[tuple[str, ...], float]] = field(factory=dict)
     _partition_weights: dict[str, int] = field(factory=dict)  # By instance.
 
+    def __attrs_post_init__(self) -> None:
+        """Create the notices with the random generator of the placement."""
+        self.notices = UpstreamNotices(self.rng)
+
     def set_instances(self, instances: Iterable[UpstreamInstance], now_ms: float = 0.0) -> None:
         """Replace the list of instances and drop the state of those that are no longer listed."""
         self.listed = True
@@ -101,6 +109,7 @@
             if name in listed or health.in_flight
         }
         self.limits.retain(listed)
+        self.notices.set_listed(itertools.chain.from_iterable(self._services.values()), now_ms)
 
     def _record_versions(self, now_ms: float) -> None:
         """Record since when each service has been listed with its versions."""
@@ -184,15 +193,13 @@
         If all of them are in backoff, return the one whose backoff ends first.
         """
         allowed = (
-            (item, self._health_of(item))
+            item
             for item in self._services.get(service, ())
-            if not item.leaving and item.instance not in excluded
+            if item.instance not in excluded
+            and not self._health_of(item).replaced
+            and (origin is None or self._fits(item, origin, now_ms))
         )
-        listed = [
-            (item, health)
-            for item, health in allowed
-            if not health.replaced and (origin is None or self._fits(item, origin, now_ms))
-        ]
+        listed = [(item, self._health_of(item)) for item in self.notices.preferred(allowed, now_ms)]
         healthy = [(item, health) for item, health in listed if health.backoff_until_ms <= now_ms]
         if not healthy:
             first = sorted(listed, key=lambda entry: entry[1].backoff_until_ms)[:1]
@@ -228,6 +235,40 @@
             for item in self._services.get(origin.service, ())
         )
 
+    def rest_left_ms(
+        self, service: str, excluded: Collection[str], origin: StreamOrigin | None, now_ms: float
+    ) -> float | None:
+        """Return the time until the first rest of a service ends, or None if no instance rests.
+
+        It is meant for a request for which no instance is usable.
+        """
+        rests = (
+            self.notices.rest_left_ms(item, now_ms)
+            for item in self._services.get(service, ())
+            if item.instance not in excluded and not self._health_of(item).replaced
+            if origin is None or self._fits(item, origin, now_ms)
+        )
+        return min((left_ms for left_ms in rests if left_ms is not None), default=None)
+
+    def avoided(self, service: str, now_ms: float) -> list[Avoidance]:
+        """Return the listed instances of a service that are avoided for what they said."""
+        if self.notices.is_quiet(now_ms):
+            return []
+        items = (item for item in self._services.get(service, ()) if not item.leaving)
+        reasons = (self.notices.avoidance(item, now_ms) for item in items)
+        return [reason for reason in reasons if reason is not None]
+
+    def withheld(self, item: UpstreamInstance, now_ms: float) -> str:
+        """Return why an instance must not get a request that was placed before, or an empty text.
+
+        A request can wait for a connection or a permit after it was placed.
+        """
+        if self.notices.usability(item, now_ms) < Usability.NONE:
+            return ""
+        reason = self.notices.avoidance(item, now_ms)
+        # A request that was placed before the list showed the end of an instance is still served.
+        return "" if reason is None else str(reason)
+
     def limited_instances(self, service: str) -> set[str]:
         """Return the instances of a service that name a limit on their requests."""
         return {
@@ -315,6 +356,7 @@
                 for service, work in self._recent_work.items()
             ),
             self.limits.shared(now_ms),
+            *self.notices.shared(now_ms),
         )
 
     def _by_prefix(
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -32,6 +32,7 @@
 from goldcrestridge_core.follower import poll_interval_ms
 from goldcrestridge_core.rate_limits import aged, merge_named
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
+from goldcrestridge_core.upstream_notices import merge_notices
 from goldcrestridge_core.versions import VersionedDocument
 
 # An entry node that missed two polls, each with a retry, is removed from the list.
@@ -178,7 +179,8 @@
     def _workload_of_others(self, requester: NodeId, now_ms: float) -> Workload:
         """Return the total load that all entry nodes but the requester put on upstreams.
 
-        Of each limit of an instance, the newest observation of these nodes is returned.
+        Of each limit of an instance, the newest observation of these nodes is returned, and of its
+        notices the one that holds longest.
         """
         loads: dict[str, int] = {}
         works: dict[str, tuple[float, float, float]] = {}
@@ -199,6 +201,11 @@
             tuple(InstanceLoad(name, count) for name, count in sorted(loads.items())),
             tuple(ServiceWork(name, *total) for name, total in sorted(works.items())),
             merge_named(limits),
+            *merge_notices(
+                (entry.workload, now_ms - entry.last_request_ms)
+                for node, entry in self._entries.items()
+                if node != requester
+            ),
         )
 
     def _hint_changes(self, current: Leadership) -> list[Any]:
--- a/packages/node/src/goldcrestridge_node/dialect.py
+++ b/packages/node/src/goldcrestridge_node/dialect.py
@@ -52,7 +52,9 @@
     accepted as the upstream's own. ``load`` is the number of its running and waiting requests.
     ``idle_limit_ms`` is how long the upstream keeps an idle connection open: 0 if it closes this
     connection, None if it does not say. ``limit_per_second`` is the number of requests a second
-    that it takes from all entry nodes together, or None if it names no limit.
+    that it takes from all entry nodes together, or None if it names no limit. ``leaving`` tells
+    whether it says that it leaves. ``rest_ms`` is for how long it wants no requests from this node,
+    or None.
     """
 
     request_id: bytes | None
@@ -63,6 +65,8 @@
     load: int | None = None
     idle_limit_ms: float | None = None
     limit_per_second: float | None = None
+    leaving: bool = False
+    rest_ms: float | None = None
 
 
 @frozen
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -108,18 +108,24 @@
     """Do nothing with the head of an answer."""
 
 
+def _send_always(_instance: UpstreamInstance, /) -> str:
+    return ""
+
+
 @define(eq=False)
 class Dispatcher:
     """Send requests to upstream instances, with one bounded connection pool for each address.
 
     ``observe`` is called with the head of each valid answer, also of a rejection, and with the
-    monotonic time in milliseconds at which its request was sent.
+    monotonic time in milliseconds at which its request was sent. ``withheld`` is asked right before
+    a request is sent; unless it returns an empty text, the request is not sent for that reason.
     """
 
     dialect: Dialect
     clock: Clock
     options: DispatchOptions = Factory(DispatchOptions)
     observe: Callable[[UpstreamInstance, UpstreamResponseHead, float], None] = _ignore
+    withheld: Callable[[UpstreamInstance], str] = _send_always
     _pools: dict[str, ConnectionPool] = field(init=False, factory=dict)
     _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=httpcore.AnyIOBackend)
 
@@ -139,6 +145,10 @@
             return FailedAttempt(AttemptOutcome.NOT_SENT, str(exc))
         result: UpstreamResponse | FailedAttempt | None = None
         try:
+            reason = self.withheld(instance)
+            if reason:
+                result = FailedAttempt(AttemptOutcome.NOT_SENT, reason, upstream_fault=False)
+                return result
             result = await self._exchange(request, instance, request_head, timeout_ms, conn, pool)
         finally:
             if not isinstance(result, UpstreamResponse):
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -20,10 +20,10 @@
     EntriesReceived,
     EntryStatus,
     InstancesReceived,
-    NamedLimit,
     RoutesReceived,
     StatusChanged,
     UpstreamInstance,
+    Workload,
     WorkloadReceived,
 )
 from goldcrestridge_core.follower import Follower
@@ -32,7 +32,8 @@
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import RouteTable
 from goldcrestridge_core.stream_origins import OriginFound, StreamOrigins
-from goldcrestridge_core.types import Emit, Send
+from goldcrestridge_core.types import Count, Emit, Send
+from goldcrestridge_core.upstream_notices import NoticeChange
 from goldcrestridge_node.dialect import Dialect, UpstreamResponseHead
 from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.engines import EngineAdmissionClient
@@ -114,11 +115,17 @@
         rng = random.Random(secrets.randbits(64))
         status = EntryStatus(cfg.node, cfg.caller_address, cfg.data_centre, accepting=False)
         self.placement = Placement(cfg.data_centre, rng)
+        self.placement.notices.drain_ms = cfg.upstream_drain_ms
         self.follower = Follower(status, cfg.seeds, rng, self.placement.workload)
         self.routes = ActiveRoutes(
             lease_ms=cfg.key_lease_ms, confirmed_ms=lambda: self.follower.confirmed_ms
         )
-        self._dispatcher = Dispatcher(self.hooks.dialect, self.clock, observe=self._observe)
+        self._dispatcher = Dispatcher(
+            self.hooks.dialect,
+            self.clock,
+            observe=self._observe,
+            withheld=lambda item: self.placement.withheld(item, self.clock.now_ms()),
+        )
         self._engines = EngineAdmissionClient(lambda event: self.driver.post(event))
         self._permits = PendingRequests(lambda event: self.driver.post(event))
         self._origins = PendingRequests(lambda event: self.driver.post(event))
@@ -176,18 +183,37 @@
     def _observe(
         self, instance: UpstreamInstance, head: UpstreamResponseHead, sent_ms: float
     ) -> None:
-        """Record the limit in an answer of an upstream."""
-        name, limit = instance.instance, head.limit_per_second
-        if self.placement.limits.observe(name, limit, sent_ms, self.clock.now_ms()):
+        """Record the limit and the notices in an answer of an upstream."""
+        name, limit, now_ms = instance.instance, head.limit_per_second, self.clock.now_ms()
+        if self.placement.limits.observe(name, limit, sent_ms, now_ms):
             self._log.info("upstream_limit", instance=name, per_second=limit)
+        for change in self.placement.notices.observe(
+            instance, head.leaving, head.rest_ms, sent_ms, now_ms
+        ):
+            self._log_notice(instance.life, change, "answer", rest_ms=head.rest_ms)
+
+    def _log_notice(
+        self, life: str, change: NoticeChange, source: str, rest_ms: float | None = None
+    ) -> None:
+        """Log and count that an upstream leaves, no longer leaves or wants no requests."""
+        self.metrics.record(
+            Count("upstream_notices", 1, (("notice", change.value), ("source", source)))
+        )
+        self._log.info(
+            "upstream_notice", upstream=life, notice=change.value, source=source, rest_ms=rest_ms
+        )
 
-    def _merge_limits(self, limits: tuple[NamedLimit, ...]) -> None:
-        """Record the limits that other entry nodes have seen."""
-        for limit in limits:
-            if self.placement.limits.merge(limit, self.clock.now_ms()):
+    def _merge_workload(self, workload: Workload) -> None:
+        """Record the loads, limits and notices that other entry nodes know."""
+        now_ms = self.clock.now_ms()
+        self.placement.set_peer_workload(workload)
+        for limit in workload.limits:
+            if self.placement.limits.merge(limit, now_ms):
                 self._log.info(
                     "upstream_limit", instance=limit.instance, per_second=limit.per_second
                 )
+        for life, change in self.placement.notices.merge(workload, now_ms):
+            self._log_notice(life, change, "peer")
 
     # Handlers for the effects of the core.
 
@@ -211,8 +237,7 @@
             case OriginFound(ticket=ticket):
                 self._origins.resolve(ticket, effect)
             case WorkloadReceived(workload=workload):
-                self.placement.set_peer_workload(workload)
-                self._merge_limits(workload.limits)
+                self._merge_workload(workload)
             case EntriesReceived(entries=entries):
                 self.entries = entries
                 self.placement.live_entries = max(1, len(entries))
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -14,7 +14,7 @@
 from goldcrestridge_core.engine_types import Candidate, EngineDenied, FindEngine
 from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.forwarding import AttemptOutcome, Decision, Forwarding, Step
-from goldcrestridge_core.routes import EngineLimits
+from goldcrestridge_core.routes import MAX_RANKS, EngineLimits
 from goldcrestridge_core.stream_origins import (
     FindOrigin,
     OriginFound,
@@ -22,6 +22,7 @@
     StreamOrigin,
 )
 from goldcrestridge_core.types import Outcome
+from goldcrestridge_core.upstream_notices import return_delay_ms
 from goldcrestridge_node.dialect import UpstreamRequestHead
 from goldcrestridge_node.dispatch import (
     FailedAttempt,
@@ -188,19 +189,42 @@
         """
         permits = self._permits
         permits.refused.clear()
+        self._record_avoided()
         while True:
             instance = await self._find_instance()
             if isinstance(instance, UpstreamInstance):
                 if await permits.has_permit(instance):
                     return instance
                 self._end_ticket()
-            elif instance is not None or not permits.refused:
+            elif instance is not None:
                 return instance
+            elif not permits.refused:
+                return self._refusal_for_rest()
             elif not self.forwarding.possible_runs:
                 return permits.refusal()
             elif self._error_response is not None or not await permits.wait_for_next():
                 return None
 
+    def _record_avoided(self) -> None:
+        """Name in the log the upstreams that are passed over for what they said."""
+        placement = self.gateway.dependencies.placement
+        avoided = placement.avoided(self.admitted.service, self._now_ms)
+        if avoided:
+            self.record.set_avoided(avoided)
+
+    def _refusal_for_rest(self) -> Decision | None:
+        """Return the final decision if no upstream is usable because some want no requests."""
+        placement = self.gateway.dependencies.placement
+        left_ms = placement.rest_left_ms(
+            self.admitted.service, self._excluded, self._origin, self._now_ms
+        )
+        if left_ms is None:
+            return None
+        rank_share = self.admitted.rank / (MAX_RANKS - 1)
+        return self.forwarding.after_rest(
+            return_delay_ms(left_ms, rank_share, placement.rng.random())
+        )
+
     async def _find_instance(self) -> UpstreamInstance | Decision | None:
         """Return the best upstream, or None if no upstream is usable.
 
@@ -377,7 +401,9 @@
                 upstream_fault=False,
             )
         if response.status >= 500:
-            placement.record_error_answer(response.instance, self._now_ms)
+            # An upstream that asks for a rest is busy, which says nothing about its health.
+            if response.head.rest_ms is None:
+                placement.record_error_answer(response.instance, self._now_ms)
             if self._may_retry_error(response.instance):
                 self._error_response = (response, body)
                 return FailedAttempt(
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -9,6 +9,10 @@
 
 from goldcrestridge_core.engine_types import EngineFound
 from goldcrestridge_core.types import Count
+from goldcrestridge_core.upstream_notices import Avoidance
+
+# Bounds the length of a log line during the release of a large service.
+MAX_AVOIDED = 4
 
 
 @define
@@ -18,6 +22,7 @@
     ``routes_version`` and ``routes_age_ms`` are the version of the routes that were applied and the
     time since their confirmation. ``resumed_request_id`` names the attempt whose stream the caller
     takes up. ``versions`` holds the software version of the upstream of each attempt that was sent.
+    ``avoided`` holds the upstreams that were passed over because they leave or rest.
     """
 
     request_id: str
@@ -37,6 +42,7 @@
     admissions: list[str] = field(factory=list)
     resumed_request_id: str = ""
     versions: list[str] = field(factory=list)
+    avoided: list[str] = field(factory=list)
 
     def add_attempt(self, instance: str, outcome: str, reason: str, took_ms: float) -> None:
         """Add an attempt to the log line."""
@@ -51,6 +57,12 @@
             entry = f"{found.instance} without its owner"
         self.admissions.append(entry)
 
+    def set_avoided(self, avoided: list[Avoidance]) -> None:
+        """Name the upstreams that are passed over, at most MAX_AVOIDED of them."""
+        self.avoided = [str(item) for item in avoided[:MAX_AVOIDED]]
+        if len(avoided) > MAX_AVOIDED:
+            self.avoided.append(f"and {len(avoided) - MAX_AVOIDED} more")
+
     def set_outcome(self, outcome: str, reason: str, status: int = 0) -> None:
         """Set the outcome, with the reason and the status of the response."""
         self.outcome, self.reason, self.status = outcome, reason, status
@@ -67,6 +79,8 @@
         """Write the record of a request that has ended."""
         labels = (("route", record.route), ("outcome", record.outcome))
         self.count(Count("requests_total", 1, labels))
+        if record.avoided:
+            self.count(Count("requests_with_avoided_upstreams", 1, labels))
         took_ms = now_ms - record.started_ms
         self.count(Count("request_duration_ms", took_ms, labels[:1]))
         if record.first_event_ms is not None:
@@ -89,5 +103,6 @@
             admissions=record.admissions,
             attempts=record.attempts,
             versions=record.versions,
+            avoided=record.avoided,
             resumed_request_id=record.resumed_request_id,
         )
--- a/packages/node/src/goldcrestridge_node/role_settings.py
+++ b/packages/node/src/goldcrestridge_node/role_settings.py
@@ -21,7 +21,8 @@
     the initial control nodes. ``management_addresses`` serve readiness, addresses and metrics.
     ``key_lease_ms`` is how long routes and keys are used after they were last confirmed as current.
     ``grace_ms`` is the time from SIGTERM to SIGKILL. In each ``retry_window_ms``, all entry nodes
-    together may retry ``retry_share`` of the requests plus ``retry_extra`` more.
+    together may retry ``retry_share`` of the requests plus ``retry_extra`` more. A leaving upstream
+    goes on serving for ``upstream_drain_ms``.
     """
 
     node: NodeId
@@ -34,6 +35,7 @@
     retry_share: float
     retry_extra: float
     retry_window_ms: float
+    upstream_drain_ms: float
 
 
 @frozen
--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -276,13 +276,20 @@
     capture.entries = log_lines
 
     def observe(instance: UpstreamInstance, head: UpstreamResponseHead, sent_ms: float) -> None:
-        placement.limits.observe(instance.instance, head.limit_per_second, sent_ms, clock.now_ms())
+        now_ms = clock.now_ms()
+        placement.limits.observe(instance.instance, head.limit_per_second, sent_ms, now_ms)
+        placement.notices.observe(instance, head.leaving, head.rest_ms, sent_ms, now_ms)
 
     dependencies = GatewayDependencies(
         DIALECT,
         clock,
         placement,
-        Dispatcher(DIALECT, clock, observe=observe),
+        Dispatcher(
+            DIALECT,
+            clock,
+            observe=observe,
+            withheld=lambda item: placement.withheld(item, clock.now_ms()),
+        ),
         WindowBudget(0.2, 60.0, 10_000.0),
         routes,
         RequestLog(log, lambda _count: None),
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -109,3 +109,25 @@
     headers = ((b"resumes", b"abc"), (b"last-event-id", b"7"))
     assert read_caller(headers).resumed_request_id == "abc"
     assert read_caller(()).resumed_request_id == ""
+
+
+def test_an_upstream_that_leaves_says_so_in_any_answer() -> None:
+    # Guards against a notice that is read from one kind of answer only, or from another value.
+    for status in (200, 404, 503):
+        assert read_upstream(status, ((b"server-leaving", b"1"),)).leaving
+    for value in (b"", b"0", b"true"):
+        assert not read_upstream(200, ((b"server-leaving", value),)).leaving
+    assert not read_upstream(200, ()).leaving
+
+
+def test_the_rest_that_an_upstream_asks_for_is_decoded() -> None:
+    # Guards against fractions that are cut off, and against a date or a malformed value that is
+    # taken for a rest; only a rejection asks for one.
+    for value, rest_ms in ((b"2", 2_000.0), (b"0.25", 250.0), (b" 1. ", 1_000.0), (b"0", 0.0)):
+        assert read_upstream(503, ((b"retry-after", value),)).rest_ms == rest_ms
+    malformed = (b"", b"-1", b"soon", b"1e9", b"nan", b"Fri, 04 Dec 2026 09:00:00 GMT", b"1,2")
+    for value in malformed:
+        assert read_upstream(503, ((b"retry-after", value),)).rest_ms is None
+    assert read_upstream(429, ((b"retry-after", b"2"),)).rest_ms is None
+    assert read_upstream(200, ((b"retry-after", b"2"),)).rest_ms is None
+    assert read_upstream(503, ((b"retry-after", b"9" * 25),)).rest_ms is not None
--- a/tests/platform/test_platform_servers.py
+++ b/tests/platform/test_platform_servers.py
@@ -68,3 +68,11 @@
     entry = {**VALID, "version": "v1.2", "models": [{"name": "m", "version": 7, "adapters": []}]}
     instances, _ = read_page(page(entry, {**VALID, "id": "i-2"})).unwrap()
     assert [item.version for item in instances] == ["v1.2", ""]
+
+
+def test_the_start_of_an_instance_tells_two_runs_of_one_name_apart() -> None:
+    # Guards against a new run that is taken for the one before it, which said that it leaves.
+    first, again = ({**VALID, "born": born} for born in (1_764_840_000_000, 1_764_840_050_000))
+    lives = [read_page(page(entry)).unwrap()[0][0].life for entry in (first, again, VALID)]
+    assert len(set(lives)) == 3
+    assert read_page(page({**VALID, "born": "soon"})).unwrap()[0] == []
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -68,3 +68,9 @@
     assert "10.2.0.36" in capsys.readouterr().out
     assert main(["nonsense"]) == EXIT_USAGE
     assert main(["check", f"--settings={tmp_path / 'missing'}"]) == EXIT_SETTINGS
+
+
+def test_the_time_for_which_a_leaving_upstream_serves_is_read(tmp_path: Path) -> None:
+    # Guards against a last resort that is used for longer than upstreams go on serving.
+    file = load_settings(write(tmp_path, bounds={"drain_ms": 4_000})).unwrap()
+    assert gateway_settings(file, None).upstream_drain_ms == 4_000.0
