Read from upstreams without a cancel scope for each event

In a profile of one entry node, forwarding streams is 60% of the time of a request. The backend of httpcore opens a cancel scope for each read, also without a timeout, which is one for each event.

--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -19,6 +19,7 @@
     UpstreamRequestHead,
     UpstreamResponseHead,
 )
+from goldcrestridge_node.network import NetworkBackend
 
 CONNECTION_ERRORS = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
 
@@ -127,7 +128,7 @@
     observe: Callable[[UpstreamInstance, UpstreamResponseHead, float], None] = _ignore
     withheld: Callable[[UpstreamInstance], str] = _send_always
     _pools: dict[str, ConnectionPool] = field(init=False, factory=dict)
-    _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=httpcore.AnyIOBackend)
+    _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=NetworkBackend)
 
     async def send(
         self,
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -35,6 +35,7 @@
     length_event,
 )
 from goldcrestridge_node.headers import header_values, response_headers
+from goldcrestridge_node.network import NetworkBackend
 from goldcrestridge_node.sse import EventReader, StreamError, StreamEvent, event_bytes
 
 UPSTREAM_ID_HEADER = b"x-request-id"
@@ -96,7 +97,7 @@
     _scopes: dict[AttemptKey, anyio.CancelScope] = field(init=False, factory=dict)
     _identities: StreamIdentities = field(init=False, factory=StreamIdentities)
     _group: TaskGroup | None = field(init=False, default=None)
-    _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=httpcore.AnyIOBackend)
+    _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=NetworkBackend)
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Run the attempts until cancelled."""
