Exchange messages between nodes without a future for each

A request to an engine costs seven messages on its entry nodes, and the asynchronous sockets of pyzmq create futures and read flags for each.

Change: sockets are read from the event loop until they are empty, and written at once; what a full socket does not take stays in the queues of its link and is offered again.

--- a/packages/node/src/goldcrestridge_node/transport.py
+++ b/packages/node/src/goldcrestridge_node/transport.py
@@ -1,7 +1,12 @@
-"""Message transport between nodes over ZeroMQ: one receiving socket, one sending task per peer."""
+"""Message transport between nodes over ZeroMQ: one receiving socket, one sending socket per peer.
+
+The sockets are used without blocking from the event loop. The asynchronous sockets of pyzmq create
+a future for each message, which costs more than the message itself.
+"""
 
 from __future__ import annotations
 
+import asyncio
 import struct
 from collections import deque
 from collections.abc import Callable
@@ -10,12 +15,12 @@
 import anyio
 import anyio.abc
 import zmq
-import zmq.asyncio
 import zmq.utils.z85
 from attrs import define, field, frozen
 from returns.result import Failure
 
 from goldcrestridge_core import codec
+from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.types import (
     CacheEvents,
     Count,
@@ -45,6 +50,11 @@
 CONNECT_TIMEOUT_MS = 1_000  # After a lost SYN packet, a new attempt sends another one.
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
+# Interval at which messages are offered again to a socket whose queue is full, because its peer
+# does not read.
+FULL_QUEUE_RETRY_MS = 10.0
+# Messages that are received before other tasks run.
+MAX_RECEIVED_AT_ONCE = 64
 
 # Reports are repeated periodically, so they are sent after and dropped before other messages.
 LOW_PRIORITY_MESSAGES = (LoadReport, CacheEvents, ShardSummary, GrantReport)
@@ -61,15 +71,36 @@
     peers: dict[NodeId, bytes]
 
 
-@define
+@define(eq=False)
 class _Link:
-    """Address and outbound queues of one peer; ``urgent`` is sent before ``reports``."""
+    """Address, socket and outbound queues of one peer; ``urgent`` is sent before ``reports``."""
 
     address: str
     urgent: deque[list[bytes]] = field(factory=deque)
     reports: deque[list[bytes]] = field(factory=deque)
-    wake: anyio.Event = field(factory=anyio.Event)
-    scope: anyio.CancelScope = field(factory=anyio.CancelScope)
+    socket: zmq.Socket[bytes] | None = None
+    retry: asyncio.TimerHandle | None = None
+
+    def flush(self) -> None:
+        """Send the queued messages; try again later while the socket takes none."""
+        self.retry = None
+        while self.socket is not None and (queue := self.urgent or self.reports):
+            try:
+                self.socket.send_multipart(queue[0], zmq.NOBLOCK)
+            except zmq.Again:
+                delay_s = FULL_QUEUE_RETRY_MS / MS_PER_SECOND
+                self.retry = asyncio.get_running_loop().call_later(delay_s, self.flush)
+                return
+            queue.popleft()
+
+    def close(self) -> None:
+        """Close the socket and discard the queued messages."""
+        if self.retry is not None:
+            self.retry.cancel()
+            self.retry = None
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
 
 
 class Transport:
@@ -100,27 +131,38 @@
         self._curve = curve
         self._resolve = resolve
         self._links: dict[NodeId, _Link] = {}
-        self._context = zmq.asyncio.Context()
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._running = False
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Receive messages until cancelled; raise OSError if the address is in use."""
+        readers: list[zmq.Socket[bytes]] = []
+        failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         try:
-            async with anyio.create_task_group() as tasks:
-                self._tasks = tasks
-                if self._curve is not None:
-                    await tasks.start(self._authenticate, self._curve)
-                socket = self._socket(zmq.ROUTER)
-                try:
-                    socket.bind(f"tcp://{self._address}")
-                except zmq.ZMQError as exc:
-                    raise OSError(f"Can't listen on {self._address}: {exc.strerror}") from exc
-                task_status.started()
-                for peer, link in self._links.items():
-                    tasks.start_soon(self._send_task, peer, link)
-                await self._receive_task(socket)
+            if self._curve is not None:
+                readers.append(self._start_authentication(self._curve, failed))
+            socket = self._socket(zmq.ROUTER)
+            try:
+                socket.bind(f"tcp://{self._address}")
+            except zmq.ZMQError as exc:
+                raise OSError(f"Can't listen on {self._address}: {exc.strerror}") from exc
+            readers.append(socket)
+            _watch(
+                socket,
+                lambda: self._receive(socket.recv_multipart(zmq.NOBLOCK, copy=False)),
+                failed,
+            )
+            self._running = True
+            for peer, link in self._links.items():
+                self._open(peer, link)
+            task_status.started()
+            await failed
         finally:
-            self._tasks = None
+            self._running = False
+            for link in self._links.values():
+                link.close()
+            for reader in readers:
+                _unwatch(reader)
             self._context.destroy(linger=0)
 
     def connect(self, peer: NodeId, address: str) -> None:
@@ -129,16 +171,16 @@
         if peer == self._node or (link is not None and link.address == address):
             return
         if link is not None:
-            link.scope.cancel()
+            link.close()
         self._links[peer] = link = _Link(address)
-        if self._tasks is not None:
-            self._tasks.start_soon(self._send_task, peer, link)
+        if self._running:
+            self._open(peer, link)
 
     def disconnect(self, peer: NodeId) -> None:
         """Close the connection to a peer and discard its queued messages."""
         link = self._links.pop(peer, None)
         if link is not None:
-            link.scope.cancel()
+            link.close()
 
     def send(self, peer: NodeId, message: Any) -> None:
         """Queue a message; if the queue is full, drop its oldest message and count the drop."""
@@ -160,12 +202,13 @@
         body = codec.encode(message)
         self._count(Count("peer_sent_bytes", len(body), (("kind", kind),)))
         queue.append([PROTOCOL_VERSION, STAMP.pack(*self._stamp()), body])
-        link.wake.set()
+        if link.retry is None:
+            link.flush()
 
     def _count_drop(self, kind: str, reason: str) -> None:
         self._count(Count("peer_messages_dropped", 1, (("kind", kind), ("reason", reason))))
 
-    def _socket(self, kind: int) -> zmq.asyncio.Socket:
+    def _socket(self, kind: int) -> zmq.Socket[bytes]:
         socket = self._context.socket(kind)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
@@ -186,11 +229,6 @@
             socket.curve_server = kind == zmq.ROUTER
         return socket
 
-    async def _receive_task(self, socket: zmq.asyncio.Socket) -> None:
-        while True:
-            frames = await socket.recv_multipart(copy=False)
-            self._receive(frames)
-
     def _receive(self, frames: list[zmq.Frame]) -> None:
         """Deliver a message; count and discard one that is malformed or not authenticated."""
         if len(frames) != 4 or len(frames[2].buffer) != STAMP.size:
@@ -216,51 +254,81 @@
         message = decoded.unwrap()
         self._deliver(Receive(sender, message))
 
-    async def _send_task(self, peer: NodeId, link: _Link) -> None:
-        """Send the queued messages of one peer until its link is closed."""
+    def _open(self, peer: NodeId, link: _Link) -> None:
+        """Open the socket of a link and send what is queued."""
+        if self._curve is not None and peer not in self._curve.peers:
+            self._count(Count("peer_messages_rejected", 1, (("reason", "unknown_key"),)))
+            return
         socket = self._socket(zmq.DEALER)
         socket.setsockopt(zmq.IDENTITY, self._node.encode("ascii"))
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         if self._curve is not None:
-            if peer not in self._curve.peers:
-                self._count(Count("peer_messages_rejected", 1, (("reason", "unknown_key"),)))
-                socket.close()
-                return
             socket.curve_serverkey = self._curve.peers[peer]
-        try:
-            with link.scope:
-                socket.connect(f"tcp://{link.address}")
-                while True:
-                    if not link.urgent and not link.reports:
-                        link.wake = anyio.Event()
-                        await link.wake.wait()
-                        continue
-                    queue = link.urgent or link.reports
-                    await socket.send_multipart(queue.popleft())
-        finally:
-            socket.close()
+        socket.connect(f"tcp://{link.address}")
+        link.socket = socket
+        link.flush()
 
-    async def _authenticate(
-        self, curve: CurveKeys, *, task_status: anyio.abc.TaskStatus[None]
-    ) -> None:
+    def _start_authentication(
+        self, curve: CurveKeys, failed: asyncio.Future[None]
+    ) -> zmq.Socket[bytes]:
         """Answer ZAP requests: accept a known CURVE key as the node that it belongs to."""
         names = {key: node for node, key in curve.peers.items()}
         socket = self._context.socket(zmq.REP)
         socket.setsockopt(zmq.LINGER, 0)
         socket.bind(ZAP_ADDRESS)
-        task_status.started()
+
+        def answer() -> None:
+            request = socket.recv_multipart(zmq.NOBLOCK)
+            key = zmq.utils.z85.encode(request[6]) if len(request) > 6 else b""
+            node = names.get(key)
+            if node is None:
+                self._count(Count("peer_connections_refused"))
+            status, name = (b"200", node.encode("ascii")) if node else (b"400", b"")
+            socket.send_multipart([request[0], request[1], status, b"", name, b""])
+
+        _watch(socket, answer, failed)
+        return socket
+
+
+def _watch(
+    socket: zmq.Socket[bytes], receive: Callable[[], None], failed: asyncio.Future[None]
+) -> None:
+    """Call ``receive`` for each message of a socket; it raises zmq.Again if there is none.
+
+    The descriptor of a socket signals changes of its state only, so all messages are received at
+    each signal. Any other exception ends the transport through ``failed``.
+    """
+    loop = asyncio.get_running_loop()
+
+    def drain() -> None:
+        if socket.closed or failed.done():
+            return
         try:
-            while True:
-                request = await socket.recv_multipart()
-                key = zmq.utils.z85.encode(request[6]) if len(request) > 6 else b""
-                node = names.get(key)
-                if node is None:
-                    self._count(Count("peer_connections_refused"))
-                status, name = (b"200", node.encode("ascii")) if node else (b"400", b"")
-                await socket.send_multipart([request[0], request[1], status, b"", name, b""])
-        finally:
-            socket.close()
+            for _ in range(MAX_RECEIVED_AT_ONCE):
+                receive()
+        except zmq.Again:
+            return
+        except Exception as exc:
+            failed.set_exception(exc)
+            return
+        loop.call_soon(drain)
+
+    loop.add_reader(_descriptor(socket), drain)
+    loop.call_soon(drain)
+
+
+def _descriptor(socket: zmq.Socket[bytes]) -> int:
+    """Return the descriptor that becomes readable when the state of a socket changes."""
+    descriptor = socket.getsockopt(zmq.FD)
+    assert isinstance(descriptor, int)
+    return descriptor
+
+
+def _unwatch(socket: zmq.Socket[bytes]) -> None:
+    """Stop receiving messages of a socket and close it."""
+    asyncio.get_running_loop().remove_reader(_descriptor(socket))
+    socket.close()
 
 
 def addressed_transport(
