--- a/packages/core/src/goldcrestridge_core/call_types.py
+++ b/packages/core/src/goldcrestridge_core/call_types.py
@@ -218,3 +218,8 @@
 
     cut: tuple[RequestId, ...]
     unrecorded: tuple[str, ...] = ()
+
+
+RESPONSE_EFFECTS: frozenset[type] = frozenset(
+    (RespondHead, RespondChunk, RespondEnd, RespondFailure)
+)
--- a/packages/core/src/goldcrestridge_core/log_types.py
+++ b/packages/core/src/goldcrestridge_core/log_types.py
@@ -337,3 +337,6 @@
     reason: str
     membership: LogMembership | None = None
     leader: NodeId | None = None
+
+
+STORAGE_EFFECTS: tuple[type, ...] = (WriteLog, WriteSnapshot, TruncateLog)
--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -27,7 +27,7 @@
 from goldcrestridge_core.follow_types import InstancesListed, UpstreamInstance
 from goldcrestridge_core.log import open_log
 from goldcrestridge_core.log_state import LogOptions
-from goldcrestridge_core.log_types import LogFailed, WallTime
+from goldcrestridge_core.log_types import STORAGE_EFFECTS, LogFailed, WallTime
 from goldcrestridge_core.queries import QueryDone
 from goldcrestridge_core.replica import ControlReplica
 from goldcrestridge_core.store import Store
@@ -115,7 +115,7 @@
             emit=self._emit,
             count=self.metrics.record,
             handle_other=self._handle_effect,
-            write=self._write,
+            handlers=dict.fromkeys(STORAGE_EFFECTS, self._write),
         )
         self.driver = Driver(self.node, self.clock, outputs)
         self._pending = PendingRequests(self.driver.post)
--- a/packages/node/src/goldcrestridge_node/edge.py
+++ b/packages/node/src/goldcrestridge_node/edge.py
@@ -35,6 +35,7 @@
     Send,
 )
 from goldcrestridge_node.refusals import Refusal
+from goldcrestridge_node.responses import send_response
 
 log = structlog.get_logger(__name__)
 
@@ -226,7 +227,7 @@
         exchange.conn.on_lost = buffer.close
         try:
             self.hooks.submit(CallerRequest(request_id, call))
-            await exchange.send_response(buffer, call)
+            await send_response(exchange, buffer, call)
         finally:
             exchange.conn.on_lost = None
             buffer.close()
--- a/packages/node/src/goldcrestridge_node/exchange.py
+++ b/packages/node/src/goldcrestridge_node/exchange.py
@@ -6,21 +6,16 @@
 from typing import Any
 
 import anyio
-from attrs import define, evolve, frozen
+from attrs import define, frozen
 
-from goldcrestridge_core.call_types import Call, CallKind, RespondFailure, RespondHead
 from goldcrestridge_core.clock import MS_PER_SECOND
-from goldcrestridge_core.types import Headers, Outcome, RequestId
-from goldcrestridge_node.answers import ResponseBuffer
+from goldcrestridge_core.types import Headers, RequestId
 from goldcrestridge_node.headers import header_values
 from goldcrestridge_node.refusals import (
-    OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     Refusal,
     error_body,
-    error_event,
     error_headers,
-    refusal_from_failure,
 )
 from goldcrestridge_node.server import CallerConnection
 
@@ -29,9 +24,6 @@
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 
-END_MARKER = b"data: [DONE]\n\n"
-BODILESS_STATUS = (204, 304)
-
 OVERLOADED = Refusal(
     503, "overloaded", "The node holds too many requests.", retry_after_ms=1000.0, close=True
 )
@@ -164,68 +156,6 @@
         await self.start(page.status, headers)
         await self.write(page.body, more=False)
 
-    async def send_response(self, buffer: ResponseBuffer, call: Call) -> None:
-        """Send the response until it ends or the caller disconnects."""
-        head: RespondHead | None = None
-        buffered: list[bytes] | None = None
-        while items := await buffer.take():
-            if head is None and isinstance(items[0], RespondHead):
-                head = items.pop(0)  # type: ignore[assignment]
-                assert head is not None
-                head = self._without_length(head, call)
-                buffered = [] if self._is_short(head) else None
-                if buffered is None:
-                    await self.start(head.status, self._with_request_id(head.headers))
-            chunks = [item.data for item in items if not isinstance(item, RespondHead)]
-            if buffered is not None:
-                buffered += chunks
-            elif chunks:
-                await self.write(b"".join(chunks), more=True)
-        await self._send_end(buffer, call, head, buffered)
-
-    async def _send_end(
-        self,
-        buffer: ResponseBuffer,
-        call: Call,
-        head: RespondHead | None,
-        buffered: list[bytes] | None,
-    ) -> None:
-        end = buffer.end
-        if end is None:
-            return
-        events = call.kind is CallKind.COMPLETION and head is not None and _is_event_stream(head)
-        if isinstance(end, RespondFailure):
-            refusal = refusal_from_failure(end)
-            if not self.started:
-                await self.send_refusal(refusal)
-            elif events:
-                await self.write(error_event(refusal, self.request_id), more=False)
-            else:
-                # Without its last chunk or declared length, the body is visibly incomplete.
-                self.conn.transport.close()
-        elif buffered is not None and head is not None:
-            complete = (OUTCOME_HEADER, Outcome.COMPLETED.value.encode())
-            await self.start(head.status, (*self._with_request_id(head.headers), complete))
-            await self.write(b"".join(buffered), more=False)
-        else:
-            await self.write(END_MARKER if events else b"", more=False)
-
-    def _without_length(self, head: RespondHead, call: Call) -> RespondHead:
-        """Drop the length of a completion stream, since the edge adds an end marker or an error."""
-        if call.kind is not CallKind.COMPLETION or not _is_event_stream(head):
-            return head
-        headers = tuple(pair for pair in head.headers if pair[0] != b"content-length")
-        return evolve(head, headers=headers)
-
-    def _is_short(self, head: RespondHead) -> bool:
-        length = header_values(head.headers, b"content-length")
-        if head.status in BODILESS_STATUS or self.scope["method"] == "HEAD":
-            return True
-        return bool(length) and int(length[0]) <= self.options.max_buffered_response_bytes
-
-    def _with_request_id(self, headers: Headers) -> Headers:
-        return (*headers, (REQUEST_ID_HEADER, self.request_id.encode()))
-
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status and the headers."""
         self.started = True
@@ -244,8 +174,3 @@
             await self.send(message)
         if scope.cancelled_caught:
             self.conn.abort()
-
-
-def _is_event_stream(head: RespondHead) -> bool:
-    kind = header_values(head.headers, b"content-type")
-    return head.status == 200 and bool(kind) and kind[0].startswith(b"text/event-stream")
--- a/packages/node/src/goldcrestridge_node/process.py
+++ b/packages/node/src/goldcrestridge_node/process.py
@@ -13,14 +13,20 @@
 from attrs import define, field
 from returns.result import Failure
 
-from goldcrestridge_core.call_types import CallerGone, CallerRequest
+from goldcrestridge_core.call_types import (
+    RESPONSE_EFFECTS,
+    CallerGone,
+    CallerRequest,
+    CancelAttempt,
+    StartAttempt,
+)
 from goldcrestridge_core.changes import ConfigCheck
 from goldcrestridge_core.classes import classify
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_core.config import Configuration, Upstream
 from goldcrestridge_core.documents import Document, encode_document
 from goldcrestridge_core.log import open_log
-from goldcrestridge_core.log_types import WallTime
+from goldcrestridge_core.log_types import STORAGE_EFFECTS, WallTime
 from goldcrestridge_core.member_types import (
     ConfigurationChanged,
     DrainDone,
@@ -104,9 +110,12 @@
             send=self._send,
             respond=lambda effect: self.edge.deliver_nowait(effect),
             respond_when_ready=lambda effect: self.edge.deliver(effect),
-            start=lambda effect: self.client.start(effect),
-            cancel=lambda effect: self.client.cancel(effect),
-            write=self._write,
+            responses=RESPONSE_EFFECTS,
+            handlers={
+                StartAttempt: lambda effect: self.client.start(effect),
+                CancelAttempt: lambda effect: self.client.cancel(effect),
+                **dict.fromkeys(STORAGE_EFFECTS, self._write),
+            },
             emit=self._emit,
             count=self.metrics.record,
             handle_other=self._handle_effect,
--- a/packages/node/src/goldcrestridge_node/refusals.py
+++ b/packages/node/src/goldcrestridge_node/refusals.py
@@ -7,21 +7,13 @@
 import msgspec
 from attrs import frozen
 
-from goldcrestridge_core.call_types import RespondFailure
 from goldcrestridge_core.clock import MS_PER_SECOND
-from goldcrestridge_core.types import Headers, Outcome, Reason
+from goldcrestridge_core.types import Headers, Outcome
 
 OUTCOME_HEADER = b"x-goldcrestridge-outcome"
 REQUEST_ID_HEADER = b"x-goldcrestridge-request-id"
 JSON_CONTENT_TYPE_HEADER = (b"content-type", b"application/json")
 
-_STATUS_BY_REASON = {
-    Reason.CLAIM_CONFLICT: 422,
-    Reason.CLAIM_EXPIRED: 422,
-    Reason.CLAIM_IN_PROGRESS: 409,
-    Reason.LIMIT: 429,
-}
-
 
 @frozen
 class Refusal:
@@ -35,17 +27,6 @@
     close: bool = False
 
 
-def refusal_from_failure(failure: RespondFailure) -> Refusal:
-    """Return the error response for a request that did not complete."""
-    return Refusal(
-        status=_status(failure.outcome, failure.reason),
-        code=failure.reason.value,
-        detail=failure.detail or "The request did not complete.",
-        outcome=failure.outcome,
-        retry_after_ms=failure.retry_after_ms,
-    )
-
-
 def error_body(refusal: Refusal, request_id: str) -> bytes:
     """Return the JSON body.
 
@@ -94,14 +75,6 @@
     return b"data: " + error_body(refusal, request_id) + b"\n\n"
 
 
-def _status(outcome: Outcome, reason: Reason) -> int:
-    if outcome is Outcome.UNKNOWN:
-        return 504
-    if outcome is Outcome.FAILED:
-        return 504 if reason is Reason.DEADLINE else 502
-    return _STATUS_BY_REASON.get(reason, 503)
-
-
 def _error_type(status: int) -> str:
     if status == 401:
         return "authentication_error"
--- a/packages/node/src/goldcrestridge_node/runtime.py
+++ b/packages/node/src/goldcrestridge_node/runtime.py
@@ -9,49 +9,35 @@
 import anyio
 import anyio.abc
 import anyio.lowlevel
-from attrs import define, field
-
-from goldcrestridge_core.call_types import (
-    CancelAttempt,
-    RespondChunk,
-    RespondEnd,
-    RespondFailure,
-    RespondHead,
-    StartAttempt,
-)
+from attrs import Factory, define, field
+
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
-from goldcrestridge_core.exceptions import InvariantError
-from goldcrestridge_core.log_types import TruncateLog, WriteLog, WriteSnapshot
 from goldcrestridge_core.types import Count, Emit, Role, Send, Tick
 
 IDLE_WAIT_MS = 60_000.0
 
-RESPONSE_EFFECTS = frozenset((RespondHead, RespondChunk, RespondEnd, RespondFailure))
-STORAGE_EFFECTS = (WriteLog, WriteSnapshot, TruncateLog)
-
 
-def _unsupported(effect: Any) -> Any:
-    """Raise InvariantError: a role returned an effect that its node has no output for."""
-    raise InvariantError(f"{type(effect).__name__} has no output on this node.")
+def _respond_never(effect: Any) -> Any:
+    raise AssertionError(f"{type(effect).__name__} is no response of this node.")
 
 
 @define
 class Outputs:
     """Functions that carry out the effects of the core.
 
-    ``respond`` returns False if the buffer of the caller is full; ``respond_when_ready`` then waits
-    for room. ``handle_other`` takes the effects that have no function of their own.
+    ``handlers`` holds the functions for further types of effects, and ``handle_other`` takes the
+    effects without one. An effect whose type is among ``responses`` goes to ``respond``, which
+    returns False if the buffer of the caller is full; ``respond_when_ready`` then waits for room.
     """
 
     send: Callable[[Send], None]
     emit: Callable[[Emit], None]
     count: Callable[[Count], None]
     handle_other: Callable[[Any], None]
-    respond: Callable[[Any], bool] = _unsupported
-    respond_when_ready: Callable[[Any], Any] = _unsupported
-    start: Callable[[StartAttempt], None] = _unsupported
-    cancel: Callable[[CancelAttempt], None] = _unsupported
-    write: Callable[[Any], None] = _unsupported
+    handlers: dict[type, Callable[[Any], None]] = Factory(dict)
+    responses: frozenset[type] = frozenset()
+    respond: Callable[[Any], bool] = _respond_never
+    respond_when_ready: Callable[[Any], Any] = _respond_never
 
 
 @define
@@ -80,9 +66,7 @@
             Send: outputs.send,
             Count: outputs.count,
             Emit: outputs.emit,
-            StartAttempt: outputs.start,
-            CancelAttempt: outputs.cancel,
-            **dict.fromkeys(STORAGE_EFFECTS, outputs.write),
+            **outputs.handlers,
         }
 
     def post(self, event: Any) -> None:
@@ -138,7 +122,7 @@
 
     def _perform(self, effect: Any) -> None:
         kind = type(effect)
-        if kind in RESPONSE_EFFECTS:
+        if kind in self.outputs.responses:
             if not self.outputs.respond(effect):
                 self._blocked.append(effect)
             return
--- a/packages/node/src/goldcrestridge_node/server.py
+++ b/packages/node/src/goldcrestridge_node/server.py
@@ -17,8 +17,8 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_node.endpoints import split_address
 from goldcrestridge_node.refusals import Refusal, error_body, error_headers
-from goldcrestridge_node.settings import split_address
 
 BAD_REQUEST = Refusal(400, "invalid_http", "The request is not valid HTTP/1.1.", close=True)
 HEAD_TOO_LARGE = Refusal(431, "head_too_large", "The request head is too large.", close=True)
--- a/packages/node/src/goldcrestridge_node/settings.py
+++ b/packages/node/src/goldcrestridge_node/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -14,6 +13,7 @@
 from goldcrestridge_core.exceptions import ConfigError
 from goldcrestridge_core.options import Kind, Option, Section
 from goldcrestridge_core.types import NodeId
+from goldcrestridge_node.endpoints import split_address
 
 FORMAT = 1
 ENTRY = "entry"
@@ -222,16 +222,3 @@
             if not row["public_key"]
         ]
     return errors
-
-
-def split_address(address: str) -> tuple[str, int] | None:
-    """Return the host and port of ``ip:port``, or None if it is not valid."""
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return None
-    if not (port.isascii() and port.isdigit() and int(port) < 65_536):
-        return None
-    return host, int(port)
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -36,11 +36,11 @@
 )
 from goldcrestridge_node.headers import header_values, response_headers
 from goldcrestridge_node.network import NetworkBackend
+from goldcrestridge_node.responses import BODILESS_STATUS
 from goldcrestridge_node.sse import EventReader, StreamError, StreamEvent, event_bytes
 
 UPSTREAM_ID_HEADER = b"x-request-id"
 LEAVING_HEADER = b"x-upstream-leaving"
-BODILESS_STATUS = (204, 304)
 
 AttemptEvent = AttemptHead | AttemptChunk | AttemptEnd | AttemptFailed
 AttemptKey = tuple[RequestId, int]
