Let upstreams of the soak say that they leave or ask for rests, and check the arrivals

The stand-ins say in all their answers that they leave, reject requests with a rest, and are listed with the number of their start. The checks count the arrivals at each upstream by entry node, as the platform does: none later than the drain time after a caller got the word, two at most from half a second after a rejection to the end of its rest.

--- a/packages/lab/src/goldcrestridge_lab/soak.py
+++ b/packages/lab/src/goldcrestridge_lab/soak.py
@@ -33,6 +33,7 @@
 from goldcrestridge_lab.soak_net import Proxy
 from goldcrestridge_lab.soak_nodes import BOUNDS, CALLER_PORT, OPERATOR_PORT, Node, Nodes
 from goldcrestridge_lab.soak_servers import Arrival, Upstream, UpstreamList
+from goldcrestridge_lab.soak_signals import ask_for_rest, limit_after_faults, name_limit
 
 CONTROL_NODES = 3
 UPSTREAMS = (("a", 3), ("b", 2))
@@ -41,7 +42,6 @@
 FIRST_NETWORK, NETWORKS = 20, 200
 UPSTREAM_PORT = 18095
 VERSIONS = ("v1", "v2")
-LIMITS_PER_SECOND = (1.0, 3.0, 8.0)
 # Share of restarted upstreams that keep their instance id, with any version.
 KEPT_ID_SHARE = 0.2
 CALLERS_PER_ENTRY = 3
@@ -214,7 +214,7 @@
             for number in range(2):
                 rng = random.Random(f"{self.seed} faults {number}")
                 tasks.create_task(self._inject_faults(until_ms, rng))
-            tasks.create_task(self._limit_after_faults(until_ms, recovered_ms))
+            tasks.create_task(limit_after_faults(self, until_ms, recovered_ms))
         final = await self._read_final_version()
         newest_acknowledged = self.operators.newest_acknowledged(self.now_ms())
         if final < newest_acknowledged:
@@ -270,6 +270,7 @@
             self._upstream_crash,
             self._upstream_leaves,
             self._upstream_limit,
+            self._upstream_rests,
             self._list_mode,
         )
         while self.now_ms() < until_ms:
@@ -419,34 +420,11 @@
 
     async def _upstream_limit(self, rng: random.Random) -> None:
         """Let an upstream name a limit for some seconds."""
-        upstream = rng.choice(self.upstreams)
-        if upstream.limit_per_second is None:
-            await self._name_limit(upstream, rng.choice(LIMITS_PER_SECOND), rng.uniform(2.0, 8.0))
-
-    async def _limit_after_faults(self, until_ms: float, recovered_ms: float) -> None:
-        """Let an upstream of each service name a limit while no other fault is active."""
-        await asyncio.sleep((until_ms - self.now_ms()) / MS_PER_SECOND)
-        rng = random.Random(f"{self.seed} limits")
-        seconds = (recovered_ms - self.now_ms()) / MS_PER_SECOND
-        async with asyncio.TaskGroup() as tasks:
-            for service, _ in UPSTREAMS:
-                free = [
-                    item
-                    for item in self.upstreams
-                    if item.service == service and item.running and item.limit_per_second is None
-                ]
-                if free:
-                    limit = rng.choice(LIMITS_PER_SECOND)
-                    tasks.create_task(self._name_limit(rng.choice(free), limit, seconds))
-
-    async def _name_limit(self, upstream: Upstream, per_second: float, seconds: float) -> None:
-        """Let an upstream name a limit, and record it until the instance ends."""
-        instance, begin_ms = upstream.instance, self.now_ms()
-        upstream.limit_per_second = per_second
-        await asyncio.sleep(seconds)
-        upstream.limit_per_second = None
-        if upstream.instance == instance:
-            self.limits.setdefault(instance, []).append((begin_ms, self.now_ms(), per_second))
+        await name_limit(self, rng)
+
+    async def _upstream_rests(self, rng: random.Random) -> None:
+        """Let an upstream reject requests and ask for rests."""
+        await ask_for_rest(self, rng)
 
     async def _list_mode(self, rng: random.Random) -> None:
         self.upstream_list.mode = rng.choice(("down", "busy"))
--- a/packages/lab/src/goldcrestridge_lab/soak_checks.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_checks.py
@@ -29,6 +29,10 @@
 MIN_TAKEN_UP_RATIO = 0.5
 # A request sent less than this time before its connection ended may not have been read.
 LOSS_SLACK_MS = 200.0
+# The platform allows this many requests of a machine to an upstream in the rest that it asked for,
+# from REST_GRACE_MS on.
+ALLOWED_IN_REST = 2
+REST_GRACE_MS = 500.0
 AT_MOST_ONCE_KINDS = ("once", "single")  # Kinds of calls that run at most once.
 
 Spans = dict[str, list[tuple[float, float]]]
@@ -71,6 +75,8 @@
     yield from _check_leaving_upstreams(observations)
     yield from _check_retry_budget(observations)
     yield from _check_named_limits(observations)
+    yield from _check_leaving_words(observations)
+    yield from _check_rests(observations)
     yield from _check_joined_streams(observations)
     yield from _check_taken_up_streams(observations)
 
@@ -191,6 +197,56 @@
                     break
 
 
+def _is_undisturbed(
+    observations: Observations, names: tuple[str, ...], begin_ms: float, end_ms: float
+) -> bool:
+    """Return whether neither a node nor an upstream was disturbed or restarted in a time."""
+    spans = (*observations.fault_spans.items(), *observations.drains.items())
+    return not any(
+        begin < end_ms and end > begin_ms
+        for name, others in spans
+        if name in names
+        for begin, end in others
+    )
+
+
+def _check_leaving_words(observations: Observations) -> Iterator[str]:
+    """Check that no entry node goes on sending to an upstream that told it that it leaves."""
+    calls = {call.request_id: call for call in observations.calls}
+    told_ms: dict[tuple[str, str], float] = {}
+    for arrival in sorted(observations.arrivals, key=lambda item: item.at_ms):
+        call = calls.get(arrival.request_id)
+        if call is None:
+            continue
+        ip = call.entry.rpartition(":")[0]
+        heard_ms = told_ms.get((ip, arrival.instance), float("inf"))
+        if call.sent_ms > heard_ms + DRAIN_MS and _is_undisturbed(
+            observations, (ip,), heard_ms, arrival.at_ms
+        ):
+            yield f"{arrival.instance} said that it leaves and got a request: {call.request_id}"
+        if arrival.leaving and call.status:
+            heard_ms = min(heard_ms, call.ended_ms)
+            told_ms[ip, arrival.instance] = heard_ms
+
+
+def _check_rests(observations: Observations) -> Iterator[str]:
+    """Check that an upstream that asked an entry node for a rest gets no more from it."""
+    entries = {call.request_id: call.entry.rpartition(":")[0] for call in observations.calls}
+    for asked in observations.arrivals:
+        ip = entries.get(asked.request_id)
+        begin_ms, end_ms = asked.at_ms + REST_GRACE_MS, asked.at_ms + asked.rest_s * MS_PER_SECOND
+        if ip is None or begin_ms >= end_ms:
+            continue
+        count = sum(
+            begin_ms < item.at_ms < end_ms and entries.get(item.request_id) == ip
+            for item in observations.arrivals
+            if item.instance == asked.instance
+        )
+        names = (ip, asked.instance)
+        if count > ALLOWED_IN_REST and _is_undisturbed(observations, names, asked.at_ms, end_ms):
+            yield f"{asked.instance} got {count} requests from {ip} in a rest: {asked.request_id}"
+
+
 def _check_joined_streams(observations: Observations) -> Iterator[str]:
     """Check that streams hold events of one software version over all attempts."""
     streams = {id(call.stream): call.stream for call in observations.calls if call.stream}
--- a/packages/lab/src/goldcrestridge_lab/soak_servers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_servers.py
@@ -41,7 +41,11 @@
 
 @frozen
 class Arrival:
-    """A request that reached an upstream; ``ran`` tells whether it began to execute there."""
+    """A request that reached an upstream; ``ran`` tells whether it began to execute there.
+
+    ``leaving`` tells whether the answer said that the upstream leaves, and ``rest_s`` for how long
+    it wanted no more requests from the sender, or 0.
+    """
 
     request_id: str
     at_ms: float
@@ -50,6 +54,8 @@
     workspace: str
     target: str
     ran: bool
+    leaving: bool = False
+    rest_s: float = 0.0
 
 
 @define(eq=False)
@@ -59,7 +65,8 @@
     The modes are ``sound``, ``slow``, ``grey`` (some responses are 500), ``lost`` (some
     connections are reset, also within a stream), ``full`` (some requests are refused) and
     ``garbled`` (some responses are followed by an unsolicited one). ``version`` is that of its
-    software. While ``limit_per_second`` is set, all its responses name that limit.
+    software. While ``limit_per_second`` is set, all its responses name that limit. While ``rest_s``
+    is set, it rejects requests and asks for a rest of that length. ``born`` numbers its starts.
     """
 
     service: str
@@ -74,12 +81,15 @@
     slots: int = 6
     version: str = "v1"
     limit_per_second: float | None = None
+    rest_s: float = 0.0
+    born: int = 0
     _busy: int = 0
     _writers: set[asyncio.StreamWriter] = field(factory=set)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listen on the address; raises OSError if it is in use."""
+        self.born += 1
         self._server = await asyncio.start_server(self._serve, *self.address)
 
     def crash(self) -> None:
@@ -120,6 +130,7 @@
         request_id = headers.get(REQUEST_ID, "")
         expected = headers.get(HEADER_PREFIX + "expect-instance", self.instance)
         overloaded = self._busy >= self.slots or (self.mode == "full" and self.rng.random() < 0.5)
+        overloaded = overloaded or self.rest_s > 0.0
         status = 421 if expected != self.instance else 503 if overloaded else 200
         arrival = Arrival(
             request_id,
@@ -129,12 +140,14 @@
             headers.get(HEADER_PREFIX + "tenant", ""),
             request.start_line[1],
             ran=status == 200,
+            leaving=self.leaving_since_ms is not None and status != 421,
+            rest_s=self.rest_s if status == 503 else 0.0,
         )
         self.record(arrival)
         if status != 200:
-            self._write_response(
-                writer, request_id, status, b"", ((HEADER_PREFIX + "not-executed", "1"),)
-            )
+            retry = (("retry-after", f"{arrival.rest_s:g}"),) if arrival.rest_s else ()
+            extra = ((HEADER_PREFIX + "not-executed", "1"), *retry)
+            self._write_response(writer, request_id, status, b"", extra)
             return
         self._busy += 1
         try:
@@ -185,6 +198,7 @@
         limit = self.limit_per_second
         return (
             *(() if limit is None else (("server-limit", f"{limit:g}"),)),
+            *(() if self.leaving_since_ms is None else (("server-leaving", "1"),)),
             (REQUEST_ID, request_id),
             (HEADER_PREFIX + "server-stamp", f"signed by {self.instance}"),
             (HEADER_PREFIX + "server-load", load),
@@ -271,6 +285,7 @@
                     "slots": item.slots,
                     "state": "draining" if leaving else "ready",
                     "cold_left_ms": 0,
+                    "born": item.born,
                 }
             )
         return entries
--- a/tests/lab/test_soak_checks.py
+++ b/tests/lab/test_soak_checks.py
@@ -5,6 +5,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from goldcrestridge_lab.soak_callers import (
     PERMANENT_KEY,
@@ -166,3 +167,32 @@
     found = violations(observations(calls, [], recovered_ms=10_000.0))
     assert ["streams went on" in text for text in found] == [True] * reported
     assert violations(observations(calls, [], recovered_ms=60_000.0)) == []
+
+
+def told(number: int, at_ms: float, **changes: object) -> Arrival:
+    return evolve(arrival(number, at_ms), ran=False, **changes)  # type: ignore[arg-type]
+
+
+def test_a_request_to_an_upstream_that_said_that_it_leaves_is_reported() -> None:
+    first, second = call(0), evolve(call(1), sent_ms=50_600.0 + DRAIN_MS)
+    arrivals = [
+        evolve(arrival(0), leaving=True),
+        arrival(1, at_ms=second.sent_ms + 10.0),
+    ]
+    assert any(
+        "said that it leaves" in line
+        for line in violations(observations([first, second], arrivals))
+    )
+    within = evolve(second, sent_ms=50_400.0 + DRAIN_MS)
+    assert violations(observations([first, within], arrivals)) == []
+    restarted = {"fault_spans": {"127.20.2.1": [(51_000.0, 51_500.0)]}}
+    assert violations(observations([first, second], arrivals, **restarted)) == []
+
+
+def test_requests_in_a_rest_are_reported() -> None:
+    calls = [call(number, status=503) for number in range(4)]
+    arrivals = [told(0, 50_000.0, rest_s=2.0)] + [told(n, 51_000.0) for n in (1, 2, 3)]
+    assert any("in a rest" in line for line in violations(observations(calls, arrivals)))
+    assert violations(observations(calls[:3], arrivals[:3])) == []
+    early = [told(0, 50_000.0, rest_s=2.0)] + [told(n, 50_400.0) for n in (1, 2, 3)]
+    assert violations(observations(calls, early)) == []
