Answer requests that are half received at a planned stop, and end stalled streams

Two of the failures that operators of similar systems met, looked for with tests.

Streams: on routes nothing was found; a slow stream passes and a stalled one ends at its time limit. On the own interface each chunk counted as progress, also one without output, so that an upstream that sends signs of life could hold a stream for ever; now only output does. The client of upstreams gave up on a pause of 30 s, below the 60 s of the request role; it waits for longer now. The calls of plain services go on while bytes arrive: what is slow and what is stalled is not known there.

--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -95,6 +95,17 @@
     return UPSTREAM_IDLE_TIMEOUT_MS + SLOW_TOKEN_MS * (call.max_tokens or DEFAULT_MAX_TOKENS)
 
 
+def _is_progress(event: AttemptEvent, call: Call) -> bool:
+    """Return whether an event shows that an upstream is not stalled.
+
+    Chunks of a completion without output, such as an upstream may send as a sign of life for ever,
+    do not.
+    """
+    if not isinstance(event, AttemptChunk) or call.kind is CallKind.PLAIN:
+        return True
+    return bool(event.text or event.tokens) or not call.stream
+
+
 class Phase(enum.Enum):
     """Phase of a request: waiting for its claim, for a slot, or for the upstream."""
 
@@ -442,7 +453,8 @@
         req = self._in_flight.get(event.request_id)
         if req is None or req.phase is not Phase.RUNNING or req.attempt != event.attempt:
             return []
-        req.last_received_ms = now_ms
+        if _is_progress(event, req.call):
+            req.last_received_ms = now_ms
         match event:
             case AttemptHead():
                 return self._handle_head(req, event, now_ms)
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -4,11 +4,13 @@
 
 import random
 import secrets
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import anyio
+from anyio.abc import TaskStatus
 from attrs import define, evolve, field, frozen
 
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
@@ -107,6 +109,7 @@
     _origins: PendingRequests = field(init=False)
     _server_options: ServerOptions = field(factory=ServerOptions)
     _stop: anyio.Event = field(factory=anyio.Event)
+    _callers_gone: anyio.Event = field(factory=anyio.Event)
     _log: Any = field(factory=logger)
 
     def __attrs_post_init__(self) -> None:
@@ -281,9 +284,7 @@
             await tasks.start(self.driver.run)
             stop_accepting, stop_management = anyio.Event(), anyio.Event()
             caller_sockets = [listen_at(cfg.caller_address)]
-            await tasks.start(
-                serve, self.gateway, caller_sockets, stop_accepting, self._server_options
-            )
+            await tasks.start(self._serve_callers, caller_sockets, stop_accepting)
             management_sockets = [listen_at(address) for address in cfg.management_addresses]
             await tasks.start(
                 serve, self.hooks.management_app(self), management_sockets, stop_management
@@ -303,8 +304,23 @@
         stop_accepting.set()
         left_ms = self.settings.grace_ms - DRAIN_ACCEPT_MS - DRAIN_MARGIN_MS
         with anyio.move_on_after(max(0.0, left_ms) / MS_PER_SECOND):
+            # A request whose head is half received is not in flight yet, but keeps its connection.
+            await self._callers_gone.wait()
             await self.gateway.wait_idle(QUIET_MS)
 
+    async def _serve_callers(
+        self,
+        sockets: list[socket.socket],
+        stop_accepting: anyio.Event,
+        *,
+        task_status: TaskStatus[None],
+    ) -> None:
+        """Serve callers until ``stop_accepting`` is set and their connections have ended."""
+        await serve(
+            self.gateway, sockets, stop_accepting, self._server_options, task_status=task_status
+        )
+        self._callers_gone.set()
+
     async def _close_idle(self) -> None:
         while True:
             await anyio.sleep(IDLE_CLOSE_INTERVAL_MS / MS_PER_SECOND)
--- a/packages/node/src/goldcrestridge_node/process.py
+++ b/packages/node/src/goldcrestridge_node/process.py
@@ -10,6 +10,7 @@
 import anyio
 import anyio.abc
 import msgspec
+from anyio.abc import TaskStatus
 from attrs import define, field
 from returns.result import Failure
 
@@ -73,6 +74,8 @@
 WRITE_QUEUE_BATCHES = 1_024  # Never filled: the log has at most one batch in flight.
 # Time for the last messages (leave, release of leases) to be sent before the process ends.
 LINGER_MS = 200.0
+# Time for callers to send the rest of a request head and to read the answer.
+CLOSE_TIMEOUT_MS = 2_000.0
 
 
 @define(eq=False)
@@ -91,6 +94,7 @@
     transport: Transport = field(init=False)
     reports: ReportPoller = field(init=False)
     stop: anyio.Event = field(factory=anyio.Event)
+    _callers_gone: anyio.Event = field(factory=anyio.Event)
     _cfg: Configuration = field(factory=lambda: Configuration(""))
     _upstreams: dict[UpstreamId, Upstream] = field(factory=dict)
     _pending_changes: dict[str, tuple[anyio.Event, list[ApplyResult | None]]] = field(factory=dict)
@@ -323,7 +327,9 @@
             await tasks.start(self.driver.run)
             stop_serving = anyio.Event()
             if ENTRY in cfg.roles:
-                await tasks.start(serve, self.edge, [listen_at(cfg.caller_address)], stop_serving)
+                await tasks.start(self._serve_callers, stop_serving)
+            else:
+                self._callers_gone.set()
             if cfg.admin_address:
                 admin = Admin(self._admin_hooks())
                 await tasks.start(serve, admin, [listen_at(cfg.admin_address)], stop_serving)
@@ -334,10 +340,21 @@
             self._log.info("node_started", peer=cfg.peer_address, caller=cfg.caller_address)
             await self.stop.wait()
             stop_serving.set()
+            # A request whose head is half received is answered before the node ends.
+            with anyio.move_on_after(CLOSE_TIMEOUT_MS / MS_PER_SECOND):
+                await self._callers_gone.wait()
             await anyio.sleep(LINGER_MS / MS_PER_SECOND)
             self._log.info("node_stopped")
             tasks.cancel_scope.cancel()
 
+    async def _serve_callers(
+        self, stop_serving: anyio.Event, *, task_status: TaskStatus[None]
+    ) -> None:
+        """Serve callers until ``stop_serving`` is set and their connections have ended."""
+        sockets = [listen_at(self.settings.caller_address)]
+        await serve(self.edge, sockets, stop_serving, task_status=task_status)
+        self._callers_gone.set()
+
     def _platform_poller(self) -> PlatformPoller:
         def deliver(event: PlatformList | UpstreamLeaving) -> None:
             node = self.settings.node
--- a/packages/node/src/goldcrestridge_node/server.py
+++ b/packages/node/src/goldcrestridge_node/server.py
@@ -54,6 +54,15 @@
         self.app_state = {"connection": self}
         self.on_lost: Callable[[], None] | None = None
         self._head_timer: asyncio.TimerHandle | None = None
+        self._stopping = False
+
+    def shutdown(self) -> None:
+        """Close an idle connection; a request of which a part was received is still served."""
+        self._stopping = True
+        idle = self.cycle is None or self.cycle.response_complete
+        if idle and self.conn.trailing_data[0]:
+            return
+        super().shutdown()
 
     def on_response_complete(self) -> None:
         """Apply the current keep-alive limit to the wait for the next request."""
@@ -88,6 +97,8 @@
     def data_received(self, data: bytes) -> None:
         """Pass the data to the parser; run the head timeout while a head is incomplete."""
         super().data_received(data)
+        if self._stopping and self.cycle is not None:
+            self.cycle.keep_alive = False
         if self.conn.their_state is h11.IDLE:
             self._start_head_timer()
         else:
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -55,13 +55,14 @@
     """Limits of the client.
 
     ``head_timeout_ms`` bounds the wait for the response head, ``idle_timeout_ms`` that for each
-    further read.
+    further read. Both are above the time after which the requests role gives up on an idle upstream,
+    which knows whether the answer is streamed.
     """
 
     connect_timeout_ms: float = 1_000.0
     write_timeout_ms: float = 10_000.0
     head_timeout_ms: float = 120_000.0
-    idle_timeout_ms: float = 30_000.0
+    idle_timeout_ms: float = 120_000.0
     drain_timeout_ms: float = 1_000.0
     max_open: int = 256
     max_idle_ms: float = 15_000.0
--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -186,7 +186,8 @@
 class RunningGateway:
     """A running gateway with its upstreams and log lines.
 
-    ``confirmed_ms`` holds the time at which the routes were last confirmed as current.
+    ``confirmed_ms`` holds the time at which the routes were last confirmed as current. ``stop``
+    makes it stop accepting callers.
     """
 
     gateway: Gateway
@@ -194,6 +195,7 @@
     upstreams: list[ScriptedUpstream]
     log_lines: list[MutableMapping[str, Any]]
     confirmed_ms: list[float]
+    stop: anyio.Event
 
     async def call(
         self, path: str, method: str = "POST", body: bytes = b"x", **headers: str
@@ -305,7 +307,7 @@
     async with anyio.create_task_group() as tasks:
         await tasks.start(serve, gateway, [sock], stop)
         try:
-            yield RunningGateway(gateway, port, list(upstreams), log_lines, confirmed_ms)
+            yield RunningGateway(gateway, port, list(upstreams), log_lines, confirmed_ms, stop)
         finally:
             tasks.cancel_scope.cancel()
     await dependencies.dispatcher.aclose()
--- a/tests/node/test_gateway_streams.py
+++ b/tests/node/test_gateway_streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import anyio
 import httpcore
 import pytest
 from attrs import evolve
@@ -135,3 +136,45 @@
         long_ago_ms = deps.clock.now_ms() - 60_000.0
         deps.placement.set_instances([item.instance() for item in upstreams], long_ago_ms)
         assert (await running.call("/resume/x", last_event_id="1")).status == 200
+
+
+async def test_a_slow_stream_is_not_cut_within_the_time_limit_of_its_route() -> None:
+    # Guards against a sound stream that is cut because its events are far apart.
+    async def slow(exchange: UpstreamExchange) -> None:
+        await exchange.write(exchange.head(200, transfer_encoding="chunked"))
+        for number in range(1, 5):
+            await exchange.write(b"%x\r\n%b\r\n" % (len(event(number)), event(number)))
+            await anyio.sleep(0.4)
+        await exchange.write(b"0\r\n\r\n")
+
+    async with running_gateway(scripted("a", slow)) as running:
+        response = await running.call("/stream/x")
+        assert response.content == b"".join(event(number) for number in range(1, 5))
+
+
+@pytest.mark.parametrize("drip", [b": still here\n\n", b"data: half "])
+async def test_a_stalled_stream_that_sends_bytes_now_and_then_ends_at_its_time_limit(
+    drip: bytes,
+) -> None:
+    # Guards against a stream that sends comments or half an event for ever, and that is never
+    # ended or looks complete at its end.
+    stopped = anyio.Event()
+
+    async def stall(exchange: UpstreamExchange) -> None:
+        await exchange.write(exchange.head(200, transfer_encoding="chunked"))
+        await exchange.write(b"%x\r\n%b\r\n" % (len(event(1)), event(1)))
+        try:
+            while True:
+                await exchange.write(b"%x\r\n%b\r\n" % (len(drip), drip))
+                await anyio.sleep(0.05)
+        finally:
+            stopped.set()
+
+    async with running_gateway(scripted("a", stall)) as running:
+        clock = running.gateway.dependencies.clock
+        started_ms = clock.now_ms()
+        with pytest.raises(httpcore.RemoteProtocolError), anyio.fail_after(10):
+            await running.call("/stream/x", x_goldcrestridge_deadline_ms="700")
+        assert 600.0 < clock.now_ms() - started_ms < 2_000.0
+        with anyio.fail_after(5):
+            await stopped.wait()
