--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -55,8 +55,8 @@
     """Limits of the client.
 
     ``head_timeout_ms`` bounds the wait for the response head, ``idle_timeout_ms`` that for each
-    further read. Both are above the time after which the requests role gives up on an idle upstream,
-    which knows whether the answer is streamed.
+    further read. Both are above the time after which the requests role gives up on an idle
+    upstream, since that knows whether the answer is streamed.
     """
 
     connect_timeout_ms: float = 1_000.0
