Check key and permit again right before a request is sent

Found while looking for a process that acts on a permission that ran out while it was paused: a request whose key was checked, and one that had a permit for a limited upstream, waited for a connection and was sent whatever time had passed. Both are checked again once there is a connection; a permit holds for 1 s. With the check taken out two of the new tests fail.

The responses of the router to forwarded requests have a module of their own.

--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -109,7 +109,7 @@
     """Do nothing with the head of an answer."""
 
 
-def _send_always(_instance: UpstreamInstance, /) -> str:
+def _send_always(_instance: UpstreamInstance | None = None, /) -> str:
     return ""
 
 
@@ -136,8 +136,13 @@
         instance: UpstreamInstance,
         request_head: UpstreamRequestHead,
         timeout_ms: float,
+        denied: Callable[[], str] = _send_always,
     ) -> UpstreamResponse | FailedAttempt:
-        """Send a request and wait up to ``timeout_ms`` for the head of the response."""
+        """Send a request and wait up to ``timeout_ms`` for the head of the response.
+
+        ``denied`` returns why the request may no longer be sent, or an empty text. It is asked once
+        there is a connection, since the node may have been delayed for long by then.
+        """
         pool = self._pool(instance)
         connect_timeout_ms = min(self.options.connect_timeout_ms, timeout_ms)
         try:
@@ -146,7 +151,7 @@
             return FailedAttempt(AttemptOutcome.NOT_SENT, str(exc))
         result: UpstreamResponse | FailedAttempt | None = None
         try:
-            reason = self.withheld(instance)
+            reason = self.withheld(instance) or denied()
             if reason:
                 result = FailedAttempt(AttemptOutcome.NOT_SENT, reason, upstream_fault=False)
                 return result
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -21,7 +21,6 @@
     StreamBegan,
     StreamOrigin,
 )
-from goldcrestridge_core.types import Outcome
 from goldcrestridge_core.upstream_notices import return_delay_ms
 from goldcrestridge_node.dialect import UpstreamRequestHead
 from goldcrestridge_node.dispatch import (
@@ -33,7 +32,7 @@
 from goldcrestridge_node.event_stream import EventSplitter
 from goldcrestridge_node.exchange import Exchange
 from goldcrestridge_node.gateway_parts import NOT_READY, AdmittedRequest
-from goldcrestridge_node.refusals import Refusal
+from goldcrestridge_node.relay_refusals import CANNOT_RESUME, ORIGIN_NOT_FOUND, refusal_of
 from goldcrestridge_node.request_log import RequestRecord
 from goldcrestridge_node.request_permits import RequestPermits
 
@@ -43,23 +42,6 @@
 # An upstream receives the remaining time and ends by itself. This node waits for this much longer.
 UPSTREAM_GRACE_MS = 80.0
 
-# Time for a node that holds the origin to answer again.
-ORIGIN_RETRY_MS = 500.0
-
-ORIGIN_NOT_FOUND = Refusal(
-    503,
-    "stream_origin_not_found",
-    "The upstream that began the stream is not known now.",
-    retry_after_ms=ORIGIN_RETRY_MS,
-)
-CANNOT_RESUME = Refusal(
-    503,
-    "cannot_resume",
-    "No upstream can go on with the stream. Send the request again without Last-Event-Id.",
-)
-FAILED = Refusal(502, "upstream_failed", "The upstream gave no sound answer.", Outcome.UNKNOWN)
-TIMED_OUT = Refusal(504, "deadline", "The upstream did not answer in time.", Outcome.UNKNOWN)
-
 
 @define(eq=False)
 class Relay:
@@ -171,6 +153,12 @@
             self.admitted, self.request.caller_head.key
         )
 
+    def _denied(self) -> str:
+        """Return why the request may no longer be sent, or an empty text."""
+        if not self._is_allowed():
+            return "the routes are no longer known to be current"
+        return self._permits.denied()
+
     def _choose_instance(self) -> UpstreamInstance | None:
         admitted = self.admitted
         return self.gateway.dependencies.placement.choose(
@@ -302,7 +290,11 @@
         self.record.versions.append(instance.version)
         try:
             result = await self.gateway.dependencies.dispatcher.send(
-                self.request, instance, self._build_request_head(instance), self._timeout_ms()
+                self.request,
+                instance,
+                self._build_request_head(instance),
+                self._timeout_ms(),
+                self._denied,
             )
             if isinstance(result, UpstreamResponse):
                 result = await self._forward(result)
@@ -478,16 +470,9 @@
         if self._error_response is not None:
             await self._write_whole(*self._error_response)
             return
-        refusal = _refusal(decision)
+        refusal = refusal_of(decision)
         self.record.set_outcome(
             "refused" if decision.step is Step.REFUSE else "failed", decision.reason
         )
         self.record.status = refusal.status
         await self.exchange.send_refusal(self.gateway.close_if_draining(refusal))
-
-
-def _refusal(decision: Decision) -> Refusal:
-    if decision.step is Step.REFUSE:
-        detail = f"The request has not run: {decision.reason}."
-        return Refusal(503, "not_run", detail, retry_after_ms=decision.retry_after_ms)
-    return TIMED_OUT if decision.step is Step.TIME_OUT else FAILED
--- a/packages/node/src/goldcrestridge_node/request_permits.py
+++ b/packages/node/src/goldcrestridge_node/request_permits.py
@@ -19,6 +19,9 @@
 
 # Limited upstreams that one request asks for a permit. Each costs a round trip to its owner.
 MAX_REFUSALS = 3
+# A permit is used within this time, which covers the wait for a connection. The permits that a node
+# held during a longer pause would exceed the limit together with those issued since.
+PERMIT_VALID_MS = 1_000.0
 # Priority of a request that may have run, ahead of all others, since it can't be refused.
 RUN_PRIORITY = -1
 # Minimum wait before such a request asks again, about two round trips.
@@ -36,10 +39,12 @@
     forwarding: Forwarding
     record: RequestRecord
     refused: dict[str, PermitDecided] = field(factory=dict)
+    _granted_ms: float | None = None  # When the permit for the next attempt was granted.
 
     async def has_permit(self, instance: UpstreamInstance) -> bool:
         """Tell whether a request may be sent; ask for a permit if the upstream names a limit."""
         deps = self.gateway.dependencies
+        self._granted_ms = None
         limit = deps.placement.limits.per_second(instance.instance)
         if limit is None:
             return True
@@ -50,6 +55,7 @@
             ticket, SeekPermit(ticket, instance.instance, priority)
         )
         if permit.granted:
+            self._granted_ms = deps.clock.now_ms()
             return True
         self.refused[instance.instance] = permit
         reason = f"limit {limit:g}/s, next permit in {permit.next_ms:.0f} ms"
@@ -57,6 +63,13 @@
         self.record.add_attempt(instance.instance, "no_permit", reason, took_ms)
         return False
 
+    def denied(self) -> str:
+        """Return that the permit of the attempt has run out, or an empty text."""
+        now_ms = self.gateway.dependencies.clock.now_ms()
+        if self._granted_ms is not None and now_ms - self._granted_ms > PERMIT_VALID_MS:
+            return "the permit has run out"
+        return ""
+
     def excluded(self) -> set[str]:
         """Return the upstreams that the current attempt must not use for want of a permit."""
         if len(self.refused) < MAX_REFUSALS:
