Bound the notices of one message by what a node may send

With real names the 64 notices of each kind took up to 10 KB a poll, above the 8 KB/s of a node; the test used short names and one kind. Now 32 of each kind, in whole milliseconds: 4.8 KB a poll (encoded). The test uses names of the platform's length and both kinds; with the former bound it fails.

--- a/packages/core/src/goldcrestridge_core/upstream_notices.py
+++ b/packages/core/src/goldcrestridge_core/upstream_notices.py
@@ -39,7 +39,7 @@
 RESTART_GAP_MS = 5_000.0
 # Bounds the notices of each kind in one message. More instances leave at once only in a release of
 # a large service, which the list of instances shows within its own lag.
-MAX_SHARED = 64
+MAX_SHARED = 32
 # Callers that are refused because all instances rest return within this share of the rest after its
 # end, the urgent ones in the first half.
 RETURN_SHARE = 0.25
@@ -204,14 +204,19 @@
         Leaving instances are left out once the list shows them, which all nodes get.
         """
         leaving = [
-            LeavingNotice(name, now_ms - life.leaving_since_ms, now_ms - life.leaving_answered_ms)
+            # Whole milliseconds take a third of the bytes.
+            LeavingNotice(
+                name,
+                round(now_ms - life.leaving_since_ms),
+                round(now_ms - life.leaving_answered_ms),
+            )
             for name, life in self._lives.items()
             if life.leaves
             and not life.listed_leaving
             and now_ms - life.unlisted_ms < UNLISTED_KEEP_MS
         ]
         rests = [
-            RestNotice(name, life.rest_until_ms - now_ms)
+            RestNotice(name, math.ceil(life.rest_until_ms - now_ms))
             for name, life in self._lives.items()
             if life.rest_until_ms > now_ms
         ]
--- a/tests/core/test_upstream_notices.py
+++ b/tests/core/test_upstream_notices.py
@@ -13,6 +13,7 @@
 from goldcrestridge_core import codec
 from goldcrestridge_core.demand import Demand
 from goldcrestridge_core.follow_types import LeavingNotice, RestNotice, UpstreamInstance, Workload
+from goldcrestridge_core.follower import poll_interval_ms
 from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.upstream_notices import (
     LAST_RESORT_SHARE,
@@ -27,6 +28,8 @@
     return_delay_ms,
 )
 
+BORN_MS = 1_764_840_000_000
+
 
 def upstream(name: str = "a", born: int = 7, leaving: bool = False) -> UpstreamInstance:
     return UpstreamInstance(name, "s", f"10.0.0.{ord(name)}:80", "dc", 6, leaving, "v1", born)
@@ -174,15 +177,18 @@
 
 def test_the_notices_of_one_message_are_bounded() -> None:
     # Guards against a release of a whole large service that exceeds the control traffic of a node.
-    items = [upstream("a", born=number) for number in range(3 * MAX_SHARED)]
+    items = [
+        UpstreamInstance(f"i-{n:010x}", "s", f"10.128.0.{n}:8080", "dc", 6, False, "v1", BORN_MS)
+        for n in range(3 * MAX_SHARED)
+    ]
     state = notices(*items)
     for item in items:
         state.observe(item, True, 5_000.0, 0.0, 10.0)
     shared = Workload((), (), (), *state.shared(20.0))
     assert len(shared.leaving) == len(shared.rests) == MAX_SHARED
-    # At the polling interval of 200 nodes, 1.5 s, both ways, this is under 8 KB a second.
-    one_kind = Workload(leaving=shared.leaving)
-    assert 2 * len(codec.encode(_follow_request(one_kind))) / 1.5 < 8_000
+    # The budget of a node is 8 KB a second, both ways at the polling interval of 200 nodes.
+    size = len(codec.encode(_follow_request(shared)))
+    assert 2 * size / (poll_interval_ms(200) / 1_000.0) < 8_000
 
 
 def _follow_request(workload: Workload) -> object:
