Read the body of an upstream's response with fewer calls for each event

Each event passed four generators and a context manager of httpcore. Change: the connection reads its parser itself and yields what arrived together as one piece, so that a busy node also writes less often. The tests of the gateway over sockets pass, with cut, reset, garbled and unframed responses.

--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import AsyncGenerator
 
 import anyio
+import h11
 import httpcore
 from attrs import define, field
 
@@ -44,6 +46,28 @@
             return not self.reused
         return answered_id == request_id
 
+    async def body(self) -> AsyncGenerator[bytes, None]:
+        """Yield the body of the response; what arrived together is yielded together.
+
+        Raise the exceptions of httpcore if the connection breaks. The response still has to be
+        closed. This passes an event on with a third of the calls that the stream of httpcore makes.
+        """
+        state, parts = self._h11_state, []
+        while True:
+            try:
+                event = state.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise httpcore.RemoteProtocolError(str(exc)) from exc
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                continue
+            if parts:
+                yield b"".join(parts)
+                parts = []
+            if event is not h11.NEED_DATA:
+                return
+            state.receive_data(await self._network_stream.read(self.READ_NUM_BYTES))
+
     def is_clean(self) -> bool:
         """Tell whether the last exchange ended properly and left no unread bytes."""
         surplus, closed = self._h11_state.trailing_data
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator, AsyncIterable, Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from typing import Any
 
 import anyio
@@ -88,10 +89,10 @@
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body; raise IncompleteResponseError if it does not end properly."""
-        assert isinstance(self._response.stream, AsyncIterable)
         try:
-            async for chunk in self._response.stream:
-                yield chunk
+            async with aclosing(self._conn.body()) as chunks:
+                async for chunk in chunks:
+                    yield chunk
         except CONNECTION_ERRORS as exc:
             raise IncompleteResponseError(type(exc).__name__) from exc
 
