--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -239,11 +239,11 @@
 
     def polled_upstreams(self, now_ms: float) -> dict[UpstreamId, Upstream]:
         """Return the upstreams that this node owns and that want requests, by name."""
+        owned = ((owner, item) for owner in self.owners.values() for item in owner.upstreams)
         return {
-            upstream.name: upstream
-            for owner in self.owners.values()
-            for upstream in owner.upstreams
-            if not owner.chooser.is_resting(upstream.name, now_ms)
+            item.name: item
+            for owner, item in owned
+            if not owner.chooser.is_resting(item.name, now_ms)
         }
 
     def is_engine(self, name: UpstreamId) -> bool:
--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -40,6 +40,7 @@
     needs_claim,
 )
 from goldcrestridge_core.member_types import StartDrain
+from goldcrestridge_core.progress import is_progress, upstream_idle_timeout_ms
 from goldcrestridge_core.request_events import (
     arrival_event,
     outcome_count,
@@ -70,13 +71,6 @@
     UpstreamResting,
 )
 
-# An upstream that sends nothing for this long counts as lost. The prefill of the longest prompts
-# takes less time than this.
-UPSTREAM_IDLE_TIMEOUT_MS = 60_000.0
-# A response that is not streamed arrives after its last token, so its idle timeout grows with the
-# token limit. This is the time per token of a slow engine.
-SLOW_TOKEN_MS = 100.0
-DEFAULT_MAX_TOKENS = 8_192  # Assumed for a call without a token limit.
 # Limit of attempts that no upstream accepted. Each costs one more round trip to the shard owner.
 MAX_REROUTES = 8
 # Limit of retries and continuations of attempts that may have run, within the retry budget.
@@ -88,24 +82,6 @@
 AttemptEvent = AttemptHead | AttemptChunk | AttemptEnd | AttemptFailed
 
 
-def upstream_idle_timeout_ms(call: Call) -> float:
-    """Return how long an upstream may send nothing before the attempt counts as lost."""
-    if call.stream or call.kind is CallKind.PLAIN:
-        return UPSTREAM_IDLE_TIMEOUT_MS
-    return UPSTREAM_IDLE_TIMEOUT_MS + SLOW_TOKEN_MS * (call.max_tokens or DEFAULT_MAX_TOKENS)
-
-
-def _is_progress(event: AttemptEvent, call: Call) -> bool:
-    """Return whether an event shows that an upstream is not stalled.
-
-    Chunks of a completion without output, such as an upstream may send as a sign of life for ever,
-    do not.
-    """
-    if not isinstance(event, AttemptChunk) or call.kind is CallKind.PLAIN:
-        return True
-    return bool(event.text or event.tokens) or not call.stream
-
-
 class Phase(enum.Enum):
     """Phase of a request: waiting for its claim, for a slot, or for the upstream."""
 
@@ -453,7 +429,7 @@
         req = self._in_flight.get(event.request_id)
         if req is None or req.phase is not Phase.RUNNING or req.attempt != event.attempt:
             return []
-        if _is_progress(event, req.call):
+        if is_progress(event, req.call):
             req.last_received_ms = now_ms
         match event:
             case AttemptHead():
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -12,11 +12,11 @@
 
 from goldcrestridge_core.call_types import Call
 from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.slot_messages import held_grant, release_of, same_grant, to_owner
 from goldcrestridge_core.slot_notices import SlotNotices
 from goldcrestridge_core.types import (
     GrantEnd,
     GrantReport,
-    HeldGrant,
     NodeId,
     NotOwner,
     RequestId,
@@ -26,7 +26,6 @@
     SlotCancel,
     SlotGrant,
     SlotRefusal,
-    SlotRelease,
     SlotRequest,
     UpstreamId,
     UpstreamLeaving,
@@ -173,7 +172,7 @@
         view = self.view(waiting.shard)
         view.last_active_ms = now_ms
         cancel = SlotCancel(request_id, waiting.attempt, self.node, waiting.shard)
-        return _to_owner(view, cancel)
+        return to_owner(view, cancel)
 
     def release(
         self,
@@ -195,14 +194,14 @@
         elif end is GrantEnd.CONNECT_FAILED:
             self._avoid_until_ms[upstream] = now_ms + CONNECT_FAILED_AVOID_MS
         release = evolve(
-            _release_of(held.grant, self.node, end),
+            release_of(held.grant, self.node, end),
             output_tokens=held.output_tokens,
             first_token_ms=first_token_ms,
             inter_token_ms=inter_token_ms,
         )
         leaving = UpstreamLeaving(upstream, str(self.node))
-        notices = _to_owner(view, leaving) if end is GrantEnd.LEAVING else []
-        return [*_to_owner(view, release), *notices]
+        notices = to_owner(view, leaving) if end is GrantEnd.LEAVING else []
+        return [*to_owner(view, release), *notices]
 
     def record_progress(self, request_id: RequestId, output_tokens: int) -> None:
         """Record the output tokens of a running attempt for the next grant report."""
@@ -220,7 +219,7 @@
         """Apply what an upstream says of itself in an answer, and tell the owner of the shard."""
         view = self.view(shard)
         heard = self.notices.hear(upstream, leaving, rest_ms, now_ms)
-        return [send for notice in heard for send in _to_owner(view, notice)]
+        return [send for notice in heard for send in to_owner(view, notice)]
 
     def rest(self, upstream: UpstreamId, left_ms: float, now_ms: float) -> None:
         """Exclude an upstream from local admission until the rest that it asked for ends."""
@@ -238,7 +237,7 @@
         sends = self._record_contact(grant.shard, sender, grant.epoch, now_ms)
         view = self.view(grant.shard)
         held = self._held.get(grant.request_id)
-        if held is not None and _same_grant(held.grant, grant):
+        if held is not None and same_grant(held.grant, grant):
             return sends, None  # A duplicate message.
         self._activate(view, now_ms)  # Send reports, in case the release is lost.
         waiting = self._waiting.get(grant.request_id)
@@ -306,7 +305,7 @@
             send
             for notice in self.notices.in_force(now_ms)
             if notice.upstream in names
-            for send in _to_owner(view, notice)
+            for send in to_owner(view, notice)
         ]
         reports = self._report(view, now_ms)
         return [*notices, *reports, *itertools.chain.from_iterable(resent)]
@@ -440,13 +439,13 @@
             delivered_tokens=waiting.delivered_tokens,
             version=waiting.version,
         )
-        return _to_owner(view, request)
+        return to_owner(view, request)
 
     def _report(self, view: ShardView, now_ms: float) -> list[Send]:
         """Return a report of the grants in use and the waiting requests of one shard."""
         view.report_at_ms = now_ms + REPORT_INTERVAL_MS
         held = tuple(
-            _held_grant(item) for item in self._held.values() if item.grant.shard == view.shard
+            held_grant(item) for item in self._held.values() if item.grant.shard == view.shard
         )
         waiting = tuple(
             (item.request_id, item.attempt)
@@ -461,50 +460,8 @@
             self.node, view.shard, held, waiting, self._next_report_sequence, view.limits
         )
         self._next_report_sequence += 1
-        return _to_owner(view, report)
+        return to_owner(view, report)
 
     def _release_unused(self, sender: NodeId, grant: SlotGrant) -> Send:
         """Return the release of a stale or late grant."""
-        return Send(sender, _release_of(grant, self.node, GrantEnd.UNUSED))
-
-
-def _to_owner(view: ShardView, message: object) -> list[Send]:
-    """Return the message addressed to the known owner, if any."""
-    return [Send(view.owner, message)] if view.owner is not None else []
-
-
-def _same_grant(left: SlotGrant, right: SlotGrant) -> bool:
-    """Return whether two messages carry the same grant."""
-    return (left.shard, left.epoch, left.grant_id) == (right.shard, right.epoch, right.grant_id)
-
-
-def _release_of(grant: SlotGrant, node: NodeId, end: GrantEnd) -> SlotRelease:
-    """Return a release of a grant without measurements."""
-    return SlotRelease(
-        request_id=grant.request_id,
-        attempt=grant.attempt,
-        entry=node,
-        shard=grant.shard,
-        epoch=grant.epoch,
-        grant_id=grant.grant_id,
-        upstream=grant.upstream,
-        end=end,
-    )
-
-
-def _held_grant(held: ActiveGrant) -> HeldGrant:
-    """Return the entry of a grant report for one grant in use."""
-    grant, call = held.grant, held.call
-    return HeldGrant(
-        request_id=grant.request_id,
-        attempt=grant.attempt,
-        epoch=grant.epoch,
-        grant_id=grant.grant_id,
-        upstream=grant.upstream,
-        workspace=call.workspace,
-        site=call.site,
-        class_name=call.class_name,
-        model=call.model,
-        prompt_tokens=call.prompt_tokens,
-        output_tokens=held.output_tokens,
-    )
+        return Send(sender, release_of(grant, self.node, GrantEnd.UNUSED))
--- a/tests/core/test_request_cases.py
+++ b/tests/core/test_request_cases.py
@@ -25,7 +25,7 @@
 )
 from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.idempotency import check_key
-from goldcrestridge_core.requests import UPSTREAM_IDLE_TIMEOUT_MS
+from goldcrestridge_core.progress import UPSTREAM_IDLE_TIMEOUT_MS
 from goldcrestridge_core.retries import RetryBudget
 from goldcrestridge_core.slots import PendingRequest, SlotClient
 from goldcrestridge_core.types import (
--- a/tests/core/test_stalled_streams.py
+++ b/tests/core/test_stalled_streams.py
@@ -7,7 +7,7 @@
 from tests.core.test_request_cases import first_entry, run_until_started, start_fleet
 
 from goldcrestridge_core.call_types import AttemptChunk
-from goldcrestridge_core.requests import UPSTREAM_IDLE_TIMEOUT_MS
+from goldcrestridge_core.progress import UPSTREAM_IDLE_TIMEOUT_MS
 from goldcrestridge_node.upstream import UpstreamOptions
 
 
