--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -24,7 +24,9 @@
     FollowRequest,
     InstanceLoad,
     InstancesListed,
+    LeavingNotice,
     NamedLimit,
+    RestNotice,
     ServiceWork,
     UpstreamInstance,
     Workload,
@@ -41,6 +43,8 @@
 # A new leader publishes the list of entry nodes only after all of them had time to register.
 REGISTRATION_PERIOD_MS = 2_000.0
 SWEEP_INTERVAL_MS = 500.0
+# Adds little to the polling interval after which the other nodes learn of a notice.
+NOTICES_INTERVAL_MS = 100.0
 
 
 @frozen
@@ -77,6 +81,8 @@
     _deltas: Deltas = field(factory=Deltas)
     _last_hint: tuple[int, str, str] = (0, "", "")
     _last_sweep_ms: float = -math.inf
+    _notices: tuple[tuple[LeavingNotice, ...], tuple[RestNotice, ...]] = ((), ())
+    _notices_ms: float = -math.inf  # When they were merged.
 
     def next_deadline_ms(self) -> float | None:
         """Return when the leader next checks for lost entry nodes, or None if it does not lead.
@@ -201,13 +207,23 @@
             tuple(InstanceLoad(name, count) for name, count in sorted(loads.items())),
             tuple(ServiceWork(name, *total) for name, total in sorted(works.items())),
             merge_named(limits),
-            *merge_notices(
-                (entry.workload, now_ms - entry.last_request_ms)
-                for node, entry in self._entries.items()
-                if node != requester
-            ),
+            *self._merged_notices(now_ms),
         )
 
+    def _merged_notices(
+        self, now_ms: float
+    ) -> tuple[tuple[LeavingNotice, ...], tuple[RestNotice, ...]]:
+        """Return the notices of all entry nodes, merged at most once in NOTICES_INTERVAL_MS.
+
+        Merged for each request, they would cost the square of the number of entry nodes.
+        """
+        if now_ms - self._notices_ms >= NOTICES_INTERVAL_MS:
+            self._notices_ms = now_ms
+            self._notices = merge_notices(
+                (entry.workload, now_ms - entry.last_request_ms) for entry in self._entries.values()
+            )
+        return self._notices
+
     def _hint_changes(self, current: Leadership) -> list[Any]:
         """Send one hint of each change to all entry nodes."""
         if not current.leads:
--- a/tests/core/test_pool_notices.py
+++ b/tests/core/test_pool_notices.py
@@ -91,7 +91,6 @@
     fleet = start_fleet(0)
     entry = first_entry(fleet)
     requests = fleet.entries[entry]
-    upstream = fleet.upstreams[0].name if hasattr(fleet, "upstreams") else UpstreamId("u0")
     upstream = requests._upstreams_of(SHARD)[0].name
     requests._slots.notices.hear(upstream, True, 5_000.0, fleet.now_ms)
     effects = requests.handle(OwnerChanged(SHARD, types.NodeId("next"), 99), fleet.now_ms)
--- a/tests/core/test_upstream_notices.py
+++ b/tests/core/test_upstream_notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
 import pytest
 from attrs import evolve
@@ -10,7 +11,7 @@
 from hypothesis import strategies as st
 from tests.core.notice_fleet import DRAIN_MS, NoticeFleet
 
-from goldcrestridge_core import codec
+from goldcrestridge_core import codec, publisher
 from goldcrestridge_core.demand import Demand
 from goldcrestridge_core.follow_types import LeavingNotice, RestNotice, UpstreamInstance, Workload
 from goldcrestridge_core.follower import poll_interval_ms
@@ -236,3 +237,20 @@
     assert fleet.violations() == []
     # Requests are served while an upstream takes them.
     assert fleet.wrongly_refused() == []
+
+
+def test_the_leader_does_not_merge_the_notices_of_all_nodes_for_each_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Traffic: a release while hundreds of nodes poll. Guards against work of the leader that grows
+    # with the square of the number of nodes.
+    merges: list[float] = []
+
+    def count(workloads: Iterable[tuple[Workload, float]]) -> object:
+        merges.append(1.0)
+        return merge_notices(workloads)
+
+    monkeypatch.setattr(publisher, "merge_notices", count)
+    fleet = NoticeFleet(1, machines=60)
+    fleet.run(3_000.0)
+    assert 0 < len(merges) <= 3_000.0 / publisher.NOTICES_INTERVAL_MS + 1
