Log how the bodies of upstreams' responses were framed and ended

Cause: the request log could not tell a body that ended with its connection from a chunked one, nor a stream that ended inside an event from one that ended after it, so the hypotheses on broken-off streams that reach callers as complete could not be told apart.

Change: body_ends in the request line; one function for the framing of a response, which the own interface uses as well.

--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -20,6 +20,7 @@
     UpstreamRequestHead,
     UpstreamResponseHead,
 )
+from goldcrestridge_node.headers import BodyFraming, body_framing, lower_names
 from goldcrestridge_node.network import NetworkBackend
 
 CONNECTION_ERRORS = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
@@ -82,6 +83,7 @@
     status: int
     head: UpstreamResponseHead
     instance: UpstreamInstance
+    framing: BodyFraming
     _response: httpcore.Response
     _conn: UpstreamConnection
     _pool: ConnectionPool
@@ -186,7 +188,7 @@
             return FailedAttempt(
                 AttemptOutcome.UNKNOWN, f"The connection failed: {type(exc).__name__}."
             )
-        headers = tuple((name.lower(), value) for name, value in response.headers)
+        headers = lower_names(response.headers)
         head = self.dialect.read_upstream(response.status, headers)
         conn.idle_limit_ms = head.idle_limit_ms
         if conn.accepts(head.request_id, request.caller_head.request_id):
@@ -201,7 +203,8 @@
             if failure.outcome is AttemptOutcome.NOT_RUN:
                 await _drain(response)
             return failure
-        return UpstreamResponse(response.status, head, instance, response, conn, pool)
+        framing = body_framing(request.method, response.status, headers)
+        return UpstreamResponse(response.status, head, instance, framing, response, conn, pool)
 
     def _pool(self, instance: UpstreamInstance) -> ConnectionPool:
         pool = self._pools.get(instance.address)
--- a/packages/node/src/goldcrestridge_node/headers.py
+++ b/packages/node/src/goldcrestridge_node/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import re
 from collections.abc import Iterable
 
@@ -10,6 +11,18 @@
 
 Header = tuple[bytes, bytes]
 
+
+class BodyFraming(enum.Enum):
+    """What marks the end of a response body (RFC 9112, section 6.3)."""
+
+    NONE = "none"  # There is no body.
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"  # The end of the connection.
+
+
+BODILESS_STATUS = (204, 304)
+
 # Connection-specific headers of RFC 9110, section 7.6.1. The request side also drops content-length
 # and host, which are set for each connection.
 HOP_BY_HOP = frozenset(
@@ -35,11 +48,26 @@
 _DROPPED_FROM_RESPONSE = HOP_BY_HOP | {b"date", b"server"}
 
 
+def lower_names(headers: Iterable[Header]) -> Headers:
+    """Return the headers with their names in lower case."""
+    return tuple((name.lower(), value) for name, value in headers)
+
+
 def header_values(headers: Iterable[Header], name: bytes) -> list[bytes]:
     """Return all values of a header; ``name`` and the names in ``headers`` are in lower case."""
     return [value for key, value in headers if key == name]
 
 
+def body_framing(method: str, status: int, headers: Iterable[Header]) -> BodyFraming:
+    """Return the framing of a response; the names in ``headers`` are in lower case."""
+    names = {name for name, _ in headers}
+    if method == "HEAD" or status in BODILESS_STATUS:
+        return BodyFraming.NONE
+    if b"transfer-encoding" in names:
+        return BodyFraming.CHUNKED
+    return BodyFraming.LENGTH if b"content-length" in names else BodyFraming.CLOSE
+
+
 def rest_ms(status: int, headers: Iterable[Header]) -> float:
     """Return for how long an upstream that rejects a request wants no more, or 0.
 
@@ -57,7 +85,7 @@
 
 def response_headers(headers: Iterable[Header]) -> Headers:
     """Return the upstream's headers that are forwarded to the caller, with names in lower case."""
-    return _without([(name.lower(), value) for name, value in headers], _DROPPED_FROM_RESPONSE)
+    return _without(list(lower_names(headers)), _DROPPED_FROM_RESPONSE)
 
 
 def listed_by_connection(headers: Iterable[Header]) -> frozenset[bytes]:
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -385,6 +385,7 @@
         """Read a response to its end before any of it is sent to the caller."""
         async with aclosing(response.chunks()) as chunks:
             body = b"".join([chunk async for chunk in chunks])
+        self.record.add_body_end(response.framing)
         placement = self.gateway.dependencies.placement
         if self.exchange.started:
             return FailedAttempt(
@@ -440,6 +441,7 @@
                 if events:
                     await self._write_events(response, events)
         remainder = self._splitter.finish()
+        self.record.add_body_end(response.framing, len(remainder))
         self.gateway.dependencies.placement.record_success(response.instance, self._now_ms)
         self.record.set_outcome("passed_on", "", response.status)
         if not self.exchange.started:
--- a/packages/node/src/goldcrestridge_node/reports.py
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -15,12 +15,11 @@
 from goldcrestridge_core.types import (
     CacheEvents,
     Count,
-    Headers,
     LoadReport,
     UpstreamId,
     UpstreamResting,
 )
-from goldcrestridge_node.headers import LEAVING_HEADER, header_values, rest_ms
+from goldcrestridge_node.headers import LEAVING_HEADER, header_values, lower_names, rest_ms
 
 POLL_INTERVAL_MS = 500.0
 POLL_TIMEOUT_MS = 2_000.0
@@ -98,12 +97,13 @@
     ) -> int:
         """Deliver the load and the cache events after ``sequence``; return the last sequence."""
         response = await _get(pool, upstream, "/load")
-        rest = rest_ms(response.status, _headers(response))
+        headers = lower_names(response.headers)
+        rest = rest_ms(response.status, headers)
         if rest:
             self.deliver(UpstreamResting(upstream.name, rest, "load_report"))
             return sequence
         load = msgspec.json.decode(response.content, type=_Load)
-        leaving = header_values(_headers(response), LEAVING_HEADER) == [b"1"]
+        leaving = header_values(headers, LEAVING_HEADER) == [b"1"]
         self.deliver(
             LoadReport(
                 upstream.name,
@@ -136,7 +136,3 @@
     timeout: dict[str, Any] = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     url = f"http://{upstream.address}{path}"
     return await pool.request("GET", url, extensions={"timeout": timeout})
-
-
-def _headers(response: httpcore.Response) -> Headers:
-    return tuple((name.lower(), value) for name, value in response.headers)
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -10,6 +10,7 @@
 from goldcrestridge_core.engine_types import EngineFound
 from goldcrestridge_core.types import Count
 from goldcrestridge_core.upstream_notices import Avoidance
+from goldcrestridge_node.headers import BodyFraming
 
 # Bounds the length of a log line during the release of a large service.
 MAX_AVOIDED = 4
@@ -22,7 +23,8 @@
     ``routes_version`` and ``routes_age_ms`` are the version of the routes that were applied and the
     time since their confirmation. ``resumed_request_id`` names the attempt whose stream the caller
     takes up. ``versions`` holds the software version of the upstream of each attempt that was sent.
-    ``avoided`` holds the upstreams that were passed over because they leave or rest.
+    ``avoided`` holds the upstreams that were passed over because they leave or rest. ``body_ends``
+    holds the framing of each response that was read, with the bytes after its last event.
     """
 
     request_id: str
@@ -43,12 +45,18 @@
     resumed_request_id: str = ""
     versions: list[str] = field(factory=list)
     avoided: list[str] = field(factory=list)
+    body_ends: list[str] = field(factory=list)
 
     def add_attempt(self, instance: str, outcome: str, reason: str, took_ms: float) -> None:
         """Add an attempt to the log line."""
         entry = f"{instance} {outcome} {took_ms:.0f}ms"
         self.attempts.append(f"{entry} {reason}" if reason else entry)
 
+    def add_body_end(self, framing: BodyFraming, after_events: int = 0) -> None:
+        """Add the end of a response; ``after_events`` is in bytes."""
+        rest = f" {after_events} B after the last event" if after_events else ""
+        self.body_ends.append(f"{framing.value}{rest}")
+
     def add_admission(self, found: EngineFound) -> None:
         """Add the admission to an engine, with the wait that its owner expected."""
         if found.admitted:
@@ -104,5 +112,6 @@
             attempts=record.attempts,
             versions=record.versions,
             avoided=record.avoided,
+            body_ends=record.body_ends,
             resumed_request_id=record.resumed_request_id,
         )
--- a/packages/node/src/goldcrestridge_node/responses.py
+++ b/packages/node/src/goldcrestridge_node/responses.py
@@ -8,7 +8,7 @@
 from goldcrestridge_core.types import Headers, Outcome, Reason
 from goldcrestridge_node.answers import ResponseBuffer
 from goldcrestridge_node.exchange import Exchange
-from goldcrestridge_node.headers import header_values
+from goldcrestridge_node.headers import BODILESS_STATUS, header_values
 from goldcrestridge_node.refusals import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -17,7 +17,6 @@
 )
 
 END_MARKER = b"data: [DONE]\n\n"
-BODILESS_STATUS = (204, 304)
 
 _STATUS_BY_REASON = {
     Reason.CLAIM_CONFLICT: 422,
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -16,7 +16,6 @@
     AttemptEnd,
     AttemptFailed,
     AttemptHead,
-    Call,
     CallKind,
     CancelAttempt,
     StartAttempt,
@@ -36,12 +35,14 @@
 )
 from goldcrestridge_node.headers import (
     LEAVING_HEADER,
+    BodyFraming,
+    body_framing,
     header_values,
+    lower_names,
     response_headers,
     rest_ms,
 )
 from goldcrestridge_node.network import NetworkBackend
-from goldcrestridge_node.responses import BODILESS_STATUS
 from goldcrestridge_node.sse import EventReader, StreamError, StreamEvent, event_bytes
 
 UPSTREAM_ID_HEADER = b"x-request-id"
@@ -236,7 +237,8 @@
         if response.status == 503 and header_values(headers, LEAVING_HEADER) == [b"1"]:
             raise _UpstreamLeavingError
         events = start.call.stream and _is_event_stream(response.status, headers)
-        if not events and not _is_framed(start.call, response):
+        framing = body_framing(start.call.method, response.status, lower_names(response.headers))
+        if not events and framing is BodyFraming.CLOSE:
             raise _IncompleteResponseError("The upstream did not declare the length of its answer.")
         await self.emit(
             AttemptHead(
@@ -402,13 +404,6 @@
     return status == 200 and bool(kind) and kind[0].startswith(b"text/event-stream")
 
 
-def _is_framed(call: Call, response: httpcore.Response) -> bool:
-    """Return whether the framing distinguishes a cut response from a complete one."""
-    names = {name.lower() for name, _ in response.headers}
-    bodiless = call.method == "HEAD" or response.status in BODILESS_STATUS
-    return bodiless or b"content-length" in names or b"transfer-encoding" in names
-
-
 def _completion_tokens(data: bytes) -> int:
     try:
         response = msgspec.json.decode(data, type=_Answer)
