--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -92,6 +92,10 @@
         if end:
             await self.write(b"0\r\n\r\n")
 
+    def close(self) -> None:
+        """Close the connection after all that was written."""
+        self.writer.close()
+
     def reset(self) -> None:
         """Reset the connection."""
         abort(self.writer)
--- /dev/null
+++ b/tests/node/test_gateway_framing.py
@@ -0,0 +1,123 @@
+"""Tests of a gateway in front of upstreams that end their answers early or without framing."""
+
+from __future__ import annotations
+
+import httpcore
+import pytest
+from tests.node.gateway_helpers import (
+    Handler,
+    UpstreamExchange,
+    event,
+    running_gateway,
+    scripted,
+)
+
+pytestmark = pytest.mark.anyio
+
+HALF_EVENT = event(2)[:-4]
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+def stream_of(framing: str, body: bytes) -> Handler:
+    """Return a handler that sends an event stream, complete as its framing tells."""
+
+    async def handle(exchange: UpstreamExchange) -> None:
+        headers = {"content_type": "text/event-stream"}
+        if framing == "chunked":
+            head = exchange.head(200, transfer_encoding="chunked", **headers)
+            await exchange.write(head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body))
+        elif framing == "length":
+            await exchange.respond(200, body, **headers)
+        else:
+            await exchange.write(exchange.head(200, **headers) + body)
+            exchange.close()
+
+    return handle
+
+
+@pytest.mark.parametrize("framing", ["close", "chunked", "length"])
+async def test_a_stream_that_ends_inside_an_event_does_not_reach_its_caller_as_complete(
+    framing: str,
+) -> None:
+    # Guards against an answer that its upstream broke off and that is framed as complete.
+    upstream = scripted("a", stream_of(framing, event(1) + HALF_EVENT))
+    async with running_gateway(upstream) as running:
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await running.call("/stream/x")
+        assert running.log_lines[-1]["outcome"] == "broken_off"
+
+
+@pytest.mark.parametrize("framing", ["close", "chunked", "length"])
+async def test_a_stream_that_ends_inside_an_event_is_resumed_after_its_last_whole_event(
+    framing: str,
+) -> None:
+    # Guards against a resumable stream that ends early, or that repeats the half event.
+    broken = stream_of(framing, event(1) + HALF_EVENT)
+
+    async def begin_or_resume(exchange: UpstreamExchange) -> None:
+        if exchange.headers.get("last-event-id") == "1":
+            await exchange.stream(event(2))
+        else:
+            await broken(exchange)
+
+    upstreams = scripted("a", begin_or_resume), scripted("b", begin_or_resume)
+    async with running_gateway(*upstreams) as running:
+        assert (await running.call("/resume/x")).content == event(1) + event(2)
+
+
+async def test_a_stream_that_ends_inside_its_first_event_is_not_a_success() -> None:
+    # Guards against the half of an event in place of a stream whose upstream crashed as it began.
+    async with running_gateway(scripted("a", stream_of("close", HALF_EVENT))) as running:
+        assert (await running.call("/stream/x")).status == 502
+
+
+@pytest.mark.parametrize("framing", ["close", "chunked", "length"])
+@pytest.mark.parametrize("rest", [b"", b"\n", b"\r\n", b": the end\n"])
+async def test_a_stream_that_ends_between_events_is_complete(framing: str, rest: bytes) -> None:
+    # Guards against a sound stream that is reported as broken off.
+    body = event(1) + event(2) + rest
+    async with running_gateway(scripted("a", stream_of(framing, body))) as running:
+        assert (await running.call("/stream/x")).content == body
+        assert running.log_lines[-1]["outcome"] == "passed_on"
+
+
+async def test_a_stream_without_framing_that_is_reset_between_events_is_broken_off() -> None:
+    # Guards against a reset connection that counts as the end of its response.
+    async def broken(exchange: UpstreamExchange) -> None:
+        await exchange.write(exchange.head(200, content_type="text/event-stream") + event(1))
+        exchange.reset()
+
+    async with running_gateway(scripted("a", broken)) as running:
+        try:
+            response = await running.call("/stream/x")
+        except httpcore.RemoteProtocolError:
+            return
+        assert response.status == 502
+
+
+@pytest.mark.parametrize("path", ["/charge/x", "/read/x", "/stream/x"])
+async def test_an_answer_without_framing_is_whole_once_its_connection_is_closed(path: str) -> None:
+    # Guards against refusing sound answers that have neither a length nor chunks, and against
+    # reading an answer on a streaming route as events that it does not hold.
+    async def close_after(exchange: UpstreamExchange) -> None:
+        await exchange.write(exchange.head(200, content_type="application/json") + b'{"a": 1}')
+        exchange.close()
+
+    async with running_gateway(scripted("a", close_after)) as running:
+        response = await running.call(path)
+        assert (response.status, response.content) == (200, b'{"a": 1}')
+
+
+@pytest.mark.parametrize("path", ["/charge/x", "/read/x", "/stream/x"])
+async def test_an_answer_without_framing_whose_connection_is_reset_is_not_whole(path: str) -> None:
+    # Guards against passing on a part of an answer as all of it.
+    async def reset_inside(exchange: UpstreamExchange) -> None:
+        await exchange.write(exchange.head(200, content_type="application/json") + b'{"a"')
+        exchange.reset()
+
+    async with running_gateway(scripted("a", reset_inside)) as running:
+        assert (await running.call(path)).status == 502
