Break a stream off that its upstream ends inside an event

What callers saw: a stream whose upstream had crashed reached them as complete, with half an event at its end.

Cause: the relay took the end of the body for the end of the stream. It checked the framing of the transport only and passed on what followed the last whole event. An answer may have neither a length nor chunks, so that a crashed upstream's close is its end, and a chunked or counted body may stop inside an event as well.

Why this works: a stream is complete only if its framing is and nothing but blank lines and comments follows its last event. Otherwise the attempt has an unknown outcome: a resumable stream goes on after its last whole event, any other is closed without its end, and one without events is answered 502. A 200 on such a route that says that it holds something else is read as a whole answer, as on other routes.

--- a/packages/node/src/goldcrestridge_node/event_stream.py
+++ b/packages/node/src/goldcrestridge_node/event_stream.py
@@ -8,6 +8,8 @@
 
 _ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _END = re.compile(rb"\r?\n\r?\n")
+# Blank lines and comments, which a stream may end with.
+_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)*")
 
 
 @define(eq=False)
@@ -37,10 +39,15 @@
         """Drop the incomplete event at the end of a failed stream."""
         self._buffer = b""
 
-    def finish(self) -> bytes:
-        """Return the data after the last complete event of a stream that ended properly."""
-        remainder, self._buffer = self._buffer, b""
-        return remainder
+    @property
+    def remainder(self) -> bytes:
+        """Return the data after the last complete event."""
+        return self._buffer
+
+    @property
+    def inside_event(self) -> bool:
+        """Return whether the data received so far ends inside an event."""
+        return _BETWEEN_EVENTS.fullmatch(self._buffer) is None
 
     def _is_new(self, event: bytes) -> bool:
         found = _ID.search(event)
--- a/packages/node/src/goldcrestridge_node/headers.py
+++ b/packages/node/src/goldcrestridge_node/headers.py
@@ -68,6 +68,12 @@
     return BodyFraming.LENGTH if b"content-length" in names else BodyFraming.CLOSE
 
 
+def may_be_event_stream(headers: Iterable[Header]) -> bool:
+    """Return whether a response holds server-sent events, or does not say what it holds."""
+    kinds = header_values(headers, b"content-type")
+    return not kinds or kinds[0].lower().startswith(b"text/event-stream")
+
+
 def rest_ms(status: int, headers: Iterable[Header]) -> float:
     """Return for how long an upstream that rejects a request wants no more, or 0.
 
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -32,6 +32,7 @@
 from goldcrestridge_node.event_stream import EventSplitter
 from goldcrestridge_node.exchange import Exchange
 from goldcrestridge_node.gateway_parts import NOT_READY, AdmittedRequest
+from goldcrestridge_node.headers import may_be_event_stream
 from goldcrestridge_node.relay_refusals import CANNOT_RESUME, ORIGIN_NOT_FOUND, refusal_of
 from goldcrestridge_node.request_log import RequestRecord
 from goldcrestridge_node.request_permits import RequestPermits
@@ -367,7 +368,7 @@
             placement.set_reported_load(response.instance, response.head.load, now_ms)
         try:
             with anyio.fail_after(max(0.0, self._timeout_ms()) / MS_PER_SECOND):
-                if self.admitted.route.streams and response.status == 200:
+                if self._is_stream(response):
                     return await self._forward_stream(response)
                 return await self._forward_whole(response)
         except TimeoutError:
@@ -381,6 +382,14 @@
         finally:
             await response.aclose()
 
+    def _is_stream(self, response: UpstreamResponse) -> bool:
+        """Tell whether the response is forwarded event by event."""
+        return (
+            self.admitted.route.streams
+            and response.status == 200
+            and may_be_event_stream(response.head.forwarded_headers)
+        )
+
     async def _forward_whole(self, response: UpstreamResponse) -> UpstreamResponse | FailedAttempt:
         """Read a response to its end before any of it is sent to the caller."""
         async with aclosing(response.chunks()) as chunks:
@@ -440,8 +449,11 @@
                 events = self._splitter.feed(chunk)
                 if events:
                     await self._write_events(response, events)
-        remainder = self._splitter.finish()
+        remainder = self._splitter.remainder
         self.record.add_body_end(response.framing, len(remainder))
+        # The framing tells only that the upstream ended the body, not that it ended the stream.
+        if self._splitter.inside_event:
+            raise IncompleteResponseError("it ended inside an event")
         self.gateway.dependencies.placement.record_success(response.instance, self._now_ms)
         self.record.set_outcome("passed_on", "", response.status)
         if not self.exchange.started:
