End events at lines that end with CR alone

What callers saw: a stream whose lines end with CR was held back to its end, and since was broken off there, as it seemed to end inside an event. The server-sent events format allows CR, LF and CR LF.

Measured: six cases of the new tests failed before; all pass.

--- a/packages/node/src/goldcrestridge_node/event_stream.py
+++ b/packages/node/src/goldcrestridge_node/event_stream.py
@@ -6,10 +6,11 @@
 
 from attrs import define
 
-_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
-_END = re.compile(rb"\r?\n\r?\n")
+# A line may end with CR LF, LF or CR.
+_ID = re.compile(rb"(?:^|[\r\n])id: ?(\d+)(?:[\r\n]|$)")
+_END = re.compile(rb"(?:(?>\r\n|\n|\r)){2}")
 # Blank lines and comments, which a stream may end with.
-_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)*")
+_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
 
 
 @define(eq=False)
--- /dev/null
+++ b/tests/node/test_event_stream.py
@@ -0,0 +1,43 @@
+"""Tests of the division of a byte stream into events."""
+
+from __future__ import annotations
+
+import pytest
+from tests.node.gateway_helpers import event
+
+from goldcrestridge_node.event_stream import EventSplitter
+
+EVENTS = b": hello\n\n" + event(1) + event(2) + event(3)
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("step", [1, 2, 3, 7, 1_000])
+def test_each_kind_of_line_end_ends_events_wherever_reads_divide_them(
+    line_end: bytes, step: int
+) -> None:
+    # Guards against a sound stream that counts as broken off, and against repeated events, because
+    # its lines do not end with LF.
+    body = EVENTS.replace(b"\n", line_end)
+    for last_id in (None, 1, 2, 3):
+        splitter = EventSplitter(last_id)
+        passed_on = b"".join(
+            splitter.feed(body[start : start + step]) for start in range(0, len(body), step)
+        )
+        assert not splitter.inside_event
+        assert splitter.last_id == 3
+        expected = [number for number in (1, 2, 3) if last_id is None or number > last_id]
+        assert [number for number in (1, 2, 3) if b"piece %d" % number in passed_on] == expected
+        if last_id is None:
+            assert passed_on + splitter.remainder == body
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_a_stream_that_is_cut_anywhere_in_an_event_ends_inside_it(line_end: bytes) -> None:
+    # Guards against a cut that happens to look like the end of an event.
+    whole, half = (event(number).replace(b"\n", line_end) for number in (1, 2))
+    for end in range(1, len(half) - len(line_end)):
+        splitter = EventSplitter()
+        assert splitter.feed(whole + half[:end]) == whole
+        assert splitter.inside_event
+        splitter.restart()
+        assert splitter.feed(half) == half
