Fail streams without framing that are closed before their first event

What callers saw: an empty success in place of a stream whose upstream had crashed as it began. Neither length nor chunks tell such a close from an end, and a stream without any event is of no use to its caller, so it counts as broken off: 502, or the next attempt. A body that is framed as empty is complete as before.

Measured: the new test failed before.

--- a/packages/node/src/goldcrestridge_node/event_stream.py
+++ b/packages/node/src/goldcrestridge_node/event_stream.py
@@ -21,6 +21,7 @@
     """
 
     last_id: int | None = None
+    has_events: bool = False  # Also dropped ones.
     _buffer: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -30,15 +31,15 @@
         start = 0
         for end in _END.finditer(buffer):
             event = buffer[start : end.end()]
-            start = end.end()
+            start, self.has_events = end.end(), True
             if self._is_new(event):
                 events.append(event)
         self._buffer = buffer[start:]
         return b"".join(events)
 
     def restart(self) -> None:
-        """Drop the incomplete event at the end of a failed stream."""
-        self._buffer = b""
+        """Prepare for the next attempt; drop the incomplete event of the one before."""
+        self._buffer, self.has_events = b"", False
 
     @property
     def remainder(self) -> bytes:
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -32,7 +32,7 @@
 from goldcrestridge_node.event_stream import EventSplitter
 from goldcrestridge_node.exchange import Exchange
 from goldcrestridge_node.gateway_parts import NOT_READY, AdmittedRequest
-from goldcrestridge_node.headers import may_be_event_stream
+from goldcrestridge_node.headers import BodyFraming, may_be_event_stream
 from goldcrestridge_node.relay_refusals import CANNOT_RESUME, ORIGIN_NOT_FOUND, refusal_of
 from goldcrestridge_node.request_log import RequestRecord
 from goldcrestridge_node.request_permits import RequestPermits
@@ -454,6 +454,8 @@
         # The framing tells only that the upstream ended the body, not that it ended the stream.
         if self._splitter.inside_event:
             raise IncompleteResponseError("it ended inside an event")
+        if response.framing is BodyFraming.CLOSE and not self._splitter.has_events:
+            raise IncompleteResponseError("its connection was closed before the first event")
         self.gateway.dependencies.placement.record_success(response.instance, self._now_ms)
         self.record.set_outcome("passed_on", "", response.status)
         if not self.exchange.started:
--- a/tests/node/test_gateway_framing.py
+++ b/tests/node/test_gateway_framing.py
@@ -75,6 +75,20 @@
         assert (await running.call("/stream/x")).status == 502
 
 
+async def test_a_stream_without_framing_that_is_closed_before_its_first_event_is_not_a_success() -> (
+    None
+):
+    # Guards against an empty stream in place of one whose upstream crashed as it began.
+    async with running_gateway(scripted("a", stream_of("close", b""))) as running:
+        assert (await running.call("/stream/x")).status == 502
+
+
+async def test_a_stream_that_is_framed_as_empty_is_complete() -> None:
+    # Guards against failing a stream that its upstream itself ended without events.
+    async with running_gateway(scripted("a", stream_of("chunked", b"\n"))) as running:
+        assert (await running.call("/stream/x")).status == 200
+
+
 @pytest.mark.parametrize("framing", ["close", "chunked", "length"])
 @pytest.mark.parametrize("rest", [b"", b"\n", b"\r\n", b": the end\n"])
 async def test_a_stream_that_ends_between_events_is_complete(framing: str, rest: bytes) -> None:
