Refuse streams to callers of HTTP/1.0 on routes

What such callers saw: a stream that was broken off looked complete, since the end of the connection is the end of a response of unknown length in HTTP/1.0. The own interface refuses the version for this reason; routes did not. Whole answers carry a length and are served as before.

--- a/packages/node/src/goldcrestridge_node/edge.py
+++ b/packages/node/src/goldcrestridge_node/edge.py
@@ -27,6 +27,7 @@
 )
 from goldcrestridge_node.exchange import (
     OVERLOADED,
+    UNSUPPORTED_HTTP_VERSION,
     EdgeOptions,
     Exchange,
     Page,
@@ -42,7 +43,6 @@
 NOT_READY = Refusal(503, "not_ready", "The node has no configuration yet.", retry_after_ms=1000.0)
 NOT_FOUND = Refusal(404, "not_found", "There is nothing at this path.")
 METHOD_NOT_ALLOWED = Refusal(405, "method_not_allowed", "The path does not take this method.")
-UNSUPPORTED_HTTP_VERSION = Refusal(505, "http_version", "Only HTTP/1.1 is supported.", close=True)
 INTERNAL_ERROR = Refusal(500, "internal", "The router failed.", outcome=Outcome.UNKNOWN, close=True)
 
 
--- a/packages/node/src/goldcrestridge_node/exchange.py
+++ b/packages/node/src/goldcrestridge_node/exchange.py
@@ -27,6 +27,7 @@
 OVERLOADED = Refusal(
     503, "overloaded", "The node holds too many requests.", retry_after_ms=1000.0, close=True
 )
+UNSUPPORTED_HTTP_VERSION = Refusal(505, "http_version", "Only HTTP/1.1 is supported.", close=True)
 BODY_TOO_LARGE = Refusal(413, "body_too_large", "The request body is too large.", close=True)
 BODY_TOO_SLOW = Refusal(408, "body_timeout", "The request body took too long.", close=True)
 
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -16,7 +16,14 @@
 from goldcrestridge_core.types import Headers, Outcome, RequestId
 from goldcrestridge_node.dialect import CallerHead
 from goldcrestridge_node.dispatch import OutgoingRequest, UpstreamResponse
-from goldcrestridge_node.exchange import EdgeOptions, Exchange, Receive, Scope, Send
+from goldcrestridge_node.exchange import (
+    UNSUPPORTED_HTTP_VERSION,
+    EdgeOptions,
+    Exchange,
+    Receive,
+    Scope,
+    Send,
+)
 from goldcrestridge_node.gateway_parts import NOT_READY, AdmittedRequest, GatewayDependencies
 from goldcrestridge_node.headers import header_values
 from goldcrestridge_node.refusals import Refusal
@@ -167,6 +174,9 @@
         if route is None:
             return NO_ROUTE if current else NOT_READY
         record.route = route.name
+        if route.streams and scope["http_version"] != "1.1":
+            # HTTP/1.0 cannot show that a response of unknown length is cut.
+            return UNSUPPORTED_HTTP_VERSION
         workspace = None
         if table.workspaces and not route.public:
             workspace = table.workspace_for_key(head.key) if head.key else None
--- a/tests/node/test_gateway_framing.py
+++ b/tests/node/test_gateway_framing.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import httpcore
 import pytest
 from tests.node.gateway_helpers import (
+    KEY,
     Handler,
     UpstreamExchange,
     event,
@@ -75,9 +78,7 @@
         assert (await running.call("/stream/x")).status == 502
 
 
-async def test_a_stream_without_framing_that_is_closed_before_its_first_event_is_not_a_success() -> (
-    None
-):
+async def test_a_stream_that_is_closed_without_framing_and_events_is_not_a_success() -> None:
     # Guards against an empty stream in place of one whose upstream crashed as it began.
     async with running_gateway(scripted("a", stream_of("close", b""))) as running:
         assert (await running.call("/stream/x")).status == 502
@@ -135,3 +136,20 @@
 
     async with running_gateway(scripted("a", reset_inside)) as running:
         assert (await running.call(path)).status == 502
+
+
+async def test_a_caller_whose_protocol_cannot_show_a_cut_gets_no_stream() -> None:
+    # Guards against a stream that is broken off and looks complete to a caller of HTTP/1.0, where
+    # the end of the connection is the end of the response.
+    upstream = scripted("a", stream_of("close", event(1) + HALF_EVENT))
+    async with running_gateway(upstream) as running:
+        reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+        writer.write(
+            b"POST /stream/x HTTP/1.0\r\nhost: h\r\nx-api-key: %b\r\n"
+            b"x-goldcrestridge-request-id: r1\r\ncontent-length: 0\r\n\r\n" % KEY.encode()
+        )
+        answer = await reader.read()
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 505 ")
+        assert b"x-goldcrestridge-outcome: not_run" in answer
+        assert upstream.exchanges == []
