Let upstreams of the soak answer without length or chunks and break off

Cause: the soak's upstreams framed all their answers, so it could not see a stream that ended inside an event and was passed on as complete.

Change: the mode unframed: whole answers and streams that end with their connection; some streams are closed inside an event, some answers and streams are reset.

--- a/packages/lab/src/goldcrestridge_lab/soak_servers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_servers.py
@@ -63,10 +63,11 @@
     """An upstream; ``mode`` selects its fault, and each start has its own ``instance``.
 
     The modes are ``sound``, ``slow``, ``grey`` (some responses are 500), ``lost`` (some
-    connections are reset, also within a stream), ``full`` (some requests are refused) and
-    ``garbled`` (some responses are followed by an unsolicited one). ``version`` is that of its
-    software. While ``limit_per_second`` is set, all its responses name that limit. While ``rest_s``
-    is set, it rejects requests and asks for a rest of that length. ``born`` numbers its starts.
+    connections are reset, also within a stream), ``full`` (some requests are refused), ``garbled``
+    (some responses are followed by an unsolicited one) and ``unframed`` (responses have neither a
+    length nor chunks, and some are broken off). ``version`` is that of its software. While
+    ``limit_per_second`` is set, all its responses name that limit. While ``rest_s`` is set, it
+    rejects requests and asks for a rest of that length. ``born`` numbers its starts.
     """
 
     service: str
@@ -168,6 +169,10 @@
             abort(writer)
         elif request.start_line[1].startswith(STREAM_PREFIXES):
             await self._stream(request, request_id, writer)
+        elif self.mode == "unframed":
+            self._write_unframed(
+                writer, request_id, expected_body(request_id, request.start_line[1], body)
+            )
         else:
             answer = expected_body(request_id, request.start_line[1], body)
             self._write_response(writer, request_id, 200, answer)
@@ -179,19 +184,44 @@
     ) -> None:
         first = int(request.headers.get("last-event-id", "0")) + 1
         target, version = request.start_line[1], self.version
-        framing = (("content-type", "text/event-stream"), ("transfer-encoding", "chunked"))
-        writer.write(
-            encode_head("HTTP/1.1 200 OK", (*self._signature_headers(request_id), *framing))
-        )
+        chunked = self.mode != "unframed"
+        framing = (("transfer-encoding", "chunked"),) if chunked else ()
+        content_type = ("content-type", "text/event-stream")
+        headers = (*self._signature_headers(request_id), content_type, *framing)
+        writer.write(encode_head("HTTP/1.1 200 OK", headers))
         for number in range(first, STREAM_EVENTS + 1):
             if self.mode == "lost" and self.rng.random() < 0.2:
                 abort(writer)
                 return
             data = encode_event(target, number, version)
-            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            if not chunked and self.rng.random() < 0.1:
+                self._break_off(writer, data)
+                return
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
             await writer.drain()
             await asyncio.sleep(self.service_time_ms / MS_PER_SECOND)
-        writer.write(b"0\r\n\r\n")
+        if chunked:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
+
+    def _break_off(self, writer: asyncio.StreamWriter, event: bytes) -> None:
+        """End a stream inside an event, or reset its connection between two events."""
+        if self.rng.random() < 0.5:
+            writer.write(event[: self.rng.randrange(1, len(event))])
+            writer.close()
+        else:
+            abort(writer)
+
+    def _write_unframed(self, writer: asyncio.StreamWriter, request_id: str, body: bytes) -> None:
+        """Write a response that ends with its connection; reset some inside the body."""
+        head = encode_head("HTTP/1.1 200 OK", self._signature_headers(request_id))
+        if self.rng.random() < 0.3:
+            writer.write(head + body[: self.rng.randrange(len(body))])
+            abort(writer)
+        else:
+            writer.write(head + body)
+            writer.close()
 
     def _signature_headers(self, request_id: str) -> tuple[tuple[str, str], ...]:
         load = f"{self._busy},0,{self.slots}"
