Fail streams whose upstream sends bytes without end in place of events

What callers saw: nothing until their time limit, then 504, while the node collected all bytes that came and searched them again with each read, so that a few such streams could fill its memory.

Change: an event of over 1 MiB ends the attempt with an unknown outcome; what was searched for the end of an event is not searched again.

--- a/packages/node/src/goldcrestridge_node/event_stream.py
+++ b/packages/node/src/goldcrestridge_node/event_stream.py
@@ -9,6 +9,7 @@
 # A line may end with CR LF, LF or CR.
 _ID = re.compile(rb"(?:^|[\r\n])id: ?(\d+)(?:[\r\n]|$)")
 _END = re.compile(rb"(?:(?>\r\n|\n|\r)){2}")
+_END_BYTES = 4
 # Blank lines and comments, which a stream may end with.
 _BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
 
@@ -29,7 +30,8 @@
         buffer = self._buffer + data if self._buffer else data
         events = []
         start = 0
-        for end in _END.finditer(buffer):
+        # What was searched before is not searched again, since a long event has many parts.
+        for end in _END.finditer(buffer, max(0, len(self._buffer) - _END_BYTES + 1)):
             event = buffer[start : end.end()]
             start, self.has_events = end.end(), True
             if self._is_new(event):
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -42,6 +42,8 @@
 
 # An upstream receives the remaining time and ends by itself. This node waits for this much longer.
 UPSTREAM_GRACE_MS = 80.0
+# A longer event is taken for bytes that hold none.
+MAX_EVENT_BYTES = 1_048_576
 
 
 @define(eq=False)
@@ -447,6 +449,8 @@
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
                 events = self._splitter.feed(chunk)
+                if len(self._splitter.remainder) > MAX_EVENT_BYTES:
+                    raise IncompleteResponseError("an event is too long")
                 if events:
                     await self._write_events(response, events)
         remainder = self._splitter.remainder
--- a/tests/node/test_gateway_framing.py
+++ b/tests/node/test_gateway_framing.py
@@ -153,3 +153,16 @@
         assert answer.startswith(b"HTTP/1.1 505 ")
         assert b"x-goldcrestridge-outcome: not_run" in answer
         assert upstream.exchanges == []
+
+
+async def test_a_stream_that_never_ends_its_event_fails_at_once() -> None:
+    # Guards against bytes without end that fill the memory of the node until the deadline.
+    async def endless(exchange: UpstreamExchange) -> None:
+        await exchange.write(exchange.head(200, content_type="text/event-stream"))
+        while True:
+            await exchange.write(b"x" * 65_536)
+
+    async with running_gateway(scripted("a", endless)) as running:
+        response = await running.call("/stream/x", x_goldcrestridge_deadline_ms="60000")
+        assert response.status == 502
+        assert "too long" in running.log_lines[-1]["attempts"][0]
