Pass long answers on as they arrive instead of holding all of them

What callers saw: nothing of an answer until it was whole. A body without end, as from an upstream in trouble, was collected until the time limit, at the speed of the link, which a node's memory does not hold.

Change: an answer of over 1 MiB is passed on from there, at the pace of its caller. Once a part is sent no other attempt is made, and a break closes the connection without the end of the answer.

--- a/packages/core/src/goldcrestridge_core/forwarding.py
+++ b/packages/core/src/goldcrestridge_core/forwarding.py
@@ -66,6 +66,7 @@
     possible_runs: int = 0
     failed_attempts: int = 0
     streaming: bool = False  # The caller has received events.
+    committed: bool = False  # The caller has received a part that no other attempt can complete.
 
     def left_ms(self, now_ms: float) -> float:
         """Return the time left until the deadline; negative once it has passed."""
@@ -125,6 +126,8 @@
         """Return whether the deadline and the rules of the route allow one more attempt."""
         if self.left_ms(now_ms) < MIN_REMAINING_MS or failed_attempts >= MAX_ATTEMPTS:
             return False
+        if self.committed:
+            return False
         if not possible_runs:
             return True
         if not self.route.repeatable or (self.streaming and not self.route.resumable):
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
@@ -42,6 +43,9 @@
 
 # An upstream receives the remaining time and ends by itself. This node waits for this much longer.
 UPSTREAM_GRACE_MS = 80.0
+# A response up to this length is held until it is whole, so that a failure before that can be
+# reported or repaired by another attempt.
+MAX_WHOLE_RESPONSE_BYTES = 1_048_576
 # A longer event is taken for bytes that hold none.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -393,33 +397,65 @@
         )
 
     async def _forward_whole(self, response: UpstreamResponse) -> UpstreamResponse | FailedAttempt:
-        """Read a response to its end before any of it is sent to the caller."""
+        """Read a response to its end before any of it is sent to the caller.
+
+        One that is longer than MAX_WHOLE_RESPONSE_BYTES is passed on as it arrives from there.
+        """
+        parts: list[bytes] = []
+        size = 0
         async with aclosing(response.chunks()) as chunks:
-            body = b"".join([chunk async for chunk in chunks])
+            async for chunk in chunks:
+                parts.append(chunk)
+                size += len(chunk)
+                if size > MAX_WHOLE_RESPONSE_BYTES:
+                    return await self._forward_long(response, parts, chunks)
+        body = b"".join(parts)
         self.record.add_body_end(response.framing)
-        placement = self.gateway.dependencies.placement
         if self.exchange.started:
             return FailedAttempt(
                 AttemptOutcome.UNKNOWN,
                 f"The attempt to resume the stream got status {response.status}.",
                 upstream_fault=False,
             )
-        if response.status >= 500:
-            # An upstream that asks for a rest is busy, which says nothing about its health.
-            if not response.head.rest_ms:
-                placement.record_error_answer(response.instance, self._now_ms)
-            if self._may_retry_error(response.instance):
-                self._error_response = (response, body)
-                return FailedAttempt(
-                    AttemptOutcome.ERROR,
-                    f"The upstream answered with status {response.status}.",
-                    upstream_fault=False,
-                )
-        else:
-            placement.record_success(response.instance, self._now_ms)
+        self._report_answer(response)
+        if response.status >= 500 and self._may_retry_error(response.instance):
+            self._error_response = (response, body)
+            return FailedAttempt(
+                AttemptOutcome.ERROR,
+                f"The upstream answered with status {response.status}.",
+                upstream_fault=False,
+            )
         await self._write_whole(response, body)
         return response
 
+    async def _forward_long(
+        self, response: UpstreamResponse, parts: list[bytes], chunks: AsyncIterator[bytes]
+    ) -> UpstreamResponse:
+        """Pass a long response on as it arrives; it can't go on elsewhere once it has begun."""
+        if self.exchange.started or self.exchange.scope["http_version"] != "1.1":
+            raise IncompleteResponseError("it is too long to be held")
+        self.forwarding.committed = True
+        await self._start_response(response)
+        await self.exchange.write(b"".join(parts), more=True)
+        async for chunk in chunks:
+            await self.exchange.write(chunk, more=True)
+        self.record.add_body_end(response.framing)
+        self._report_answer(response)
+        self.record.set_outcome("passed_on", "", response.status)
+        await self.exchange.write(b"", more=False)
+        return response
+
+    def _report_answer(self, response: UpstreamResponse) -> None:
+        """Report a whole answer to the placement.
+
+        An upstream that asks for a rest is busy, which says nothing about its health.
+        """
+        placement = self.gateway.dependencies.placement
+        if response.status < 500:
+            placement.record_success(response.instance, self._now_ms)
+        elif not response.head.rest_ms:
+            placement.record_error_answer(response.instance, self._now_ms)
+
     async def _write_whole(self, response: UpstreamResponse, body: bytes) -> None:
         headers = (
             *self.gateway.caller_response_headers(response),
@@ -463,7 +499,7 @@
         self.gateway.dependencies.placement.record_success(response.instance, self._now_ms)
         self.record.set_outcome("passed_on", "", response.status)
         if not self.exchange.started:
-            await self._start_stream(response)
+            await self._start_response(response)
         await self.exchange.write(remainder, more=False)
         return response
 
@@ -471,14 +507,14 @@
         if not self.exchange.started:
             self.record.first_event_ms = self._now_ms - self.record.started_ms
             self._begin_stream(response.instance)
-            await self._start_stream(response)
+            await self._start_response(response)
         if not self._prefilled and self._ticket is not None:
             self._prefilled = True
             self.gateway.dependencies.engines.report_prefill_completed(self._ticket)
         self.forwarding.streaming = True
         await self.exchange.write(events, more=True)
 
-    async def _start_stream(self, response: UpstreamResponse) -> None:
+    async def _start_response(self, response: UpstreamResponse) -> None:
         await self.exchange.start(response.status, self.gateway.caller_response_headers(response))
 
     async def _send_final_answer(self, decision: Decision) -> None:
--- a/tests/node/test_gateway_framing.py
+++ b/tests/node/test_gateway_framing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import anyio
 import httpcore
 import pytest
 from tests.node.gateway_helpers import (
@@ -166,3 +167,57 @@
         response = await running.call("/stream/x", x_goldcrestridge_deadline_ms="60000")
         assert response.status == 502
         assert "too long" in running.log_lines[-1]["attempts"][0]
+
+
+@pytest.mark.parametrize("framing", ["close", "chunked", "length"])
+async def test_a_long_answer_is_passed_on_before_all_of_it_has_arrived(framing: str) -> None:
+    # Guards against holding answers of any length in memory, also such that never end.
+    part, count, passed_on = b"x" * 65_536, 64, anyio.Event()
+
+    async def long(exchange: UpstreamExchange) -> None:
+        headers: dict[str, str] = {
+            "close": {},
+            "chunked": {"transfer_encoding": "chunked"},
+            "length": {"content_length": str(len(part) * count)},
+        }[framing]
+        await exchange.write(exchange.head(200, **headers))
+        for number in range(count):
+            chunked = framing == "chunked"
+            await exchange.write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+            if number == count - 2:
+                await passed_on.wait()
+        await exchange.write(b"0\r\n\r\n" if framing == "chunked" else b"")
+        exchange.close()
+
+    async with running_gateway(scripted("a", long)) as running:
+        pool = httpcore.AsyncConnectionPool()
+        headers: dict[bytes | str, bytes | str] = {
+            "host": "h",
+            "x-api-key": KEY,
+            "x-goldcrestridge-request-id": "r1",
+        }
+        url = f"http://127.0.0.1:{running.port}/read/x"
+        async with pool, pool.stream("POST", url, headers=headers) as response:
+            size = 0
+            async for chunk in response.aiter_stream():
+                size += len(chunk)
+                passed_on.set()
+        assert (response.status, size) == (200, len(part) * count)
+        assert running.log_lines[-1]["outcome"] == "passed_on"
+
+
+async def test_a_long_answer_that_breaks_off_is_neither_repeated_nor_complete() -> None:
+    # Guards against a second answer behind the part of a first one.
+    async def broken(exchange: UpstreamExchange) -> None:
+        await exchange.write(exchange.head(200, transfer_encoding="chunked"))
+        part = b"%x\r\n%b\r\n" % (65_536, b"x" * 65_536)
+        for _ in range(32):
+            await exchange.write(part)
+        exchange.close()
+
+    upstreams = scripted("a", broken), scripted("b", broken)
+    async with running_gateway(*upstreams) as running:
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await running.call("/read/x")
+        assert sum(len(upstream.exchanges) for upstream in upstreams) == 1
+        assert running.log_lines[-1]["outcome"] == "broken_off"
