Read rejections in part only that send bytes without end

An upstream that rejects a request may send any number of bytes with it. All that came in 50 ms was collected; now at most 64 KiB are read, and the connection is closed.

--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -23,6 +23,9 @@
 from goldcrestridge_node.headers import BodyFraming, body_framing, lower_names
 from goldcrestridge_node.network import NetworkBackend
 
+# A rejection that is not read to its end within both only loses its connection.
+DRAIN_TIMEOUT_MS = 50.0
+MAX_DRAINED_BYTES = 65_536
 CONNECTION_ERRORS = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
 
 
@@ -201,7 +204,7 @@
             self.observe(instance, head, sent_ms)
         if failure is not None:
             if failure.outcome is AttemptOutcome.NOT_RUN:
-                await _drain(response)
+                await drain_rejection(response, conn)
             return failure
         framing = body_framing(request.method, response.status, headers)
         return UpstreamResponse(response.status, head, instance, framing, response, conn, pool)
@@ -247,14 +250,19 @@
     return None
 
 
-async def _drain(response: httpcore.Response) -> None:
-    """Read a short refusal to its end, so that its connection can be reused."""
+async def drain_rejection(response: httpcore.Response, conn: UpstreamConnection) -> None:
+    """Read a short rejection to its end, so that its connection can be reused."""
+    unread = MAX_DRAINED_BYTES
     try:
-        with anyio.move_on_after(0.05):
-            await response.aread()
+        with anyio.move_on_after(DRAIN_TIMEOUT_MS / MS_PER_SECOND):
+            async with aclosing(conn.body()) as chunks:
+                async for chunk in chunks:
+                    unread -= len(chunk)
+                    if unread < 0:
+                        break
         await response.aclose()
     except CONNECTION_ERRORS:
-        return  # The refusal is already known; only the connection cannot be reused.
+        return  # The rejection is already known; only the connection cannot be reused.
 
 
 async def _release(pool: ConnectionPool, conn: UpstreamConnection) -> None:
--- a/tests/node/test_gateway_framing.py
+++ b/tests/node/test_gateway_framing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from typing import cast
 
 import anyio
 import httpcore
@@ -16,6 +18,9 @@
     scripted,
 )
 
+from goldcrestridge_node.connections import UpstreamConnection
+from goldcrestridge_node.dispatch import drain_rejection
+
 pytestmark = pytest.mark.anyio
 
 HALF_EVENT = event(2)[:-4]
@@ -221,3 +226,26 @@
             await running.call("/read/x")
         assert sum(len(upstream.exchanges) for upstream in upstreams) == 1
         assert running.log_lines[-1]["outcome"] == "broken_off"
+
+
+async def test_a_rejection_with_bytes_without_end_is_read_in_part_only() -> None:
+    # Guards against a rejection whose body fills the memory of the node.
+    read: list[int] = []
+
+    class Connection:
+        async def body(self) -> AsyncIterator[bytes]:
+            while sum(read) < 100 * 65_536:
+                read.append(65_536)
+                yield b"x" * 65_536
+
+    class Response:
+        async def aread(self) -> bytes:
+            return b"".join([chunk async for chunk in Connection().body()])
+
+        async def aclose(self) -> None:
+            pass
+
+    await drain_rejection(
+        cast(httpcore.Response, Response()), cast(UpstreamConnection, Connection())
+    )
+    assert sum(read) <= 3 * 65_536
