Bound requests for lists and load reports in time and size

An upstream or a platform that sends bytes without end in place of a reply filled the memory of the node that polled it, or, where each read brought a few, stopped that poll for good, since the time limits of httpcore hold for each read.

--- a/packages/node/src/goldcrestridge_node/platform.py
+++ b/packages/node/src/goldcrestridge_node/platform.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from typing import Any
 
 import anyio
 import httpcore
@@ -14,6 +13,7 @@
 from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.member_types import Member, PlatformList, PlatformVm
 from goldcrestridge_core.types import Count, UpstreamLeaving
+from goldcrestridge_node.polling import get
 
 POLL_INTERVAL_MS = 2_000.0
 POLL_TIMEOUT_MS = 2_000.0
@@ -50,12 +50,10 @@
 
     async def run(self) -> None:
         """Poll until cancelled; count and skip a list that cannot be read."""
-        timeout_s = POLL_TIMEOUT_MS / MS_PER_SECOND
-        timeout: dict[str, Any] = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
         async with httpcore.AsyncConnectionPool() as pool:
             while True:
                 try:
-                    response = await pool.request("GET", self.url, extensions={"timeout": timeout})
+                    response = await get(pool, self.url, POLL_TIMEOUT_MS)
                     self._deliver(msgspec.json.decode(response.content, type=Listing))
                 except (
                     httpcore.NetworkError,
--- a/packages/node/src/goldcrestridge_node/reports.py
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import anyio
 import httpcore
@@ -19,7 +18,8 @@
     UpstreamId,
     UpstreamResting,
 )
-from goldcrestridge_node.headers import LEAVING_HEADER, header_values, lower_names, rest_ms
+from goldcrestridge_node.headers import LEAVING_HEADER, header_values, rest_ms
+from goldcrestridge_node.polling import Reply, get
 
 POLL_INTERVAL_MS = 500.0
 POLL_TIMEOUT_MS = 2_000.0
@@ -97,13 +97,12 @@
     ) -> int:
         """Deliver the load and the cache events after ``sequence``; return the last sequence."""
         response = await _get(pool, upstream, "/load")
-        headers = lower_names(response.headers)
-        rest = rest_ms(response.status, headers)
+        rest = rest_ms(response.status, response.headers)
         if rest:
             self.deliver(UpstreamResting(upstream.name, rest, "load_report"))
             return sequence
         load = msgspec.json.decode(response.content, type=_Load)
-        leaving = header_values(headers, LEAVING_HEADER) == [b"1"]
+        leaving = header_values(response.headers, LEAVING_HEADER) == [b"1"]
         self.deliver(
             LoadReport(
                 upstream.name,
@@ -129,10 +128,5 @@
         return page.events[-1].sequence
 
 
-async def _get(
-    pool: httpcore.AsyncConnectionPool, upstream: Upstream, path: str
-) -> httpcore.Response:
-    timeout_s = POLL_TIMEOUT_MS / MS_PER_SECOND
-    timeout: dict[str, Any] = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
-    url = f"http://{upstream.address}{path}"
-    return await pool.request("GET", url, extensions={"timeout": timeout})
+async def _get(pool: httpcore.AsyncConnectionPool, upstream: Upstream, path: str) -> Reply:
+    return await get(pool, f"http://{upstream.address}{path}", POLL_TIMEOUT_MS)
