--- a/packages/lab/src/goldcrestridge_lab/soak.py
+++ b/packages/lab/src/goldcrestridge_lab/soak.py
@@ -385,7 +385,9 @@
 
     async def _upstream_mode(self, rng: random.Random) -> None:
         upstream = rng.choice(self.upstreams)
-        upstream.mode = rng.choice(("slow", "grey", "lost", "full", "garbled", "unframed"))
+        upstream.mode = rng.choice(
+            ("slow", "grey", "lost", "full", "garbled", "unframed", "endless")
+        )
         await self._hold_fault(rng, upstream.instance)
         upstream.mode = "sound"
 
--- a/packages/lab/src/goldcrestridge_lab/soak_servers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_servers.py
@@ -64,10 +64,11 @@
 
     The modes are ``sound``, ``slow``, ``grey`` (some responses are 500), ``lost`` (some
     connections are reset, also within a stream), ``full`` (some requests are refused), ``garbled``
-    (some responses are followed by an unsolicited one) and ``unframed`` (responses have neither a
-    length nor chunks, and some are broken off). ``version`` is that of its software. While
-    ``limit_per_second`` is set, all its responses name that limit. While ``rest_s`` is set, it
-    rejects requests and asks for a rest of that length. ``born`` numbers its starts.
+    (some responses are followed by an unsolicited one), ``unframed`` (responses have neither a
+    length nor chunks, and some are broken off) and ``endless`` (some responses are bytes without
+    end). ``version`` is that of its software. While ``limit_per_second`` is set, all its responses
+    name that limit. While ``rest_s`` is set, it rejects requests and asks for a rest of that
+    length. ``born`` numbers its starts.
     """
 
     service: str
@@ -167,6 +168,8 @@
             self._write_response(writer, request_id, 500, b"failed")
         elif self.mode == "lost" and self.rng.random() < 0.5:
             abort(writer)
+        elif self.mode == "endless" and self.rng.random() < 0.5:
+            await self._write_endless(writer, request_id)
         elif request.start_line[1].startswith(STREAM_PREFIXES):
             await self._stream(request, request_id, writer)
         elif self.mode == "unframed":
@@ -213,6 +216,15 @@
         else:
             abort(writer)
 
+    async def _write_endless(self, writer: asyncio.StreamWriter, request_id: str) -> None:
+        """Write bytes that are no answer until the connection is closed."""
+        if self.rng.random() < 0.5:
+            writer.write(encode_head("HTTP/1.1 200 OK", self._signature_headers(request_id)))
+        while True:
+            writer.write(b"x" * 4_096)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+
     def _write_unframed(self, writer: asyncio.StreamWriter, request_id: str, body: bytes) -> None:
         """Write a response that ends with its connection; reset some inside the body."""
         head = encode_head("HTTP/1.1 200 OK", self._signature_headers(request_id))
