Test a power loss of all nodes in which a disk is lost

The simulated disks now lose what was not synced. The test cuts the power right after a change was acknowledged, or at any time after it was sent, wipes one of three disks, and expects the change, one log of three replicas, and the next change.

--- a/tests/core/control_net.py
+++ b/tests/core/control_net.py
@@ -45,11 +45,27 @@
 
 @define
 class Disk:
-    """Contents of one node's disk; a record is durable once its sync was reported."""
+    """Contents of one node's disk; a record is durable once its sync was reported.
+
+    ``written_ms`` holds the time of the write of each record, and ``snapshots`` the last two
+    snapshots with theirs.
+    """
 
     replica: Replica
     records: list[Any] = field(factory=list)
-    snapshot: Any = None
+    written_ms: list[float] = field(factory=list)
+    snapshots: list[tuple[float, Any]] = field(factory=list)
+
+    @property
+    def snapshot(self) -> Any:
+        """Return the last snapshot, or None."""
+        return self.snapshots[-1][1] if self.snapshots else None
+
+    def lose_power(self, now_ms: float) -> None:
+        """Drop what was not synced."""
+        kept = sum(written_ms + SYNC_MS <= now_ms for written_ms in self.written_ms)
+        del self.records[kept:], self.written_ms[kept:]
+        self.snapshots = [item for item in self.snapshots if item[0] + SYNC_MS <= now_ms]
 
 
 @define
@@ -120,6 +136,13 @@
         if wipe:
             self.disks.pop(node, None)
 
+    def lose_power(self, wiped: Iterable[NodeId] = ()) -> None:
+        """Stop all nodes at once; what was not synced is lost, and all of the ``wiped`` disks."""
+        for node in self.nodes:
+            self.kill(node, wipe=node in wiped)
+        for disk in self.disks.values():
+            disk.lose_power(self.now_ms)
+
     def fail_disk(self, node: NodeId) -> None:
         """Close a node's replica, as after a failed write."""
         self.post(node, ReplicaClosed())
@@ -196,10 +219,13 @@
                         event = Receive(node, codec.decode(codec.encode(message)).unwrap())
                         self._schedule(self._rng.uniform(*DELAY_MS), to, event)
                 case WriteLog(records=records, token=token):
-                    self.disks[node].records.extend(records)
+                    disk = self.disks[node]
+                    disk.records.extend(records)
+                    disk.written_ms.extend(self.now_ms for _ in records)
                     self._schedule(SYNC_MS, node, LogSynced(token))
                 case WriteSnapshot(snapshot=snapshot, token=token):
-                    self.disks[node].snapshot = snapshot
+                    disk = self.disks[node]
+                    disk.snapshots = [*disk.snapshots[-1:], (self.now_ms, snapshot)]
                     self._schedule(SYNC_MS, node, LogSynced(token))
                 case TruncateLog():
                     pass
--- a/tests/core/test_control.py
+++ b/tests/core/test_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 import pytest
@@ -237,3 +238,44 @@
     net.kill(B, wipe=True)
     net.run(6_000.0)
     commit(net, D, 2)
+
+
+@pytest.mark.parametrize("acknowledged", [True, False])
+@pytest.mark.parametrize("seed", range(9))
+def test_changes_outlast_a_power_loss_of_all_nodes_in_which_a_disk_is_lost(
+    seed: int, acknowledged: bool
+) -> None:
+    # Guards against an acknowledged change that only the lost disk and unsynced writes held, and
+    # against a log that does not go on, or begins anew, after all nodes were down at once.
+    net = formed_net(seed)
+    entry, diskless, rng = NodeId("x:2"), NodeId("e:1"), random.Random(seed)
+    net.start_control(diskless, bootstrap=False, disk=False)
+    net.start_follower(entry, SEEDS)
+    commit(net, A, 1)
+    if rng.random() < 0.5:
+        net.partition({rng.choice(SEEDS)})  # Both other replicas hold the change.
+    name = net.replace(diskless, 2, b"v2")
+    sent_ms = net.now_ms
+    cut_ms = sent_ms + (3_500.0 if acknowledged else rng.uniform(0.5, 20.0))
+    while net.now_ms < cut_ms and (name not in net.answers or not acknowledged):
+        net.run(0.1)
+    assert (name in net.answers) >= acknowledged
+    accepted = name in net.answers and net.answers[name] is not None
+    net.lose_power(wiped={SEEDS[seed % 3]})
+    net.partition(())
+    net.run(rng.uniform(100.0, 3_000.0))
+    control = [*SEEDS, diskless]
+    rng.shuffle(control)
+    for node in control:
+        net.start_control(node, bootstrap=False, disk=node in SEEDS)
+        net.run(rng.uniform(0.0, 100.0))
+    follower = net.start_follower(entry, SEEDS)
+    net.run(12_000.0)
+    read = net.read(diskless)
+    net.run(2_000.0)
+    document = net.document(read)
+    assert document is not None
+    assert document.version in ((2,) if accepted else (1, 2))
+    assert follower.version == document.version
+    commit(net, A, 3)
+    assert len(net.voters_of(net.leaders()[0])) == 3
