Keep a rest while the list lacks the run that asked for it

What upstreams saw: a run that asked for a rest, and was missing from the platform's list for 5 s or shown as leaving for a time, got requests again in its rest. Being listed again counted as a restart even where the list tells the start of each run, so that it is known to be the same one.

--- a/packages/core/src/goldcrestridge_core/upstream_notices.py
+++ b/packages/core/src/goldcrestridge_core/upstream_notices.py
@@ -115,14 +115,16 @@
         """Apply a new list of instances.
 
         An instance that is listed as ready after it was listed as leaving, or was not listed for a
-        time, has been started again, and what it said before no longer holds.
+        time, has been started again, and what it said before no longer holds. If the list tells
+        when runs were started, it is the same run, and a rest that it asked for goes on.
         """
         listed = {item.life: item for item in instances}
         for name, item in listed.items():
             life = self._lives.setdefault(name, _Life())
             was_gone = now_ms - life.unlisted_ms >= RESTART_GAP_MS
             if not item.leaving and (life.listed_leaving or was_gone):
-                life = self._lives[name] = _Life(began_ms=now_ms)
+                rest_until_ms = life.rest_until_ms if item.born else -math.inf
+                life = self._lives[name] = _Life(rest_until_ms=rest_until_ms, began_ms=now_ms)
             life.unlisted_ms, life.listed_leaving = math.inf, item.leaving
         for name, life in self._lives.items():
             if name not in listed:
@@ -130,7 +132,7 @@
         self._lives = {
             name: life
             for name, life in self._lives.items()
-            if now_ms - life.unlisted_ms < UNLISTED_KEEP_MS
+            if now_ms - life.unlisted_ms < UNLISTED_KEEP_MS or life.rest_until_ms > now_ms
         }
         ends = (max(life.rest_until_ms, life.peer_rest_until_ms) for life in self._lives.values())
         leaves = any(life.leaves for life in self._lives.values())
--- a/tests/core/test_upstream_notices.py
+++ b/tests/core/test_upstream_notices.py
@@ -254,3 +254,19 @@
     fleet = NoticeFleet(1, machines=60)
     fleet.run(3_000.0)
     assert 0 < len(merges) <= 3_000.0 / publisher.NOTICES_INTERVAL_MS + 1
+
+
+@pytest.mark.parametrize("absent_ms", [0.0, RESTART_GAP_MS, 40_000.0])
+def test_a_rest_outlasts_the_absence_of_a_run_from_the_list(absent_ms: float) -> None:
+    # Guards against requests in a rest because the list lacked the entry of the run, or showed it
+    # as leaving for a time. The time of its start tells that it is the same run.
+    state = notices(upstream())
+    state.observe(upstream(), False, 60_000.0, 0.0, 100.0)
+    state.set_listed([evolve(upstream(), leaving=True)], 1_000.0)
+    for now_ms in range(2_000, 2_000 + int(absent_ms), 1_000):
+        state.set_listed([], float(now_ms))
+    back_ms = 2_000.0 + absent_ms
+    state.set_listed([upstream()], back_ms)
+    assert state.usability(upstream(), back_ms) is Usability.NONE
+    assert state.rest_left_ms(upstream(), back_ms) is not None
+    assert state.usability(upstream(born=8), back_ms) is Usability.FREE
