Obey notices in answers that are not known to be those of their request

What upstreams saw: one that asked for a rest in answers which named another request got requests again in its rest, as often as its failures let it be tried. Whatever request an answer belongs to, its upstream said it; so a notice that it leaves or rests counts. Nothing else in such an answer does, and asking for a rest is no failure of health.

--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -124,14 +124,17 @@
     """Send requests to upstream instances, with one bounded connection pool for each address.
 
     ``observe`` is called with the head of each valid answer, also of a rejection, and with the
-    monotonic time in milliseconds at which its request was sent. ``withheld`` is asked right before
-    a request is sent; unless it returns an empty text, the request is not sent for that reason.
+    monotonic time in milliseconds at which its request was sent. ``observe_notice`` is called with
+    an answer that is not known to be that of the request, if its upstream says in it that it leaves
+    or wants no requests. ``withheld`` is asked right before a request is sent; unless it returns an
+    empty text, the request is not sent for that reason.
     """
 
     dialect: Dialect
     clock: Clock
     options: DispatchOptions = Factory(DispatchOptions)
     observe: Callable[[UpstreamInstance, UpstreamResponseHead, float], None] = _ignore
+    observe_notice: Callable[[UpstreamInstance, UpstreamResponseHead, float], None] = _ignore
     withheld: Callable[[UpstreamInstance], str] = _send_always
     _pools: dict[str, ConnectionPool] = field(init=False, factory=dict)
     _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=NetworkBackend)
@@ -200,6 +203,8 @@
             failure = FailedAttempt(
                 AttemptOutcome.UNKNOWN, "The response is not known to be that of this request."
             )
+            if (head.leaving or head.rest_ms) and not head.misdirected:
+                self.observe_notice(instance, head, sent_ms)
         if failure is None or failure.rejected:
             self.observe(instance, head, sent_ms)
         if failure is not None:
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -127,6 +127,7 @@
             self.hooks.dialect,
             self.clock,
             observe=self._observe,
+            observe_notice=self._observe_notice,
             withheld=lambda item: self.placement.withheld(item, self.clock.now_ms()),
         )
         self._engines = EngineAdmissionClient(lambda event: self.driver.post(event))
@@ -190,6 +191,13 @@
         name, limit, now_ms = instance.instance, head.limit_per_second, self.clock.now_ms()
         if self.placement.limits.observe(name, limit, sent_ms, now_ms):
             self._log.info("upstream_limit", instance=name, per_second=limit)
+        self._observe_notice(instance, head, sent_ms)
+
+    def _observe_notice(
+        self, instance: UpstreamInstance, head: UpstreamResponseHead, sent_ms: float
+    ) -> None:
+        """Record the notices in an answer of an upstream."""
+        now_ms = self.clock.now_ms()
         for change in self.placement.notices.observe(
             instance, head.leaving, head.rest_ms, sent_ms, now_ms
         ):
--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -284,6 +284,12 @@
     def observe(instance: UpstreamInstance, head: UpstreamResponseHead, sent_ms: float) -> None:
         now_ms = clock.now_ms()
         placement.limits.observe(instance.instance, head.limit_per_second, sent_ms, now_ms)
+        observe_notice(instance, head, sent_ms)
+
+    def observe_notice(
+        instance: UpstreamInstance, head: UpstreamResponseHead, sent_ms: float
+    ) -> None:
+        now_ms = clock.now_ms()
         placement.notices.observe(instance, head.leaving, head.rest_ms, sent_ms, now_ms)
 
     dependencies = GatewayDependencies(
@@ -294,6 +300,7 @@
             DIALECT,
             clock,
             observe=observe,
+            observe_notice=observe_notice,
             withheld=lambda item: placement.withheld(item, clock.now_ms()),
         ),
         WindowBudget(0.2, 60.0, 10_000.0),
