Tell the shard owner of a rest in an answer that cannot be passed on

What upstreams of pools saw: one that asked for a rest in a rejection without a length, or in one that named another call, got the next requests at once, since such an answer was a plain failure before its notice was read.

Change: a failed attempt carries the rest. The entry node and the shard owner obey it as one in a sound answer, and it is no failure of health.

Measured: the three new cases fail if the rest is not filled in or not read (tried each).

--- a/packages/core/src/goldcrestridge_core/call_types.py
+++ b/packages/core/src/goldcrestridge_core/call_types.py
@@ -116,7 +116,8 @@
     """Event: the attempt failed.
 
     ``sent`` is False only if it is certain that no byte of the request reached the upstream.
-    ``leaving`` tells whether the upstream refused the request because it is leaving.
+    ``leaving`` tells whether the upstream refused the request because it is leaving, ``rest_ms``
+    for how long it wants no requests.
     """
 
     request_id: RequestId
@@ -124,6 +125,7 @@
     sent: bool
     reason: str
     leaving: bool = False
+    rest_ms: float = 0.0
 
 
 @frozen
--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -443,8 +443,15 @@
                 if not_accepted and not req.answer.has_head:
                     end = GrantEnd.LEAVING if event.leaving else GrantEnd.CONNECT_FAILED
                     return self._reroute(req, now_ms, end, event.reason)
-                end = GrantEnd.LEAVING if event.leaving else GrantEnd.FAILED
-                return self._retry_or_fail(req, now_ms, event.reason, end)
+                return self._handle_failure(req, event, now_ms)
+
+    def _handle_failure(self, req: InFlight, event: AttemptFailed, now_ms: float) -> list[Any]:
+        """Retry a request whose attempt may have run it, or report its failure."""
+        heard = self._slots.hear_answer(req.shard, req.upstream, False, event.rest_ms, now_ms)
+        end = GrantEnd.LEAVING if event.leaving else GrantEnd.FAILED
+        # An upstream that asks for a rest is busy, which says nothing about its health.
+        end = GrantEnd.CANCELLED if event.rest_ms else end
+        return [*heard, *self._retry_or_fail(req, now_ms, event.reason, end)]
 
     def _handle_head(self, req: InFlight, event: AttemptHead, now_ms: float) -> list[Any]:
         """Apply a response head; a server error is retried on another upstream if allowed."""
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -73,7 +73,14 @@
 
 
 class _IncompleteResponseError(Exception):
-    """Raised for a response that did not end properly; the text is sent to the caller."""
+    """Raised for a response that cannot be passed on; the text is sent to the caller.
+
+    ``rest_ms`` is for how long the upstream wants no requests.
+    """
+
+    def __init__(self, text: str, rest_ms: float = 0.0) -> None:
+        super().__init__(text)
+        self.rest_ms = rest_ms
 
 
 class _UpstreamLeavingError(Exception):
@@ -174,7 +181,9 @@
             await self._emit_failure(
                 start, sent=True, reason="The upstream is leaving.", leaving=True
             )
-        except (_IncompleteResponseError, StreamError) as exc:
+        except _IncompleteResponseError as exc:
+            await self._emit_failure(start, sent=True, reason=str(exc), rest=exc.rest_ms)
+        except StreamError as exc:
             await self._emit_failure(start, sent=True, reason=str(exc))
         except httpcore.TimeoutException as exc:
             reason = f"The upstream timed out: {type(exc).__name__}."
@@ -186,9 +195,15 @@
             await pool.release(conn)
 
     async def _emit_failure(
-        self, start: StartAttempt, *, sent: bool, reason: str, leaving: bool = False
+        self,
+        start: StartAttempt,
+        *,
+        sent: bool,
+        reason: str,
+        leaving: bool = False,
+        rest: float = 0.0,
     ) -> None:
-        failed = AttemptFailed(start.request_id, start.attempt, sent, reason, leaving)
+        failed = AttemptFailed(start.request_id, start.attempt, sent, reason, leaving, rest)
         await self.emit(failed)
 
     def _pool(self, name: UpstreamId) -> ConnectionPool:
@@ -224,7 +239,10 @@
         named = header_values(response_headers(response.headers), UPSTREAM_ID_HEADER)
         try:
             if not conn.accepts(named[0] if named else None, start.request_id.encode()):
-                raise _IncompleteResponseError("The answer is not known to be that of this call.")
+                raise _IncompleteResponseError(
+                    "The answer is not known to be that of this call.",
+                    rest_ms(response.status, lower_names(response.headers)),
+                )
             await self._report_response(start, response, resumes)
         finally:
             await response.aclose()
@@ -239,7 +257,10 @@
         events = start.call.stream and _is_event_stream(response.status, headers)
         framing = body_framing(start.call.method, response.status, lower_names(response.headers))
         if not events and framing is BodyFraming.CLOSE:
-            raise _IncompleteResponseError("The upstream did not declare the length of its answer.")
+            raise _IncompleteResponseError(
+                "The upstream did not declare the length of its answer.",
+                rest_ms(response.status, headers),
+            )
         await self.emit(
             AttemptHead(
                 start.request_id,
--- a/tests/core/test_pool_notices.py
+++ b/tests/core/test_pool_notices.py
@@ -86,6 +86,21 @@
     assert types.GrantEnd.FAILED not in ends
 
 
+def test_a_rest_in_an_answer_that_cannot_be_passed_on_is_told_to_the_owner() -> None:
+    # Guards against requests in a rest that was asked for without a length, or to no known request.
+    fleet = start_fleet(3)
+    entry = first_entry(fleet)
+    run = run_until_started(fleet, fleet.request(entry, make_call()))
+    ids = run.start.request_id, run.start.attempt
+    run.active = False
+    fleet.event(entry, AttemptFailed(*ids, sent=True, reason="unframed", rest_ms=2_000.0))
+    notices = sent(fleet, UpstreamResting)
+    assert [(item.upstream, item.left_ms) for item in notices] == [(run.start.upstream, 2_000.0)]  # type: ignore[attr-defined]
+    assert fleet.entries[entry].is_withheld(run.start.upstream, fleet.now_ms + 1_999.0)
+    ends = [item.end for item in sent(fleet, types.SlotRelease)]  # type: ignore[attr-defined]
+    assert types.GrantEnd.FAILED not in ends
+
+
 def test_the_next_owner_learns_what_an_upstream_said() -> None:
     # Guards against an upstream that is in use again after its shard has changed owners (P6).
     fleet = start_fleet(0)
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -333,6 +333,33 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 503 X\r\nretry-after: 3\r\n\r\n",
+        b"HTTP/1.1 503 X\r\nretry-after: 3\r\nx-request-id: z\r\ncontent-length: 0\r\n\r\n",
+    ],
+)
+def test_a_rest_counts_in_an_answer_that_cannot_be_passed_on(head: bytes) -> None:
+    # Guards against requests in a rest that was asked for without a length, or to another call.
+    async def serve_one(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await read_until(stream, b'"priority":3}')
+            await stream.send(head)
+
+    async def scenario() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve_one)
+            async with running_stack(engine_address=f"127.0.0.1:{port}") as stack:
+                assert (await chat(stack)).status == 502
+                assert stack.forwarder.failures[0].rest_ms == 3_000.0
+            group.cancel_scope.cancel()
+
+    run(scenario)
+
+
 def test_the_end_of_an_exhausted_stream_states_the_version_that_began_it() -> None:
     # Guards against an end that the router writes itself and then rejects as another version's.
     async def scenario() -> None:
