Return the rests of a machine to its next process

What upstreams saw: the next process of a machine knew of the rests that the former one had been asked for only as a preference, and used those upstreams while no other was free.

Change: the leader keeps the rests that each entry node reported, until they end, and returns those that the node's first request no longer holds; the node obeys them as its own. Rests heard since the last poll before a kill are lost, as before.

The test of imports now also names the modules that send requests, which the control process of a machine must not have.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -109,13 +109,18 @@
 @message
 @frozen
 class Workload:
-    """Load, limits and notices of upstreams, exchanged between entry nodes through the leader."""
+    """Load, limits and notices of upstreams, exchanged between entry nodes through the leader.
+
+    ``own_rests`` are those that the receiver itself reported and its last request did not hold,
+    since it was restarted.
+    """
 
     loads: tuple[InstanceLoad, ...] = ()
     works: tuple[ServiceWork, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
     rests: tuple[RestNotice, ...] = ()
+    own_rests: tuple[RestNotice, ...] = ()
 
 
 @message
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import xxhash
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from goldcrestridge_core import codec
 from goldcrestridge_core.deltas import Deltas
@@ -83,6 +83,8 @@
     _last_sweep_ms: float = -math.inf
     _notices: tuple[tuple[LeavingNotice, ...], tuple[RestNotice, ...]] = ((), ())
     _notices_ms: float = -math.inf  # When they were merged.
+    # Until when each run of an instance rests for each entry node, also while that node is down.
+    _rests: dict[NodeId, dict[str, float]] = field(factory=dict)
 
     def next_deadline_ms(self) -> float | None:
         """Return when the leader next checks for lost entry nodes, or None if it does not lead.
@@ -113,12 +115,32 @@
         status = request.status
         known = self._entries.get(status.node)
         self._entries[status.node] = _Entry(status, now_ms, request.workload)
+        self._record_rests(status.node, request.workload.rests, now_ms)
         if known is not None and known.status == status:
             return []
         self._last_sweep_ms = -math.inf
         detail = (("node", status.node), ("accepting", int(status.accepting)))
         return [Emit("entry_registered", detail=detail)]
 
+    def _record_rests(self, node: NodeId, rests: tuple[RestNotice, ...], now_ms: float) -> None:
+        """Record the rests that a node was asked for, and drop those that have ended."""
+        known = self._rests.pop(node, {})
+        ends = {life: end_ms for life, end_ms in known.items() if end_ms > now_ms}
+        for rest in rests:
+            ends[rest.life] = max(ends.get(rest.life, 0.0), now_ms + rest.left_ms)
+        if ends:
+            self._rests[node] = ends
+
+    def _forgotten_rests(self, request: FollowRequest, now_ms: float) -> tuple[RestNotice, ...]:
+        """Return the rests that the sender reported before it was restarted."""
+        reported = {rest.life for rest in request.workload.rests}
+        ends = self._rests.get(request.status.node, {})
+        return tuple(
+            RestNotice(life, math.ceil(end_ms - now_ms))
+            for life, end_ms in ends.items()
+            if life not in reported and end_ms > now_ms
+        )
+
     def _apply_instances(self, instances: tuple[UpstreamInstance, ...]) -> list[Any]:
         if instances == self._instances:
             return []
@@ -170,7 +192,10 @@
             "instances_digest": self._instances_digest,
             "entries_digest": self._entries_digest,
             "replicas": current.replicas,
-            "workload": self._workload_of_others(request.status.node, now_ms),
+            "workload": evolve(
+                self._workload_of_others(request.status.node, now_ms),
+                own_rests=self._forgotten_rests(request, now_ms),
+            ),
         }
         if newest.version > request.have_version:
             self._deltas.add(newest.version, newest.document)
--- a/packages/core/src/goldcrestridge_core/upstream_notices.py
+++ b/packages/core/src/goldcrestridge_core/upstream_notices.py
@@ -110,6 +110,7 @@
     drain_ms: float = 3_000.0
     _lives: dict[str, _Life] = field(factory=dict)
     _quiet_from_ms: float = -math.inf  # From then on no known notice is in force.
+    _merged: bool = False  # The notices of other nodes were applied at least once.
 
     def set_listed(self, instances: Iterable[UpstreamInstance], now_ms: float) -> None:
         """Apply a new list of instances.
@@ -180,6 +181,7 @@
     def merge(self, workload: Workload, now_ms: float) -> list[tuple[str, NoticeChange]]:
         """Apply the notices of other nodes; return the runs that are now known to leave.
 
+        The first of them also hold the rests that the former process of this node was asked for.
         A notice that an instance of this node's list gave before its last start is ignored.
         """
         changes = []
@@ -194,6 +196,14 @@
                 changes.append((notice.life, NoticeChange.LEAVES))
             life.leaving_since_ms = min(life.leaving_since_ms, now_ms - notice.first_age_ms)
             self._quiet_from_ms = math.inf
+        # Only a process that has just started has forgotten rests. Later on, the leader's copy of a
+        # rest would prolong it by the delay of the messages.
+        forgotten = () if self._merged else workload.own_rests
+        self._merged = True
+        for rest in forgotten:
+            life = self._lives.setdefault(rest.life, _Life(unlisted_ms=now_ms))
+            life.rest_until_ms = max(life.rest_until_ms, now_ms + rest.left_ms)
+            self._quiet_from_ms = max(self._quiet_from_ms, life.rest_until_ms)
         for rest in workload.rests:
             life = self._lives.setdefault(rest.life, _Life(unlisted_ms=now_ms))
             life.peer_rest_until_ms = max(life.peer_rest_until_ms, now_ms + rest.left_ms)
--- a/tests/core/notice_fleet.py
+++ b/tests/core/notice_fleet.py
@@ -69,6 +69,7 @@
     seed: int
     machines: int = 6
     names: tuple[str, ...] = ("a", "b", "c", "d")
+    quiet: bool = False  # No requests and faults are scheduled.
     now_ms: float = 0.0
     _rng: random.Random = field(init=False)
     _queue: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
@@ -117,6 +118,26 @@
             self.now_ms, _, action = heapq.heappop(self._queue)
             action()
 
+    def advance(self, until_ms: float) -> None:
+        """Run what was scheduled up to a time."""
+        while self._queue and self._queue[0][0] < until_ms:
+            self.now_ms, _, action = heapq.heappop(self._queue)
+            action()
+        self.now_ms = until_ms
+
+    def restart(self, number: int) -> None:
+        """Replace a machine's process, which keeps nothing."""
+        self._fleet[number] = self._new_machine(number)
+
+    def machine(self, number: int) -> Machine:
+        """Return a machine with its current process."""
+        return self._fleet[number]
+
+    @property
+    def servers(self) -> list[Server]:
+        """Return the runs of all upstreams."""
+        return list(self._servers.values())
+
     # The list of instances and the exchange between nodes.
 
     def _publish(self) -> None:
@@ -175,6 +196,8 @@
     # Requests.
 
     def _request(self) -> None:
+        if self.quiet:
+            return
         self._after(self._rng.expovariate(1 / 20.0), self._request)
         machine = self._rng.choice(self._fleet)
         if self.now_ms < machine.frozen_until_ms or not machine.ready:
@@ -248,6 +271,8 @@
     # Faults.
 
     def _fault(self) -> None:
+        if self.quiet:
+            return
         self._after(self._rng.uniform(200.0, 1_500.0), self._fault)
         machine = self._rng.choice(self._fleet)
         server = self._servers[self._rng.choice(self.names)]
@@ -259,7 +284,7 @@
                 self._excuses.append((machine.number, self.now_ms))
             case 2:
                 self._excuses.append((machine.number, self.now_ms))
-                self._fleet[machine.number] = self._new_machine(machine.number)
+                self.restart(machine.number)
             case 3 | 4:
                 server.rest_s = self._rng.choice([0.6, 1.0, 2.5, 5.0])
                 server.busy_until_ms = self.now_ms + self._rng.choice([50.0, 1_000.0, 3_000.0])
--- a/tests/core/test_upstream_notices.py
+++ b/tests/core/test_upstream_notices.py
@@ -239,6 +239,24 @@
     assert fleet.wrongly_refused() == []
 
 
+def test_a_restarted_node_keeps_the_rests_that_its_machine_was_asked_for() -> None:
+    # Guards against requests of the next process of a machine in a rest, also while all upstreams
+    # rest for it and it would otherwise use those that rest for others.
+    fleet = NoticeFleet(1, machines=2, quiet=True)
+    fleet.run(1_000.0)
+    items = [server.item for server in fleet.servers]
+    for item in items:
+        fleet.machine(0).placement.notices.observe(item, False, 5_000.0, 990.0, 1_000.0)
+    fleet.advance(1_500.0)
+    fleet.restart(0)
+    fleet.advance(2_500.0)
+    restarted, other = fleet.machine(0).placement, fleet.machine(1).placement
+    assert restarted.choose("s", Demand(), (), 2_500.0) is None
+    assert all(restarted.notices.rest_left_ms(item, 5_900.0) is not None for item in items)
+    assert other.choose("s", Demand(), (), 2_500.0) is not None
+    assert restarted.choose("s", Demand(), (), 7_100.0) is not None
+
+
 def test_the_leader_does_not_merge_the_notices_of_all_nodes_for_each_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -35,6 +35,10 @@
     "control": (
         "goldcrestridge_core.call_types",
         "goldcrestridge_core.placement",
+        # The modules that send requests to upstreams: one process of a machine does.
+        "goldcrestridge_node.connections",
+        "goldcrestridge_node.dispatch",
+        "goldcrestridge_node.upstream",
         "goldcrestridge_core.engine_types",
         "goldcrestridge_node.settings",
         "goldcrestridge_node.answers",
