--- a/tests/node/test_gateway_drain.py
+++ b/tests/node/test_gateway_drain.py
@@ -86,7 +86,7 @@
     # requests on connections that were idle at the stop.
     answered: dict[int, bytes] = {}
     sent: list[int] = []
-    stopping = anyio.Event()
+    stopping, under_way = anyio.Event(), anyio.Event()
 
     async with running_gateway(scripted("a", ok)) as running:
 
@@ -104,6 +104,8 @@
                     return
                 writer.write(request(number))
                 sent.append(number)
+                if len(sent) > MIN_SENT:
+                    under_way.set()
                 assert reader is not None
                 answered[number] = await read_answer(reader)
                 if not answered[number] or number % 3 == 0:
@@ -114,8 +116,7 @@
             for number in range(40):
                 tasks.start_soon(caller, 10_000 * number)
             with anyio.fail_after(TIMEOUT_S):
-                while len(sent) <= MIN_SENT:
-                    await anyio.sleep(0.01)
+                await under_way.wait()
             stopping.set()
             await stop(running)
     assert [number for number in sent if not answered[number]] == []
