--- a/tests/node/test_gateway_framing.py
+++ b/tests/node/test_gateway_framing.py
@@ -174,6 +174,20 @@
         assert "too long" in running.log_lines[-1]["attempts"][0]
 
 
+@pytest.mark.parametrize("start", [b"", b"HTTP/1.1 200 OK\r\nx: "])
+@pytest.mark.parametrize("path", ["/charge/x", "/stream/x"])
+async def test_bytes_without_end_in_place_of_a_head_fail_at_once(start: bytes, path: str) -> None:
+    # Guards against an upstream in trouble that holds its callers until their time limit.
+    async def endless(exchange: UpstreamExchange) -> None:
+        await exchange.write(start)
+        while True:
+            await exchange.write(b"x" * 65_536)
+
+    async with running_gateway(scripted("a", endless)) as running:
+        assert (await running.call(path)).status == 502
+        assert "RemoteProtocolError" in running.log_lines[-1]["attempts"][0]
+
+
 @pytest.mark.parametrize("framing", ["close", "chunked", "length"])
 async def test_a_long_answer_is_passed_on_before_all_of_it_has_arrived(framing: str) -> None:
     # Guards against holding answers of any length in memory, also such that never end.
