Route the rests of pools' upstreams to shard owners and requests

What upstreams of pools saw: one that asked for a rest in a load report was polled as before, every 500 ms, and got the calls of that machine; one that asked an entry node for it in an answer got the calls of all other nodes.

Cause: a complete node gave the message of a rest to the log, which ignores it, since types without an entry in its table are taken for the log's. Owner and requests obeyed rests in their own tests only.

Change: rests take the way of the word that an upstream leaves. What a load report asked of this node also holds back the slots that were granted before.

--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -89,6 +89,7 @@
     Tick,
     UpstreamId,
     UpstreamLeaving,
+    UpstreamResting,
 )
 from goldcrestridge_core.validation import validate
 
@@ -130,7 +131,7 @@
     CallerGone: (DRAIN, REQUESTS),
 }
 _OWNER_MESSAGES = (SlotRequest, SlotCancel, SlotRelease, GrantReport)
-_UPSTREAM_MESSAGES = (LoadReport, CacheEvents, UpstreamLeaving)
+_UPSTREAM_MESSAGES = (LoadReport, CacheEvents, UpstreamLeaving, UpstreamResting)
 _MEMBER_EVENTS = (MemberUp, MemberLeaving, MemberDown)
 
 
@@ -325,7 +326,7 @@
             for shard, upstreams in self._shards.items():
                 if shard in self.owners and any(u.name == message.upstream for u in upstreams):
                     self._run_owner(shard, event, now_ms)
-            if isinstance(message, UpstreamLeaving):
+            if isinstance(message, UpstreamLeaving | UpstreamResting):
                 self._run_role(REQUESTS, event, now_ms)
             return
         # Message types without an entry in the table belong to the log.
--- a/packages/core/src/goldcrestridge_core/owner.py
+++ b/packages/core/src/goldcrestridge_core/owner.py
@@ -138,7 +138,7 @@
             case types.LoadReport():
                 self.chooser.apply_load_report(message, now_ms)
                 if message.leaving:
-                    return self._mark_leaving(message.upstream, "load_report", now_ms)
+                    return self._mark_leaving(message.upstream, types.LOAD_REPORT, now_ms)
                 leaving_since_ms = self._leaving_since_ms.get(message.upstream, math.inf)
                 if now_ms - message.age_ms > leaving_since_ms + LEAVING_HOLD_MS:
                     del self._leaving_since_ms[message.upstream]
--- a/packages/core/src/goldcrestridge_core/requests.py
+++ b/packages/core/src/goldcrestridge_core/requests.py
@@ -378,7 +378,7 @@
             case UpstreamLeaving():
                 self._slots.mark_leaving(message.upstream)
             case UpstreamResting():
-                self._slots.rest(message.upstream, message.left_ms, now_ms)
+                self._slots.rest(message, now_ms)
         return []
 
     def is_withheld(self, upstream: UpstreamId, now_ms: float) -> bool:
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -15,6 +15,7 @@
 from goldcrestridge_core.slot_messages import held_grant, release_of, same_grant, to_owner
 from goldcrestridge_core.slot_notices import SlotNotices
 from goldcrestridge_core.types import (
+    LOAD_REPORT,
     GrantEnd,
     GrantReport,
     NodeId,
@@ -29,6 +30,7 @@
     SlotRequest,
     UpstreamId,
     UpstreamLeaving,
+    UpstreamResting,
 )
 
 REPORT_INTERVAL_MS = 500.0
@@ -221,10 +223,16 @@
         heard = self.notices.hear(upstream, leaving, rest_ms, now_ms)
         return [send for notice in heard for send in to_owner(view, notice)]
 
-    def rest(self, upstream: UpstreamId, left_ms: float, now_ms: float) -> None:
-        """Exclude an upstream from local admission until the rest that it asked for ends."""
+    def rest(self, message: UpstreamResting, now_ms: float) -> None:
+        """Exclude an upstream from local admission until the rest that it asked for ends.
+
+        If it asked this node, slots that were granted before are not used either.
+        """
+        upstream, left_ms = message.upstream, message.left_ms
         until_ms = max(self._avoid_until_ms.get(upstream, now_ms), now_ms + left_ms)
         self._avoid_until_ms[upstream] = until_ms
+        if message.source == LOAD_REPORT:
+            self.notices.hear(upstream, False, left_ms, now_ms)
 
     def mark_leaving(self, upstream: UpstreamId) -> None:
         """Exclude a leaving upstream from local admission until an owner grants a slot on it."""
--- a/packages/core/src/goldcrestridge_core/types.py
+++ b/packages/core/src/goldcrestridge_core/types.py
@@ -327,13 +327,19 @@
 @message
 @frozen
 class UpstreamResting:
-    """Notify other nodes that an upstream wants no requests for ``left_ms``."""
+    """Notify other nodes that an upstream wants no requests for ``left_ms``.
+
+    ``source`` is LOAD_REPORT if the load report said so to the node itself, otherwise the node to
+    which it was said or that passes it on.
+    """
 
     upstream: UpstreamId
     left_ms: float
     source: str
 
 
+LOAD_REPORT = "load_report"
+
 # Proposals of a node to the replicated log.
 
 
--- a/packages/node/src/goldcrestridge_node/reports.py
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -12,6 +12,7 @@
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.types import (
+    LOAD_REPORT,
     CacheEvents,
     Count,
     LoadReport,
@@ -99,7 +100,7 @@
         response = await _get(pool, upstream, "/load")
         rest = rest_ms(response.status, response.headers)
         if rest:
-            self.deliver(UpstreamResting(upstream.name, rest, "load_report"))
+            self.deliver(UpstreamResting(upstream.name, rest, LOAD_REPORT))
             return sequence
         load = msgspec.json.decode(response.content, type=_Load)
         leaving = header_values(response.headers, LEAVING_HEADER) == [b"1"]
