Read the rest that the reply to a poll of cache events asks for

What upstreams of pools saw: one that answered polls of its load, and rejected those of its cache events with a rest, was polled for both every 500 ms. Only the first reply was asked for a rest.

Measured: the new case of the cache events failed before; that of the load passed.

--- a/packages/node/src/goldcrestridge_node/reports.py
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -98,9 +98,7 @@
     ) -> int:
         """Deliver the load and the cache events after ``sequence``; return the last sequence."""
         response = await _get(pool, upstream, "/load")
-        rest = rest_ms(response.status, response.headers)
-        if rest:
-            self.deliver(UpstreamResting(upstream.name, rest, LOAD_REPORT))
+        if self._asks_for_rest(upstream, response):
             return sequence
         load = msgspec.json.decode(response.content, type=_Load)
         leaving = header_values(response.headers, LEAVING_HEADER) == [b"1"]
@@ -119,6 +117,8 @@
         if not self.is_engine(upstream.name):
             return sequence
         response = await _get(pool, upstream, f"/cache_events?after={sequence}")
+        if self._asks_for_rest(upstream, response):
+            return sequence
         page = msgspec.json.decode(response.content, type=_CachePage)
         if not page.events:
             return sequence
@@ -128,6 +128,13 @@
         self.deliver(CacheEvents(upstream.name, first, added, evicted))
         return page.events[-1].sequence
 
+    def _asks_for_rest(self, upstream: Upstream, response: Reply) -> bool:
+        """Deliver the rest that a reply asks for, if it does."""
+        rest = rest_ms(response.status, response.headers)
+        if rest:
+            self.deliver(UpstreamResting(upstream.name, rest, LOAD_REPORT))
+        return rest > 0.0
+
 
 async def _get(pool: httpcore.AsyncConnectionPool, upstream: Upstream, path: str) -> Reply:
     return await get(pool, f"http://{upstream.address}{path}", POLL_TIMEOUT_MS)
--- a/tests/lab/test_stand_ins.py
+++ b/tests/lab/test_stand_ins.py
@@ -12,13 +12,13 @@
 import pytest
 from tests.node.path_helpers import run, wait_until
 
-from goldcrestridge_core.clock import ManualClock
+from goldcrestridge_core.clock import MS_PER_SECOND, ManualClock
 from goldcrestridge_core.config import Upstream
-from goldcrestridge_core.types import UpstreamId
+from goldcrestridge_core.types import UpstreamId, UpstreamResting
 from goldcrestridge_lab.engine_http import EngineApp, PrefixCache
 from goldcrestridge_lab.service_http import ServiceApp
 from goldcrestridge_lab.simple_engine import SimpleEngine
-from goldcrestridge_node.reports import ReportPoller
+from goldcrestridge_node.reports import POLL_INTERVAL_MS, ReportPoller
 from goldcrestridge_node.server import listen, serve
 
 
@@ -153,3 +153,43 @@
         assert reports[0].limit_per_second == 2.5
 
     run(scenario)
+
+
+@pytest.mark.parametrize("asking", ["/load", "/cache_events"])
+def test_an_upstream_that_asks_a_poll_for_a_rest_is_not_polled_until_its_end(asking: str) -> None:
+    # Guards against polls in a rest that was asked for in the answer to either of them.
+    paths: list[str] = []
+
+    async def app(scope: Any, _receive: Any, send: Any) -> None:
+        paths.append(scope["path"])
+        rests = scope["path"] == asking
+        body = b"" if rests else b'{"running":0,"waiting":0,"slots":4,"events":[]}'
+        headers = [(b"content-length", b"%d" % len(body))]
+        headers += [(b"retry-after", b"60")] if rests else []
+        status = 503 if rests else 200
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    async def scenario() -> None:
+        sock = listen("127.0.0.1", 0)
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        upstream = Upstream(UpstreamId("u"), address, "dc", 4)
+        reports: list[Any] = []
+
+        def wanted() -> dict[UpstreamId, Upstream]:
+            resting = any(isinstance(item, UpstreamResting) for item in reports)
+            return {} if resting else {upstream.name: upstream}
+
+        poller = ReportPoller(wanted, lambda _: True, reports.append, lambda _: None)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(serve, app, [sock], anyio.Event())
+            tasks.start_soon(poller.run)
+            await wait_until(lambda: asking in paths)
+            # Two intervals in which further polls would come.
+            await anyio.sleep(2.2 * POLL_INTERVAL_MS / MS_PER_SECOND)
+            tasks.cancel_scope.cancel()
+        assert paths.count(asking) == 1
+        rests = [item for item in reports if isinstance(item, UpstreamResting)]
+        assert [item.left_ms for item in rests] == [60_000.0]
+
+    run(scenario)
