Let upstreams of complete nodes ask for rests, and count arrivals by machine

The state machine of complete nodes said nothing of rests. Its upstreams now ask whoever calls or polls them, and what reaches them in a rest is counted by machine. A direct schedule checks the same.

--- a/packages/lab/src/goldcrestridge_lab/node_fleet.py
+++ b/packages/lab/src/goldcrestridge_lab/node_fleet.py
@@ -36,6 +36,7 @@
 from goldcrestridge_core.store import Store
 from goldcrestridge_core.store_types import ApplyConfig, ApplyResult, ApplyStatus
 from goldcrestridge_core.types import (
+    LOAD_REPORT,
     Emit,
     NodeId,
     ProposalDone,
@@ -48,6 +49,7 @@
     SlotRequest,
     SubmitProposal,
     Tick,
+    UpstreamResting,
 )
 from goldcrestridge_lab.carrier import SimulatedNetwork
 from goldcrestridge_lab.log_group import FakeDisk
@@ -350,7 +352,11 @@
             self.handle(host, WallTime(WALL_START_MS + self.now_ms))
         for name in core.polled_upstreams(self.now_ms):
             if name not in self.upstreams.down:
-                self.handle(host, Receive(host.name, self.upstreams.report(name)))
+                machine = (host.name, host.boot_number)
+                rest_ms = self.upstreams.rests.arrive(name, machine, self.now_ms)
+                rest = UpstreamResting(name, rest_ms, LOAD_REPORT)
+                report = rest if rest_ms else self.upstreams.report(name)
+                self.handle(host, Receive(host.name, report))
         self.oracle.check_in_force(host.name, core.cfg.version, host.started_ms, self.now_ms)
 
     def _update_healthy_since(self) -> None:
--- a/packages/lab/src/goldcrestridge_lab/node_machine.py
+++ b/packages/lab/src/goldcrestridge_lab/node_machine.py
@@ -74,6 +74,7 @@
         while self.fleet.now_ms < end_ms:
             self.fleet.run(min(LOAD_INTERVAL_MS, end_ms - self.fleet.now_ms))
             self.send_random_request()
+        self.fleet.upstreams.rests.check(self.fleet.now_ms)
 
     def send_random_request(self) -> None:
         """Send a random request."""
@@ -246,10 +247,24 @@
             self.fleet.oracle.leaving_ms.setdefault(name, self.fleet.now_ms)
         self.advance(wait_ms)
 
+    @rule(
+        name=UPSTREAM,
+        busy_ms=st.sampled_from([50.0, 2_000.0]),
+        rest_ms=st.sampled_from([800.0, 3_000.0, 8_000.0]),
+        wait_ms=WAIT_MS,
+    )
+    def rest_upstream(
+        self, name: UpstreamId, busy_ms: float, rest_ms: float, wait_ms: float
+    ) -> None:
+        """Let an upstream ask for rests for some time."""
+        self.fleet.upstreams.rests.busy[name] = (self.fleet.now_ms + busy_ms, rest_ms)
+        self.advance(wait_ms)
+
     @rule()
     def repair_upstreams(self) -> None:
         """Bring all upstreams back into service."""
         self.fleet.upstreams.down.clear()
+        self.fleet.upstreams.rests.busy.clear()
         self.fleet.upstreams.leaving.clear()
         self.fleet.oracle.leaving_ms.clear()
 
--- a/packages/lab/src/goldcrestridge_lab/node_oracle.py
+++ b/packages/lab/src/goldcrestridge_lab/node_oracle.py
@@ -4,7 +4,8 @@
 lowest class completes once load stops. P3: each caller gets one complete, unmixed response.
 P4: the outcome of a failure is true. P5: a call that is not repeatable runs at most once. P6: a
 leaving upstream gets no new attempts. P7: a drain cuts no request. P8: accepted configurations
-are in force everywhere in time and never revert.
+are in force everywhere in time and never revert. P11, that a rest is kept, is checked with the
+upstreams.
 """
 
 from __future__ import annotations
--- a/packages/lab/src/goldcrestridge_lab/node_upstreams.py
+++ b/packages/lab/src/goldcrestridge_lab/node_upstreams.py
@@ -15,12 +15,49 @@
     AttemptHead,
     CallKind,
 )
-from goldcrestridge_core.types import LoadReport, UpstreamId
+from goldcrestridge_core.types import LoadReport, NodeId, UpstreamId
 from goldcrestridge_lab.node_config import SLOTS
-from goldcrestridge_lab.node_oracle import Run
+from goldcrestridge_lab.node_oracle import Run, require
+from goldcrestridge_lab.soak_checks import ALLOWED_IN_REST, REST_GRACE_MS
 
 CONNECT_MS = 2.0
 
+Machine = tuple[NodeId, int]
+
+
+@define
+class Rests:
+    """Upstreams that are busy for a time, and ask whoever calls or polls them for a rest.
+
+    A machine is a host and the number of its start. ``asked`` holds upstream, machine, and start
+    and end of each rest in ms, ``arrivals`` upstream, machine and time of each call and poll.
+    """
+
+    busy: dict[UpstreamId, tuple[float, float]] = field(factory=dict)  # Until when, rest in ms.
+    asked: list[tuple[UpstreamId, Machine, float, float]] = field(factory=list)
+    arrivals: list[tuple[UpstreamId, Machine, float]] = field(factory=list)
+
+    def arrive(self, name: UpstreamId, machine: Machine, now_ms: float) -> float:
+        """Record a call or poll; return the rest in ms that the upstream asks for, or 0."""
+        self.arrivals.append((name, machine, now_ms))
+        until_ms, rest_ms = self.busy.get(name, (0.0, 0.0))
+        if now_ms >= until_ms:
+            return 0.0
+        self.asked.append((name, machine, now_ms, now_ms + rest_ms))
+        return rest_ms
+
+    def check(self, now_ms: float) -> None:
+        """Raise InvariantError if an upstream got too much in a rest; forget rests that ended."""
+        for name, machine, asked_ms, end_ms in self.asked:
+            count = sum(
+                (name, machine) == item[:2] and asked_ms + REST_GRACE_MS < item[2] < end_ms
+                for item in self.arrivals
+            )
+            require(count <= ALLOWED_IN_REST, "P11", f"{name} got {count} in a rest of {machine}")
+        self.asked = [item for item in self.asked if item[3] > now_ms]
+        oldest_ms = min((item[2] for item in self.asked), default=now_ms)
+        self.arrivals = [item for item in self.arrivals if item[2] > oldest_ms]
+
 
 @define
 class Upstreams:
@@ -37,6 +74,7 @@
     late_share: float = 0.0
     down: set[UpstreamId] = field(factory=set)
     leaving: set[UpstreamId] = field(factory=set)
+    rests: Rests = field(factory=Rests)
     runs: list[Run] = field(factory=list)
     scheduled: list[tuple[float, int, Run, Any]] = field(factory=list)
     _sequence: int = 0
@@ -102,6 +140,12 @@
             run.reached = False
             self._schedule(now_ms, run, AttemptFailed(*ids, True, "leaving", leaving=True))
             return
+        rest_ms = self.rests.arrive(run.start.upstream, (run.host, run.boot_number), now_ms)
+        if rest_ms:
+            run.reached = True
+            failed = AttemptFailed(*ids, sent=True, reason="busy", rest_ms=rest_ms)
+            self._schedule(now_ms, run, failed)
+            return
         if self.rng.random() < self.fault_share / 2:
             run.reached = self.rng.random() < 0.5 or None
             self._schedule(now_ms, run, AttemptFailed(*ids, sent=True, reason="closed"))
--- a/tests/core/test_node_rests.py
+++ b/tests/core/test_node_rests.py
@@ -66,6 +66,21 @@
     assert start.upstream not in core_of(fleet, owner).polled_upstreams(fleet.now_ms)
 
 
+@pytest.mark.parametrize("busy_ms", [300.0, 2_000.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_polls_and_calls_of_all_nodes_keep_a_rest(seed: int, busy_ms: float) -> None:
+    # Guards against arrivals in a rest, counted by machine as the upstream sees them.
+    fleet, _, _ = running_fleet(seed)
+    rests, asked = fleet.upstreams.rests, False
+    rests.busy[ENGINES[0]] = (fleet.now_ms + busy_ms, 4_000.0)
+    for number in range(60):
+        fleet.request(list(fleet.hosts)[number % len(fleet.hosts)], completion_call(1, "ada"))
+        fleet.run(100.0)
+        asked = asked or bool(rests.asked)
+        rests.check(fleet.now_ms)
+    assert asked
+
+
 def test_every_message_between_roles_has_a_route() -> None:
     # Guards against a message that a complete node gives to the log, which ignores it, because
     # nobody named its role. Timeline events are records, and no node sends them.
