--- a/tests/core/test_forwarding.py
+++ b/tests/core/test_forwarding.py
@@ -56,6 +56,18 @@
             assert decision.retry_after_ms > 0
 
 
+@pytest.mark.parametrize(("kind", "resumable"), KINDS)
+@pytest.mark.parametrize("outcome", ATTEMPT_OUTCOMES)
+def test_a_request_is_not_sent_again_once_a_part_of_a_whole_answer_was_passed_on(
+    kind: RouteKind, resumable: bool, outcome: AttemptOutcome
+) -> None:
+    # Guards against a second answer behind the part of a first one.
+    state = forwarding(kind, resumable=resumable)
+    state.committed = True
+    assert not state.needs_retry_budget(outcome, 0.0)
+    assert state.after_attempt(outcome, 0.0, has_retry_budget=True).step is not Step.SEND
+
+
 def test_a_request_without_retry_budget_is_not_sent_again() -> None:
     # Guards against retries that overload a service whose upstreams reject requests.
     state = forwarding(RouteKind.IDEMPOTENT)
