--- a/tests/core/test_node_rests.py
+++ b/tests/core/test_node_rests.py
@@ -81,6 +81,20 @@
     assert asked
 
 
+def test_an_upstream_that_begins_to_leave_in_its_rest_gets_no_call_after_the_rest() -> None:
+    # Guards against a call to a leaving upstream (P6) that nobody polled while it rested.
+    fleet, _, _ = running_fleet(0)
+    for name in ENGINES:
+        fleet.upstreams.rests.busy[name] = (fleet.now_ms + 600.0, 8_250.0)
+    fleet.run(700.0)
+    for name in ENGINES:
+        fleet.upstreams.leaving.add(name)
+        fleet.oracle.leaving_ms[name] = fleet.now_ms
+    for number in range(120):
+        fleet.request(list(fleet.hosts)[number % len(fleet.hosts)], completion_call(1, "ada"))
+        fleet.run(100.0)
+
+
 def test_every_message_between_roles_has_a_route() -> None:
     # Guards against a message that a complete node gives to the log, which ignores it, because
     # nobody named its role. Timeline events are records, and no node sends them.
