Tell how long each version of the routes took to come into force at an entry node

For the incident of older routes nothing told by how much an entry node lagged behind the leader. The reply that brings a version now says for how long the leader has known it; routes_in_force logs it and routes_lag_ms counts it. The age of the routes is counted for each request, and replies of control nodes that are dropped as late are counted.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -148,7 +148,8 @@
     ``document`` is compressed with the document of ``base_version`` as its base, or without a
     base if that is 0. Only a reply with ``leads`` shows the state that was current when the
     request arrived. The digests are empty while the leader does not know the lists yet.
-    ``workload`` is the sum of the last reports of all other entry nodes.
+    ``workload`` is the sum of the last reports of all other entry nodes. ``version_age_ms`` tells
+    for how long the leader has known the version.
     """
 
     sequence: int
@@ -163,6 +164,7 @@
     entries: tuple[EntryStatus, ...] | None = None
     replicas: tuple[NodeId, ...] = ()
     workload: Workload = Factory(Workload)
+    version_age_ms: float = 0.0
 
 
 @message
@@ -201,10 +203,11 @@
 
 @frozen
 class RoutesReceived:
-    """Effect: a newer version of the routes arrived."""
+    """Effect: a newer version of the routes arrived, which the leader has known for ``age_ms``."""
 
     version: int
     document: bytes
+    age_ms: float = 0.0
 
 
 @frozen
--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -28,7 +28,7 @@
     Workload,
     WorkloadReceived,
 )
-from goldcrestridge_core.types import Emit, NodeId, Receive, Send
+from goldcrestridge_core.types import Count, Emit, NodeId, Receive, Send
 
 # A change whose hint was lost is found within this time, a fraction of the 2 s within which an
 # accepted version must be in force. It also bounds the age of the workload of other entry nodes.
@@ -55,7 +55,8 @@
     """Keep the routes, upstreams and entry nodes that the control leader holds.
 
     Events: Tick; Receive of FollowReply and FollowHint; StatusChanged; ControlAddresses.
-    Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, WorkloadReceived, Emit.
+    Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, WorkloadReceived, Emit,
+    Count.
     ``workload`` returns the load that this node puts on upstreams at a monotonic time in
     milliseconds. ``confirmed_ms`` is the latest time at which ``version`` was known to be current.
     """
@@ -119,7 +120,7 @@
 
     def _handle_reply(self, sender: NodeId, reply: FollowReply, now_ms: float) -> list[Any]:
         if not self._awaiting_reply or reply.sequence != self._sequence:
-            return []
+            return [Count("control_replies_late")]
         self._awaiting_reply = False
         if reply.replicas:
             self.replicas = reply.replicas
@@ -146,7 +147,7 @@
             base = self._document if reply.base_version else b""
             self._document = unpack(reply.document, base)
             self.version = reply.version
-            effects.append(RoutesReceived(reply.version, self._document))
+            effects.append(RoutesReceived(reply.version, self._document, reply.version_age_ms))
         if reply.version == self.version:
             self.confirmed_ms = max(self.confirmed_ms, self._sent_ms)
         if reply.instances is not None:
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -80,6 +80,7 @@
     _leads_since_ms: float = math.inf
     _deltas: Deltas = field(factory=Deltas)
     _last_hint: tuple[int, str, str] = (0, "", "")
+    _version_since_ms: float = -math.inf  # When this leader first had the version.
     _last_sweep_ms: float = -math.inf
     _notices: tuple[tuple[LeavingNotice, ...], tuple[RestNotice, ...]] = ((), ())
     _notices_ms: float = -math.inf  # When they were merged.
@@ -109,7 +110,7 @@
             case InstancesListed(instances=instances):
                 effects += self._apply_instances(instances)
         self._sweep(current, now_ms)
-        return effects + self._hint_changes(current)
+        return effects + self._hint_changes(current, now_ms)
 
     def _register(self, request: FollowRequest, now_ms: float) -> list[Any]:
         status = request.status
@@ -192,6 +193,9 @@
             "instances_digest": self._instances_digest,
             "entries_digest": self._entries_digest,
             "replicas": current.replicas,
+            "version_age_ms": max(0.0, now_ms - self._version_since_ms)
+            if newest.version == self._last_hint[0]
+            else 0.0,
             "workload": evolve(
                 self._workload_of_others(request.status.node, now_ms),
                 own_rests=self._forgotten_rests(request, now_ms),
@@ -249,13 +253,15 @@
             )
         return self._notices
 
-    def _hint_changes(self, current: Leadership) -> list[Any]:
+    def _hint_changes(self, current: Leadership, now_ms: float) -> list[Any]:
         """Send one hint of each change to all entry nodes."""
         if not current.leads:
             return []
         state = (current.document.version, self._instances_digest, self._entries_digest)
         if state == self._last_hint:
             return []
+        if state[0] != self._last_hint[0]:
+            self._version_since_ms = now_ms
         self._last_hint = state
         return [Send(node, FollowHint(*state)) for node in sorted(self._entries)]
 
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -236,8 +236,8 @@
 
     def _handle_effect(self, effect: Any) -> None:
         match effect:
-            case RoutesReceived(version=version, document=document):
-                self._set_routes(version, document)
+            case RoutesReceived():
+                self._set_routes(effect)
             case InstancesReceived(instances=instances):
                 self.placement.set_instances(instances, self.clock.now_ms())
                 self._log.info("upstreams_in_force", count=len(instances))
@@ -253,14 +253,20 @@
                 self.entries = entries
                 self.placement.live_entries = max(1, len(entries))
 
-    def _set_routes(self, version: int, document: bytes) -> None:
-        table = self.hooks.read_routes(document)
+    def _set_routes(self, received: RoutesReceived) -> None:
+        table = self.hooks.read_routes(received.document)
         self.routes.table = table
         limits = table.limits
         self.gateway.options = evolve(self.gateway.options, max_body_bytes=limits.max_body_bytes)
         self._server_options.head_timeout_ms = limits.head_timeout_ms
         self._server_options.keep_alive_ms = limits.idle_timeout_ms + KEEP_ALIVE_MARGIN_MS
-        self._log.info("routes_in_force", version=version, routes=len(table.routes))
+        self.metrics.record(Count("routes_lag_ms", received.age_ms))
+        self._log.info(
+            "routes_in_force",
+            version=received.version,
+            routes=len(table.routes),
+            lag_ms=round(received.age_ms),
+        )
         if not self.follower.status.accepting and not self.draining:
             self.driver.post(StatusChanged(accepting=True))
 
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -91,6 +91,8 @@
             self.count(Count("requests_with_avoided_upstreams", 1, labels))
         took_ms = now_ms - record.started_ms
         self.count(Count("request_duration_ms", took_ms, labels[:1]))
+        if record.routes_version:
+            self.count(Count("routes_age_ms", record.routes_age_ms))
         if record.first_event_ms is not None:
             self.count(Count("first_event_ms", record.first_event_ms, labels[:1]))
         self.log.info(
