Keep running sums of the entry nodes' reports at the control leader

Cause: for each poll the leader merged the limits that all other entry nodes reported. Notices are merged ten times a second as before. The test that counts merges patches the module that merges now.

--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -22,20 +22,14 @@
     FollowHint,
     FollowReply,
     FollowRequest,
-    InstanceLoad,
     InstancesListed,
-    LeavingNotice,
-    NamedLimit,
     RestNotice,
-    ServiceWork,
     UpstreamInstance,
-    Workload,
 )
 from goldcrestridge_core.follower import poll_interval_ms
-from goldcrestridge_core.rate_limits import aged, merge_named
 from goldcrestridge_core.types import Emit, NodeId, Receive, Send
-from goldcrestridge_core.upstream_notices import merge_notices
 from goldcrestridge_core.versions import VersionedDocument
+from goldcrestridge_core.workload_sums import WorkloadSums
 
 # An entry node that missed two polls, each with a retry, is removed from the list.
 MAX_MISSED_POLLS = 2.0
@@ -43,8 +37,6 @@
 # A new leader publishes the list of entry nodes only after all of them had time to register.
 REGISTRATION_PERIOD_MS = 2_000.0
 SWEEP_INTERVAL_MS = 500.0
-# Adds little to the polling interval after which the other nodes learn of a notice.
-NOTICES_INTERVAL_MS = 100.0
 
 
 @frozen
@@ -61,7 +53,6 @@
 class _Entry:
     status: EntryStatus
     last_request_ms: float
-    workload: Workload
 
 
 @define
@@ -82,8 +73,7 @@
     _last_hint: tuple[int, str, str] = (0, "", "")
     _version_since_ms: float = -math.inf  # When this leader first had the version.
     _last_sweep_ms: float = -math.inf
-    _notices: tuple[tuple[LeavingNotice, ...], tuple[RestNotice, ...]] = ((), ())
-    _notices_ms: float = -math.inf  # When they were merged.
+    _workloads: WorkloadSums = field(factory=WorkloadSums)
     # Until when each run of an instance rests for each entry node, also while that node is down.
     _rests: dict[NodeId, dict[str, float]] = field(factory=dict)
 
@@ -115,7 +105,8 @@
     def _register(self, request: FollowRequest, now_ms: float) -> list[Any]:
         status = request.status
         known = self._entries.get(status.node)
-        self._entries[status.node] = _Entry(status, now_ms, request.workload)
+        self._entries[status.node] = _Entry(status, now_ms)
+        self._workloads.report(status.node, request.workload, now_ms)
         self._record_rests(status.node, request.workload.rests, now_ms)
         if known is not None and known.status == status:
             return []
@@ -149,6 +140,7 @@
         after = {item.instance: item for item in instances}
         self._instances = instances
         self._instances_digest = _digest(instances)
+        self._workloads.retain_limits(after)
         detail = (
             ("added", " ".join(sorted(after.keys() - before.keys()))),
             ("removed", " ".join(sorted(before.keys() - after.keys()))),
@@ -160,6 +152,8 @@
     def _sweep(self, current: Leadership, now_ms: float) -> None:
         """Remove entry nodes that stopped polling, and rebuild the list of accepting ones."""
         if not current.leads:
+            if self._leads_since_ms < math.inf:
+                self._workloads.forget_limits()
             self._leads_since_ms = math.inf
             self._entries_digest = ""
             return
@@ -171,11 +165,10 @@
         oldest_ms = (
             now_ms - MAX_MISSED_POLLS * poll_interval_ms(len(self._entries)) - EXPIRY_MARGIN_MS
         )
-        self._entries = {
-            node: entry
-            for node, entry in self._entries.items()
-            if entry.last_request_ms >= oldest_ms
-        }
+        lost = [node for node, item in self._entries.items() if item.last_request_ms < oldest_ms]
+        for node in lost:
+            del self._entries[node]
+            self._workloads.remove(node)
         if now_ms < self._leads_since_ms + REGISTRATION_PERIOD_MS:
             return
         statuses = (entry.status for _, entry in sorted(self._entries.items()))
@@ -197,7 +190,7 @@
             if newest.version == self._last_hint[0]
             else 0.0,
             "workload": evolve(
-                self._workload_of_others(request.status.node, now_ms),
+                self._workloads.of_others(request.status.node, now_ms),
                 own_rests=self._forgotten_rests(request, now_ms),
             ),
         }
@@ -211,48 +204,6 @@
             reply["entries"] = self._accepting_entries
         return FollowReply(request.sequence, True, **reply)  # type: ignore[arg-type]
 
-    def _workload_of_others(self, requester: NodeId, now_ms: float) -> Workload:
-        """Return the total load that all entry nodes but the requester put on upstreams.
-
-        Of each limit of an instance, the newest observation of these nodes is returned, and of its
-        notices the one that holds longest.
-        """
-        loads: dict[str, int] = {}
-        works: dict[str, tuple[float, float, float]] = {}
-        limits: list[NamedLimit] = []
-        for node, entry in self._entries.items():
-            if node == requester:
-                continue
-            for load in entry.workload.loads:
-                loads[load.instance] = loads.get(load.instance, 0) + load.requests
-            for work in entry.workload.works:
-                short, long, tight = works.get(work.service, (0.0, 0.0, 0.0))
-                sums = (short + work.short, long + work.long, tight + work.tight)
-                works[work.service] = sums
-            limits += (
-                aged(limit, now_ms - entry.last_request_ms) for limit in entry.workload.limits
-            )
-        return Workload(
-            tuple(InstanceLoad(name, count) for name, count in sorted(loads.items())),
-            tuple(ServiceWork(name, *total) for name, total in sorted(works.items())),
-            merge_named(limits),
-            *self._merged_notices(now_ms),
-        )
-
-    def _merged_notices(
-        self, now_ms: float
-    ) -> tuple[tuple[LeavingNotice, ...], tuple[RestNotice, ...]]:
-        """Return the notices of all entry nodes, merged at most once in NOTICES_INTERVAL_MS.
-
-        Merged for each request, they would cost the square of the number of entry nodes.
-        """
-        if now_ms - self._notices_ms >= NOTICES_INTERVAL_MS:
-            self._notices_ms = now_ms
-            self._notices = merge_notices(
-                (entry.workload, now_ms - entry.last_request_ms) for entry in self._entries.values()
-            )
-        return self._notices
-
     def _hint_changes(self, current: Leadership, now_ms: float) -> list[Any]:
         """Send one hint of each change to all entry nodes."""
         if not current.leads:
--- a/packages/core/src/goldcrestridge_core/rate_limits.py
+++ b/packages/core/src/goldcrestridge_core/rate_limits.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from goldcrestridge_core.follow_types import NamedLimit
 
@@ -110,22 +110,5 @@
                 del table[instance]
 
 
-def aged(limit: NamedLimit, age_ms: float) -> NamedLimit:
-    """Return an observation that was received ``age_ms`` ago as of now."""
-    return evolve(
-        limit,
-        sent_age_ms=limit.sent_age_ms + age_ms,
-        answered_age_ms=limit.answered_age_ms + age_ms,
-    )
-
-
-def merge_named(limits: Iterable[NamedLimit]) -> tuple[NamedLimit, ...]:
-    """Return one observation for each instance; the ages must be of the same time."""
-    merged = RateLimits()
-    for named in limits:
-        merged.merge(named, 0.0)
-    return merged.shared(0.0)
-
-
 def _named(instance: str, item: Observation, now_ms: float) -> NamedLimit:
     return NamedLimit(instance, item.per_second, now_ms - item.sent_ms, now_ms - item.answered_ms)
--- a/tests/core/test_rate_limits.py
+++ b/tests/core/test_rate_limits.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from goldcrestridge_core.rate_limits import SHARE_RELEASE_MS, RateLimits, merge_named
+from goldcrestridge_core.follow_types import Workload
+from goldcrestridge_core.rate_limits import SHARE_RELEASE_MS, RateLimits
+from goldcrestridge_core.types import NodeId
+from goldcrestridge_core.workload_sums import WorkloadSums
 
 
 def test_an_answer_that_was_overtaken_does_not_replace_a_newer_limit() -> None:
@@ -33,7 +36,10 @@
     second.observe("i", 4.0, sent_ms=20.0, now_ms=30.0)
     shared = (*first.shared(50.0), *second.shared(50.0))
     for order in (shared, shared[::-1]):
-        (merged,) = merge_named(order)
+        leader = WorkloadSums()
+        for number, named in enumerate(order):
+            leader.report(NodeId(f"e{number}"), Workload(limits=(named,)), 50.0)
+        (merged,) = leader.of_others(NodeId("e0"), 50.0).limits
         assert merged.per_second == 4.0
         assert (merged.sent_age_ms, merged.answered_age_ms) == (30.0, 20.0)
         node = RateLimits()
--- a/tests/core/test_upstream_notices.py
+++ b/tests/core/test_upstream_notices.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from tests.core.notice_fleet import DRAIN_MS, NoticeFleet
 
-from goldcrestridge_core import codec, publisher
+from goldcrestridge_core import codec, workload_sums
 from goldcrestridge_core.demand import Demand
 from goldcrestridge_core.follow_types import LeavingNotice, RestNotice, UpstreamInstance, Workload
 from goldcrestridge_core.follower import poll_interval_ms
@@ -268,10 +268,10 @@
         merges.append(1.0)
         return merge_notices(workloads)
 
-    monkeypatch.setattr(publisher, "merge_notices", count)
+    monkeypatch.setattr(workload_sums, "merge_notices", count)
     fleet = NoticeFleet(1, machines=60)
     fleet.run(3_000.0)
-    assert 0 < len(merges) <= 3_000.0 / publisher.NOTICES_INTERVAL_MS + 1
+    assert 0 < len(merges) <= 3_000.0 / workload_sums.NOTICES_INTERVAL_MS + 1
 
 
 @pytest.mark.parametrize("absent_ms", [0.0, RESTART_GAP_MS, 40_000.0])
