Use late replies of the control leader, and ask the sender of a hint at once

Cause: an entry node dropped each reply that came over 350 ms after its request, also one that had waited in its own socket, and asked another control node, which sent it back to the leader. A leader that needs longer than that for a round of polls, or an entry that is short of processor time, never brings a version into force, and the repeated requests keep the leader slow. A hint did not help while another node still owed a reply, even if that node was gone. An entry now uses each reply of the leader for 4 s after its request, confirms its routes as of that request, ignores replies older than the last applied one, asks the sender of a hint at once, and asks again at once after a difference to a version that it does not hold. Sequence numbers begin at random, since a restarted process could take a reply to its former one for its own.

--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from goldcrestridge_core.deltas import unpack
 from goldcrestridge_core.follow_types import (
@@ -41,10 +41,19 @@
 REPLY_TIMEOUT_MS = 350.0
 # Limits the rate of requests when two nodes name each other as leader.
 REDIRECT_DELAY_MS = 60.0
+# A reply is used up to this long after its request, since a leader or a node that is short of
+# processor time answers or reads late. Later than that it says nothing of use about the lease.
+REPLY_VALID_MS = 4_000.0
+# Bounds the requests whose replies are still used.
+MAX_OPEN_REQUESTS = 16
 # Number of consecutive requests without a leader's answer after which the leader counts as lost.
 LOST_AFTER_UNANSWERED = 3
 
 
+# Wide enough that two processes of a node hardly begin with similar numbers.
+SEQUENCE_BITS = 48
+
+
 def poll_interval_ms(entry_count: int) -> float:
     """Return the polling interval of each of ``entry_count`` entry nodes."""
     return min(MAX_POLL_INTERVAL_MS, max(POLL_INTERVAL_MS, POLL_PER_ENTRY_MS * entry_count))
@@ -75,12 +84,20 @@
     _sequence: int = 0
     _sent_ms: float = -math.inf
     _awaiting_reply: bool = False
+    _open_ms: dict[int, float] = field(
+        factory=dict
+    )  # Unanswered requests, and when they were sent.
+    _applied: int = 0  # Sequence number of the newest request whose reply was applied.
     _poll_after_reply: bool = False
     _next_request_ms: float = -math.inf
     _unanswered: int = 0
     _leader_lost: bool = True
     _poll_interval_ms: float = POLL_INTERVAL_MS
 
+    def __attrs_post_init__(self) -> None:
+        """Begin with a random sequence number, unlike that of a former process of this node."""
+        self._sequence = self._applied = self.rng.getrandbits(SEQUENCE_BITS)
+
     def next_deadline_ms(self) -> float | None:
         """Return when the next request is due or the request in flight times out."""
         return self._sent_ms + REPLY_TIMEOUT_MS if self._awaiting_reply else self._next_request_ms
@@ -113,25 +130,38 @@
             or hint.instances_digest != self.instances_digest
             or hint.entries_digest != self.entries_digest
         )
-        if changed:
-            if not self._awaiting_reply:
-                self._target = sender
-            self._poll_soon(now_ms)
+        if not changed:
+            return
+        if self._awaiting_reply and self._target == sender:
+            self._poll_after_reply = True
+            return
+        # The sender leads, so it is asked even if another node still owes a reply.
+        self._target = sender
+        self._awaiting_reply = False
+        self._next_request_ms = now_ms
 
     def _handle_reply(self, sender: NodeId, reply: FollowReply, now_ms: float) -> list[Any]:
-        if not self._awaiting_reply or reply.sequence != self._sequence:
+        sent_ms = self._open_ms.pop(reply.sequence, None)
+        awaited = self._awaiting_reply and reply.sequence == self._sequence
+        if sent_ms is None or now_ms - sent_ms > REPLY_VALID_MS:
             return [Count("control_replies_late")]
-        self._awaiting_reply = False
         if reply.replicas:
             self.replicas = reply.replicas
         if not reply.leads:
-            return self._handle_redirect(sender, reply, now_ms)
+            return self._handle_redirect(sender, reply, now_ms) if awaited else []
+        if reply.sequence < self._applied:
+            return [Count("control_replies_late")]
+        self._applied = reply.sequence
+        # A late reply of the leader also settles the request to another node that followed.
+        self._awaiting_reply = False
         self._target = sender
-        self._next_request_ms = (
-            now_ms if self._poll_after_reply else now_ms + self._poll_interval_ms
-        )
+        effects = [*self._handle_leader_reply(sender), *self._apply_reply(reply, sent_ms)]
+        poll_now = self._poll_after_reply or reply.version > self.version
+        self._next_request_ms = now_ms if poll_now else now_ms + self._poll_interval_ms
         self._poll_after_reply = False
-        return [*self._handle_leader_reply(sender), *self._apply_reply(reply)]
+        if not awaited:
+            effects.append(Count("control_replies_late"))
+        return effects
 
     def _handle_leader_reply(self, leader: NodeId) -> list[Any]:
         self._unanswered = 0
@@ -140,8 +170,11 @@
         self._leader_lost = False
         return [Emit("control_found", detail=(("leader", leader),))]
 
-    def _apply_reply(self, reply: FollowReply) -> list[Any]:
-        """Apply what is new; a reply with an older version than the held one confirms nothing."""
+    def _apply_reply(self, reply: FollowReply, sent_ms: float) -> list[Any]:
+        """Apply what is new in the reply to a request that was sent at ``sent_ms``.
+
+        A reply with another version than the held one confirms nothing.
+        """
         effects: list[Any] = []
         if reply.version > self.version and reply.base_version in (0, self.version):
             base = self._document if reply.base_version else b""
@@ -149,7 +182,7 @@
             self.version = reply.version
             effects.append(RoutesReceived(reply.version, self._document, reply.version_age_ms))
         if reply.version == self.version:
-            self.confirmed_ms = max(self.confirmed_ms, self._sent_ms)
+            self.confirmed_ms = max(self.confirmed_ms, sent_ms)
         if reply.instances is not None:
             self.instances_digest = reply.instances_digest
             effects.append(InstancesReceived(reply.instances))
@@ -162,6 +195,7 @@
 
     def _handle_redirect(self, sender: NodeId, reply: FollowReply, now_ms: float) -> list[Any]:
         """Ask the named leader, or else another control node, after REDIRECT_DELAY_MS."""
+        self._awaiting_reply = False
         if reply.leader is not None and reply.leader != sender:
             self._target = reply.leader
         else:
@@ -182,6 +216,12 @@
         others = [candidate for candidate in known if candidate != node]
         return self.rng.choice(others) if others else node
 
+    def _record_request(self, now_ms: float) -> None:
+        """Record a request that is sent now, and drop the oldest ones."""
+        self._open_ms[self._sequence] = now_ms
+        while len(self._open_ms) > MAX_OPEN_REQUESTS:
+            del self._open_ms[next(iter(self._open_ms))]
+
     def _send_due_request(self, now_ms: float) -> list[Any]:
         effects: list[Any] = []
         if self._awaiting_reply and now_ms >= self._sent_ms + REPLY_TIMEOUT_MS:
@@ -198,6 +238,7 @@
             return effects
         self._sequence += 1
         self._sent_ms = now_ms
+        self._record_request(now_ms)
         self._awaiting_reply = True
         self._poll_after_reply = False
         request = FollowRequest(
--- a/tests/core/test_route_lag.py
+++ b/tests/core/test_route_lag.py
@@ -207,9 +207,9 @@
     assert accepted_while(fleet) <= IN_FORCE_MS
 
 
-def follower_of(*control: NodeId) -> Follower:
+def follower_of(*control: NodeId, seed: int = 1) -> Follower:
     status = EntryStatus(NodeId("e:2"), "e:80", "dc", accepting=True)
-    return Follower(status, control, random.Random(1))
+    return Follower(status, control, random.Random(seed))
 
 
 def requests_in(effects: list[Any]) -> list[tuple[NodeId, FollowRequest]]:
@@ -251,8 +251,7 @@
 
 def test_a_reply_to_the_process_before_confirms_nothing() -> None:
     # Guards against a restarted node that takes a reply to its former process for its own.
-    first, second = follower_of(LEADER), follower_of(LEADER)
-    second.rng.seed(2)
+    first, second = follower_of(LEADER), follower_of(LEADER, seed=2)
     ((_, request),) = requests_in(first.handle(Tick(), 0.0))
     second.handle(Tick(), 5_000.0)
     second.handle(Receive(LEADER, FollowReply(request.sequence, True)), 5_001.0)
