Refuse requests while a newer version of the routes must be in force and has not come

An entry that had heard the hint of a newer version went on by the older one, also for routes without keys. An entry that has heard of nothing goes on as before until the lease of its keys ends: without contact to a leader nothing tells that a version was accepted, and refusing would add to each outage of the control nodes. The two gateway cases fail with the check taken out.

--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -67,7 +67,8 @@
     Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, WorkloadReceived, Emit,
     Count.
     ``workload`` returns the load that this node puts on upstreams at a monotonic time in
-    milliseconds. ``confirmed_ms`` is the latest time at which ``version`` was known to be current.
+    milliseconds. ``confirmed_ms`` is the latest time at which ``version`` was known to be current,
+    ``outdated_since_ms`` when this node first heard of a newer version that it does not have yet.
     """
 
     status: EntryStatus
@@ -77,8 +78,10 @@
     replicas: tuple[NodeId, ...] = ()
     version: int = 0
     confirmed_ms: float = -math.inf
+    outdated_since_ms: float = math.inf
     instances_digest: str = ""
     entries_digest: str = ""
+    _heard_version: int = 0
     _document: bytes = b""
     _target: NodeId | None = None
     _sequence: int = 0
@@ -132,6 +135,9 @@
         )
         if not changed:
             return
+        if hint.version > self.version:
+            self.outdated_since_ms = min(self.outdated_since_ms, now_ms)
+            self._heard_version = max(self._heard_version, hint.version)
         if self._awaiting_reply and self._target == sender:
             self._poll_after_reply = True
             return
@@ -183,6 +189,8 @@
             effects.append(RoutesReceived(reply.version, self._document, reply.version_age_ms))
         if reply.version == self.version:
             self.confirmed_ms = max(self.confirmed_ms, sent_ms)
+            if self.version >= self._heard_version:
+                self.outdated_since_ms = math.inf
         if reply.instances is not None:
             self.instances_digest = reply.instances_digest
             effects.append(InstancesReceived(reply.instances))
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -167,6 +167,8 @@
         if table is None or not self.dependencies.placement.listed:
             return NOT_READY
         record.routes_version, record.routes_age_ms = table.version, routes.age_ms(now_ms)
+        if routes.is_outdated(now_ms):
+            return NOT_READY
         current = routes.is_current(now_ms)
         host = b"".join(header_values(scope["headers"], b"host")[:1]).decode("latin-1")
         path = scope["raw_path"].decode("latin-1")
@@ -203,10 +205,10 @@
 
     def is_still_authorized(self, admitted: AdmittedRequest, key: str | None) -> bool:
         """Tell whether the key of a request that has waited is valid in the current routes."""
+        routes, now_ms = self.dependencies.routes, self.dependencies.clock.now_ms()
         if admitted.workspace is None:
-            return True
-        routes = self.dependencies.routes
-        if routes.table is None or not routes.is_current(self.dependencies.clock.now_ms()):
+            return not routes.is_outdated(now_ms)
+        if routes.table is None or not routes.is_current(now_ms):
             return False
         key_workspace = routes.table.workspace_for_key(key or "")
         return key_workspace is not None and key_workspace.name == admitted.workspace.name
--- a/packages/node/src/goldcrestridge_node/gateway_parts.py
+++ b/packages/node/src/goldcrestridge_node/gateway_parts.py
@@ -32,11 +32,16 @@
 
 @define
 class ActiveRoutes:
-    """The routes that this node applies; they are current for ``lease_ms`` after a confirmation."""
+    """The routes that this node applies; they are current for ``lease_ms`` after a confirmation.
+
+    They are outdated once this node has known for ``max_lag_ms`` that there is a newer version.
+    """
 
     table: RouteTable | None = None
     lease_ms: float = 0.0
     confirmed_ms: Callable[[], float] = field(default=lambda: float("-inf"))
+    max_lag_ms: float = float("inf")
+    outdated_since_ms: Callable[[], float] = field(default=lambda: float("inf"))
 
     def age_ms(self, now_ms: float) -> float:
         """Return the time since the routes were last confirmed as current."""
@@ -47,7 +52,13 @@
 
         This bounds the time for which a revoked key is still accepted.
         """
-        return self.table is not None and self.age_ms(now_ms) < self.lease_ms
+        if self.table is None or self.is_outdated(now_ms):
+            return False
+        return self.age_ms(now_ms) < self.lease_ms
+
+    def is_outdated(self, now_ms: float) -> bool:
+        """Tell whether a newer version must be in force, which this node could not get."""
+        return now_ms - self.outdated_since_ms() >= self.max_lag_ms
 
 
 @frozen
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -121,7 +121,10 @@
         self.placement.notices.drain_ms = cfg.upstream_drain_ms
         self.follower = Follower(status, cfg.seeds, rng, self.placement.workload)
         self.routes = ActiveRoutes(
-            lease_ms=cfg.key_lease_ms, confirmed_ms=lambda: self.follower.confirmed_ms
+            lease_ms=cfg.key_lease_ms,
+            confirmed_ms=lambda: self.follower.confirmed_ms,
+            max_lag_ms=cfg.max_route_lag_ms,
+            outdated_since_ms=lambda: self.follower.outdated_since_ms,
         )
         self._dispatcher = Dispatcher(
             self.hooks.dialect,
--- a/packages/node/src/goldcrestridge_node/role_settings.py
+++ b/packages/node/src/goldcrestridge_node/role_settings.py
@@ -19,7 +19,8 @@
 
     ``node`` is the address at which the node receives messages of other nodes, and ``seeds`` are
     the initial control nodes. ``management_addresses`` serve readiness, addresses and metrics.
-    ``key_lease_ms`` is how long routes and keys are used after they were last confirmed as current.
+    ``key_lease_ms`` is how long routes and keys are used after they were last confirmed as current,
+    ``max_route_lag_ms`` how long after this node has heard that there is a newer version.
     ``grace_ms`` is the time from SIGTERM to SIGKILL. In each ``retry_window_ms``, all entry nodes
     together may retry ``retry_share`` of the requests plus ``retry_extra`` more. A leaving upstream
     goes on serving for ``upstream_drain_ms``.
@@ -31,6 +32,7 @@
     management_addresses: tuple[str, ...]
     seeds: tuple[NodeId, ...]
     key_lease_ms: float
+    max_route_lag_ms: float
     grace_ms: float
     retry_share: float
     retry_extra: float
--- a/tests/core/test_route_lag.py
+++ b/tests/core/test_route_lag.py
@@ -14,6 +14,7 @@
 import pytest
 from attrs import Factory, define, field
 
+from goldcrestridge_core.deltas import pack
 from goldcrestridge_core.follow_types import (
     EntryStatus,
     FollowHint,
@@ -228,6 +229,21 @@
     assert [to for to, _ in requests_in(follower.handle(hint, 10.0))] == [LEADER]
 
 
+def test_a_node_knows_since_when_it_lacks_a_version_that_it_has_heard_of() -> None:
+    # Guards against a node that goes on by routes that it knows to be replaced.
+    follower = follower_of(LEADER)
+    ((_, request),) = requests_in(follower.handle(Tick(), 0.0))
+    follower.handle(Receive(LEADER, FollowHint(2, "", "")), 10.0)
+    follower.handle(Receive(LEADER, FollowHint(3, "", "")), 700.0)
+    old = FollowReply(request.sequence, True, version=0)
+    follower.handle(Receive(LEADER, old), 710.0)
+    assert follower.outdated_since_ms == 10.0
+    ((_, request),) = requests_in(follower.handle(Tick(), 2_500.0))
+    new = FollowReply(request.sequence, True, version=3, document=pack(b"three"))
+    follower.handle(Receive(LEADER, new), 2_510.0)
+    assert (follower.version, follower.outdated_since_ms) == (3, float("inf"))
+
+
 def test_a_difference_to_another_version_is_asked_for_again_at_once() -> None:
     # Guards against a wait of a whole interval after replies that overtook each other.
     follower = follower_of(LEADER)
--- a/tests/node/test_gateway.py
+++ b/tests/node/test_gateway.py
@@ -15,6 +15,7 @@
     event,
     not_run,
     ok,
+    route_table,
     running_gateway,
     scripted,
 )
@@ -308,6 +309,24 @@
         assert running.upstreams[0].exchanges == []
 
 
+@pytest.mark.parametrize("public", [False, True])
+async def test_requests_are_refused_once_a_newer_version_must_be_in_force(public: bool) -> None:
+    # Guards against requests handled by routes that the node knows to be replaced for too long.
+    async with running_gateway(scripted("a", ok)) as running:
+        routes, clock = running.gateway.dependencies.routes, running.gateway.dependencies.clock
+        if public:
+            routes.table = route_table()
+        routes.max_lag_ms = 1_900.0
+        since_ms = clock.now_ms()
+        routes.outdated_since_ms = lambda: since_ms
+        assert (await running.call("/read/1")).status == 200
+        routes.outdated_since_ms = lambda: since_ms - 1_900.0
+        response = await running.call("/read/1")
+        assert (response.status, b"not_ready" in response.content) == (503, True)
+        assert (await running.call("/nowhere/1")).status == 503
+        assert len(running.upstreams[0].exchanges) == 1
+
+
 async def test_a_draining_gateway_tells_callers_to_close_their_connections() -> None:
     # Guards against callers that keep their connection to a node that is about to stop.
     async with running_gateway(scripted("a", ok)) as running:
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -48,6 +48,7 @@
     # Guards against a request with a revoked key that runs after the bound.
     file = load_settings(write(tmp_path)).unwrap()
     assert 2_500 <= gateway_settings(file, None).key_lease_ms <= 4_500
+    assert 1_000 <= gateway_settings(file, None).max_route_lag_ms <= 1_500
     short = {"revoke_strict": True, "revoke_ms": 800}
     file = load_settings(write(tmp_path, bounds=short)).unwrap()
     assert gateway_settings(file, None).key_lease_ms < 800
