--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -137,6 +137,12 @@
         return UpstreamInstance(self.name, "s", address, "dc", 6, False, self.version)
 
 
+async def _start_upstream(upstream: ScriptedUpstream) -> asyncio.Server:
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", upstream.port)
+    upstream.port = server.sockets[0].getsockname()[1]
+    return server
+
+
 async def _read_request(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> UpstreamExchange:
@@ -191,7 +197,7 @@
     """A running gateway with its upstreams and log lines.
 
     ``confirmed_ms`` holds the time at which the routes were last confirmed as current. ``stop``
-    makes it stop accepting callers.
+    makes it stop accepting callers. ``servers`` holds the listener of each upstream by name.
     """
 
     gateway: Gateway
@@ -200,6 +206,17 @@
     log_lines: list[MutableMapping[str, Any]]
     confirmed_ms: list[float]
     stop: anyio.Event
+    servers: dict[str, asyncio.Server]
+
+    async def start_upstream(self, upstream: ScriptedUpstream) -> None:
+        """Start an upstream, which is not listed yet."""
+        self.servers[upstream.name] = await _start_upstream(upstream)
+
+    def list_upstreams(self, upstreams: list[ScriptedUpstream]) -> None:
+        """Replace the list of instances."""
+        deps = self.gateway.dependencies
+        listed = [upstream.instance() for upstream in upstreams]
+        deps.placement.set_instances(listed, deps.clock.now_ms())
 
     async def call(
         self, path: str, method: str = "POST", body: bytes = b"x", **headers: str
@@ -264,11 +281,7 @@
 ) -> AsyncIterator[RunningGateway]:
     """Run a gateway in front of the upstreams, which are engines if ``engine`` is given."""
     clock = Clock()
-    servers = []
-    for upstream in upstreams:
-        server = await asyncio.start_server(upstream.serve, "127.0.0.1", upstream.port)
-        upstream.port = server.sockets[0].getsockname()[1]
-        servers.append(server)
+    servers = {upstream.name: await _start_upstream(upstream) for upstream in upstreams}
     placement = Placement("dc", random.Random(1))
     listed = [upstream.instance() for upstream in upstreams]
     placement.set_instances(listed, clock.now_ms())
@@ -318,9 +331,11 @@
     async with anyio.create_task_group() as tasks:
         await tasks.start(serve, gateway, [sock], stop)
         try:
-            yield RunningGateway(gateway, port, list(upstreams), log_lines, confirmed_ms, stop)
+            yield RunningGateway(
+                gateway, port, list(upstreams), log_lines, confirmed_ms, stop, servers
+            )
         finally:
             tasks.cancel_scope.cancel()
     await dependencies.dispatcher.aclose()
-    for server in servers:
+    for server in servers.values():
         server.close()
