Send prompts no more whose parts crash upstreams

Cause: a crash counted against the instance alone. The request was tried at the next one, later ones with that part were sent at any entry, and only the id of the last shared part reached any decision. An answer clears the parts of its prompt. Entry nodes report crashes to the control leader at once; it adds them up, hints at what is blocked, and returns it with each poll.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -106,13 +106,46 @@
     left_ms: float
 
 
+@message
+@frozen
+class PromptCrash:
+    """A run of an upstream ended before it answered a prompt with ``parts``.
+
+    ``known`` are those of them that the reporting node had seen answered before.
+    """
+
+    run: str
+    parts: tuple[str, ...]
+    known: tuple[str, ...]
+    age_ms: float
+
+
+@message
+@frozen
+class AnsweredPart:
+    """The last time at which an upstream began to answer a prompt with a part."""
+
+    part: str
+    age_ms: float
+
+
+@message
+@frozen
+class BlockedParts:
+    """Prompts with all of these parts crash upstreams; ``age_ms`` is that of the last crash."""
+
+    parts: tuple[str, ...]
+    age_ms: float
+
+
 @message
 @frozen
 class Workload:
     """Load, limits and notices of upstreams, exchanged between entry nodes through the leader.
 
     ``own_rests`` are those that the receiver itself reported and its last request did not hold,
-    since it was restarted.
+    since it was restarted. The leader gets the ``crashes`` and returns the ``blocked`` parts of
+    prompts; ``suspects`` are those of which it has to know whether they were answered.
     """
 
     loads: tuple[InstanceLoad, ...] = ()
@@ -121,6 +154,10 @@
     leaving: tuple[LeavingNotice, ...] = ()
     rests: tuple[RestNotice, ...] = ()
     own_rests: tuple[RestNotice, ...] = ()
+    crashes: tuple[PromptCrash, ...] = ()
+    answers: tuple[AnsweredPart, ...] = ()
+    blocked: tuple[BlockedParts, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 @message
@@ -149,7 +186,8 @@
     base if that is 0. Only a reply with ``leads`` shows the state that was current when the
     request arrived. The digests are empty while the leader does not know the lists yet.
     ``workload`` is the sum of the last reports of all other entry nodes. ``version_age_ms`` tells
-    for how long the leader has known the version.
+    for how long the leader has known the version. ``blocked_digest`` stands for the blocked parts
+    of prompts in the workload.
     """
 
     sequence: int
@@ -165,6 +203,7 @@
     replicas: tuple[NodeId, ...] = ()
     workload: Workload = Factory(Workload)
     version_age_ms: float = 0.0
+    blocked_digest: str = ""
 
 
 @message
@@ -175,6 +214,7 @@
     version: int
     instances_digest: str
     entries_digest: str
+    blocked_digest: str = ""
 
 
 @message
@@ -238,6 +278,11 @@
     accepting: bool
 
 
+@frozen
+class ReportDue:
+    """Event: this entry node has something to report that the others should know at once."""
+
+
 @frozen
 class ControlAddresses:
     """Event: the settings changed; ``nodes`` are the control nodes that they name now."""
--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -23,6 +23,7 @@
     FollowReply,
     FollowRequest,
     InstancesReceived,
+    ReportDue,
     RoutesReceived,
     StatusChanged,
     Workload,
@@ -63,7 +64,8 @@
 class Follower:
     """Keep the routes, upstreams and entry nodes that the control leader holds.
 
-    Events: Tick; Receive of FollowReply and FollowHint; StatusChanged; ControlAddresses.
+    Events: Tick; Receive of FollowReply and FollowHint; StatusChanged; ReportDue;
+    ControlAddresses.
     Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, WorkloadReceived, Emit,
     Count.
     ``workload`` returns the load that this node puts on upstreams at a monotonic time in
@@ -81,6 +83,7 @@
     outdated_since_ms: float = math.inf
     instances_digest: str = ""
     entries_digest: str = ""
+    blocked_digest: str = ""
     _heard_version: int = 0
     _document: bytes = b""
     _target: NodeId | None = None
@@ -116,6 +119,8 @@
             case StatusChanged(accepting=accepting):
                 self.status = evolve(self.status, accepting=accepting)
                 self._poll_soon(now_ms)
+            case ReportDue():
+                self._poll_soon(now_ms)
             case ControlAddresses(nodes=nodes):
                 self.seeds = nodes
         return effects + self._send_due_request(now_ms)
@@ -132,6 +137,7 @@
             hint.version > self.version
             or hint.instances_digest != self.instances_digest
             or hint.entries_digest != self.entries_digest
+            or hint.blocked_digest != self.blocked_digest
         )
         if not changed:
             return
@@ -198,6 +204,7 @@
             self.entries_digest = reply.entries_digest
             self._poll_interval_ms = poll_interval_ms(len(reply.entries))
             effects.append(EntriesReceived(reply.entries))
+        self.blocked_digest = reply.blocked_digest
         effects.append(WorkloadReceived(reply.workload))
         return effects
 
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -70,7 +70,7 @@
     _entries_digest: str = ""
     _leads_since_ms: float = math.inf
     _deltas: Deltas = field(factory=Deltas)
-    _last_hint: tuple[int, str, str] = (0, "", "")
+    _last_hint: tuple[int, str, str, str] = (0, "", "", "")
     _version_since_ms: float = -math.inf  # When this leader first had the version.
     _last_sweep_ms: float = -math.inf
     _workloads: WorkloadSums = field(factory=WorkloadSums)
@@ -153,7 +153,7 @@
         """Remove entry nodes that stopped polling, and rebuild the list of accepting ones."""
         if not current.leads:
             if self._leads_since_ms < math.inf:
-                self._workloads.forget_limits()
+                self._workloads.forget_shared()
             self._leads_since_ms = math.inf
             self._entries_digest = ""
             return
@@ -185,6 +185,7 @@
             "version": newest.version,
             "instances_digest": self._instances_digest,
             "entries_digest": self._entries_digest,
+            "blocked_digest": self._workloads.crashes.digest(),
             "replicas": current.replicas,
             "version_age_ms": max(0.0, now_ms - self._version_since_ms)
             if newest.version == self._last_hint[0]
@@ -208,13 +209,21 @@
         """Send one hint of each change to all entry nodes."""
         if not current.leads:
             return []
-        state = (current.document.version, self._instances_digest, self._entries_digest)
+        state = (
+            current.document.version,
+            self._instances_digest,
+            self._entries_digest,
+            self._workloads.crashes.digest(),
+        )
         if state == self._last_hint:
             return []
         if state[0] != self._last_hint[0]:
             self._version_since_ms = now_ms
+        effects: list[Any] = []
+        if state[3] != self._last_hint[3]:
+            effects.append(Emit("prompt_parts_blocked", detail=(("parts", state[3]),)))
         self._last_hint = state
-        return [Send(node, FollowHint(*state)) for node in sorted(self._entries)]
+        return effects + [Send(node, FollowHint(*state)) for node in sorted(self._entries)]
 
 
 def _count_versions(instances: tuple[UpstreamInstance, ...]) -> str:
--- a/packages/core/src/goldcrestridge_core/workload_sums.py
+++ b/packages/core/src/goldcrestridge_core/workload_sums.py
@@ -18,6 +18,7 @@
     ServiceWork,
     Workload,
 )
+from goldcrestridge_core.prompt_crashes import PromptCrashes
 from goldcrestridge_core.rate_limits import RateLimits
 from goldcrestridge_core.types import NodeId
 from goldcrestridge_core.upstream_notices import merge_notices
@@ -28,8 +29,12 @@
 
 @define
 class WorkloadSums:
-    """The last report of each entry node, with running sums; times are monotonic milliseconds."""
+    """The last report of each entry node, with running sums; times are monotonic milliseconds.
 
+    ``crashes`` holds the evidence of all nodes on prompts that crash upstreams.
+    """
+
+    crashes: PromptCrashes = field(factory=PromptCrashes)
     _reports: dict[NodeId, tuple[Workload, float]] = field(factory=dict)
     _loads: dict[str, int] = field(factory=dict)
     _works: dict[str, ServiceWork] = field(factory=dict)
@@ -44,6 +49,7 @@
         self._add(workload, 1)
         for limit in workload.limits:
             self._limits.merge(limit, now_ms)
+        self.crashes.merge_report(workload, now_ms)
 
     def remove(self, node: NodeId) -> None:
         """Drop the report of a node; a limit that it observed stays until it is replaced."""
@@ -55,12 +61,13 @@
         """Forget the limits of instances that are not among ``instances``."""
         self._limits.retain(instances)
 
-    def forget_limits(self) -> None:
-        """Forget all limits; the entry nodes report those in force again."""
+    def forget_shared(self) -> None:
+        """Forget all limits and crashes; the entry nodes report what is in force again."""
         self._limits = RateLimits()
+        self.crashes = PromptCrashes()
 
     def of_others(self, node: NodeId, now_ms: float) -> Workload:
-        """Return the total load and work of all other nodes, and the limits and notices of all."""
+        """Return the load and work of all other nodes, and what all nodes know of upstreams."""
         own = self._reports[node][0] if node in self._reports else Workload()
         own_loads = {load.instance: load.requests for load in own.loads}
         own_works = {work.service: work for work in own.works}
@@ -72,12 +79,13 @@
             _sum(work, own_works[name], -1) if name in own_works else work
             for name, work in sorted(self._works.items())
         )
-        return Workload(
+        others = Workload(
             tuple(load for load in loads if load.requests),
             tuple(works),
             self._limits.shared(now_ms),
             *self._merged_notices(now_ms),
         )
+        return self.crashes.add_reply(others, now_ms)
 
     def _add(self, workload: Workload, sign: int) -> None:
         for load in workload.loads:
--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -24,7 +24,14 @@
 
 
 class ConnectFailedError(Exception):
-    """Raised if no connection was made, so that no byte of a request was sent."""
+    """Raised if no connection was made, so that no byte of a request was sent.
+
+    ``refused`` tells whether the upstream's VM answered that nothing listens there.
+    """
+
+    def __init__(self, message: str, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused = refused
 
 
 class UpstreamConnection(httpcore.AsyncHTTP11Connection):
@@ -173,6 +180,9 @@
                 socket_options=KEEPALIVE_OPTIONS,
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
-            raise ConnectFailedError(f"Connecting failed: {type(exc).__name__}.") from exc
+            raise ConnectFailedError(
+                f"Connecting failed: {type(exc).__name__}.",
+                isinstance(exc.__cause__, ConnectionRefusedError),
+            ) from exc
         self.opened += 1
         return UpstreamConnection(self.origin, stream)
--- a/packages/node/src/goldcrestridge_node/dialect.py
+++ b/packages/node/src/goldcrestridge_node/dialect.py
@@ -17,7 +17,8 @@
     carries no API key. ``shared_prefix_id`` identifies the longest prompt prefix that other
     requests share, which has ``shared_tokens`` tokens; it is empty if there is none. A resumed
     stream continues after the event ``last_event_id``; ``resumed_request_id`` is the id of the
-    caller's attempt that brought its first event, or empty.
+    caller's attempt that brought its first event, or empty. ``prompt_parts`` identify the parts of
+    the prompt that other requests can share.
     """
 
     request_id: bytes
@@ -30,6 +31,7 @@
     output_tokens: int = 0
     last_event_id: int | None = None
     resumed_request_id: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
 
 @frozen
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from typing import Any
@@ -26,6 +27,9 @@
 # A rejection that is not read to its end within both only loses its connection.
 DRAIN_TIMEOUT_MS = 50.0
 MAX_DRAINED_BYTES = 65_536
+# A few round trips within a region.
+REFUSAL_TIMEOUT_MS = 200.0
+REFUSAL_VALID_MS = 100.0
 CONNECTION_ERRORS = (httpcore.TimeoutException, httpcore.NetworkError, httpcore.ProtocolError)
 
 
@@ -61,13 +65,15 @@
     """An attempt without a response that can be forwarded to the caller.
 
     ``upstream_fault`` tells whether the failure counts against the upstream, ``wrong_instance``
-    whether another instance now has its address.
+    whether another instance now has its address. ``disconnected`` tells whether the connection
+    ended after the request had been sent.
     """
 
     outcome: AttemptOutcome
     reason: str
     upstream_fault: bool = True
     wrong_instance: bool = False
+    disconnected: bool = False
 
     @property
     def rejected(self) -> bool:
@@ -137,6 +143,8 @@
     observe_notice: Callable[[UpstreamInstance, UpstreamResponseHead, float], None] = _ignore
     withheld: Callable[[UpstreamInstance], str] = _send_always
     _pools: dict[str, ConnectionPool] = field(init=False, factory=dict)
+    # By address: when an upstream was last asked for a connection, and whether it refused.
+    _refusals: dict[str, tuple[float, bool]] = field(init=False, factory=dict)
     _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=NetworkBackend)
 
     async def send(
@@ -192,7 +200,9 @@
             )
         except CONNECTION_ERRORS as exc:
             return FailedAttempt(
-                AttemptOutcome.UNKNOWN, f"The connection failed: {type(exc).__name__}."
+                AttemptOutcome.UNKNOWN,
+                f"The connection failed: {type(exc).__name__}.",
+                disconnected=not isinstance(exc, httpcore.TimeoutException),
             )
         headers = lower_names(response.headers)
         head = self.dialect.read_upstream(response.status, headers)
@@ -225,6 +235,24 @@
             self._pools[instance.address] = pool
         return pool
 
+    async def refuses_connections(self, instance: UpstreamInstance) -> bool:
+        """Tell whether nothing listens at the address of an instance.
+
+        The result holds for REFUSAL_VALID_MS, since many requests lose their connections at once.
+        """
+        checked_ms, refused = self._refusals.get(instance.address, (-math.inf, False))
+        if self.clock.now_ms() - checked_ms < REFUSAL_VALID_MS:
+            return refused
+        pool, refused = self._pool(instance), False
+        try:
+            conn = await pool.acquire(reuse=False, timeout_ms=REFUSAL_TIMEOUT_MS)
+        except ConnectFailedError as exc:
+            refused = exc.refused
+        else:
+            await _release(pool, conn)
+        self._refusals[instance.address] = self.clock.now_ms(), refused
+        return refused
+
     async def close_idle(self) -> None:
         """Close the connections that were idle for longer than ``max_idle_ms``."""
         for pool in list(self._pools.values()):
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -28,6 +28,7 @@
 from goldcrestridge_node.headers import header_values
 from goldcrestridge_node.refusals import Refusal
 from goldcrestridge_node.relay import Relay
+from goldcrestridge_node.request_crashes import RequestCrashes
 from goldcrestridge_node.request_log import RequestRecord
 
 NO_ROUTE = Refusal(404, "no_route", "No route matches host and path.")
@@ -39,7 +40,8 @@
 class Gateway:
     """The ASGI application; while ``draining``, each response closes its connection.
 
-    ``served`` counts the requests that have ended.
+    ``served`` counts the requests that have ended. ``unanswered`` holds those that wait for the
+    first event of an answer to their prompt.
     """
 
     dependencies: GatewayDependencies
@@ -47,6 +49,7 @@
     draining: bool = False
     in_flight: int = 0
     served: int = 0
+    unanswered: set[RequestCrashes] = field(factory=set)
     _reserved_bytes: int = 0
     _tickets: Iterator[int] = field(factory=itertools.count)
     _idle: anyio.Event = field(factory=anyio.Event)
@@ -136,6 +139,11 @@
         if isinstance(admitted, Refusal):
             await self.refuse(exchange, admitted, record)
             return
+        crashes = RequestCrashes(self, head.prompt_parts, record)
+        blocked = crashes.refusal()
+        if blocked is not None:
+            await self.refuse(exchange, blocked, record)
+            return
         started_ms = record.started_ms
         limit_ms = admitted.route.timeout_ms
         if head.time_limit_ms is not None:
@@ -150,7 +158,7 @@
             reuse=admitted.route.repeatable,
         )
         self.dependencies.retry_budget.record_request(admitted.service, started_ms)
-        relay = Relay(self, exchange, request, admitted, forwarding, record)
+        relay = Relay(self, exchange, request, admitted, forwarding, record, crashes)
         await relay.run()
 
     def _admit(
@@ -203,6 +211,11 @@
             return None
         return _admitted_request(table, route, admitted.workspace, service, head)
 
+    def cancel_blocked(self) -> None:
+        """Cancel the attempts whose prompt is blocked and whose answer has not begun."""
+        for crashes in list(self.unanswered):
+            crashes.cancel_if_blocked()
+
     def is_still_authorized(self, admitted: AdmittedRequest, key: str | None) -> bool:
         """Tell whether the key of a request that has waited is valid in the current routes."""
         routes, now_ms = self.dependencies.routes, self.dependencies.clock.now_ms()
--- a/packages/node/src/goldcrestridge_node/gateway_parts.py
+++ b/packages/node/src/goldcrestridge_node/gateway_parts.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Callable
 
-from attrs import define, field, frozen
+from attrs import Factory, define, field, frozen
 
 from goldcrestridge_core.clock import Clock
 from goldcrestridge_core.demand import Demand
 from goldcrestridge_core.placement import Placement
+from goldcrestridge_core.prompt_crashes import PromptCrashes
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import EngineLimits, Route, RoutedWorkspace, RouteTable
 from goldcrestridge_node.dialect import Dialect
@@ -61,12 +62,17 @@
         return now_ms - self.outdated_since_ms() >= self.max_lag_ms
 
 
+def _report_nothing() -> None:
+    return None
+
+
 @frozen
 class GatewayDependencies:
     """Dependencies of the gateway; ``ticket_prefix`` is unique for each start of a node.
 
     ``permits`` posts ``SeekPermit`` to the core and returns ``PermitDecided``; ``origins`` posts
-    ``FindOrigin`` and returns ``OriginFound``.
+    ``FindOrigin`` and returns ``OriginFound``. ``report_crash`` is called when ``crashes`` knows of
+    another crash.
     """
 
     dialect: Dialect
@@ -80,6 +86,8 @@
     permits: PendingRequests
     origins: PendingRequests
     ticket_prefix: str
+    crashes: PromptCrashes = Factory(PromptCrashes)
+    report_crash: Callable[[], None] = _report_nothing
 
 
 @frozen
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -22,6 +22,7 @@
     EntriesReceived,
     EntryStatus,
     InstancesReceived,
+    ReportDue,
     RoutesReceived,
     StatusChanged,
     UpstreamInstance,
@@ -31,6 +32,7 @@
 from goldcrestridge_core.follower import Follower
 from goldcrestridge_core.permits import PermitDecided, Permits
 from goldcrestridge_core.placement import Placement
+from goldcrestridge_core.prompt_crashes import PromptCrashes
 from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import RouteTable
 from goldcrestridge_core.stream_origins import OriginFound, StreamOrigins
@@ -97,6 +99,7 @@
     metrics: Metrics = field(factory=Metrics)
     follower: Follower = field(init=False)
     placement: Placement = field(init=False)
+    crashes: PromptCrashes = field(factory=PromptCrashes)
     routes: ActiveRoutes = field(init=False)
     gateway: Gateway = field(init=False)
     driver: Driver = field(init=False)
@@ -119,7 +122,7 @@
         status = EntryStatus(cfg.node, cfg.caller_address, cfg.data_centre, accepting=False)
         self.placement = Placement(cfg.data_centre, rng)
         self.placement.notices.drain_ms = cfg.upstream_drain_ms
-        self.follower = Follower(status, cfg.seeds, rng, self.placement.workload)
+        self.follower = Follower(status, cfg.seeds, rng, self._workload)
         self.routes = ActiveRoutes(
             lease_ms=cfg.key_lease_ms,
             confirmed_ms=lambda: self.follower.confirmed_ms,
@@ -149,6 +152,8 @@
             self._permits,
             self._origins,
             f"{cfg.node} {secrets.token_hex(4)}",
+            self.crashes,
+            report_crash=self._report_crash,
         )
         self.gateway = Gateway(dependencies)
         outputs = Outputs(
@@ -217,10 +222,29 @@
             "upstream_notice", upstream=life, notice=change.value, source=source, rest_ms=rest_ms
         )
 
+    def _workload(self, now_ms: float) -> Workload:
+        """Return what this node reports to the control leader."""
+        return self.crashes.add_report(self.placement.workload(now_ms), now_ms)
+
+    def _report_crash(self) -> None:
+        """Tell the control leader of a crash at once, and stop the attempts that it blocks."""
+        self.gateway.cancel_blocked()
+        self.driver.post(ReportDue())
+
+    def _merge_crashes(self, workload: Workload, now_ms: float) -> None:
+        """Apply what the control leader knows of prompts that crash upstreams."""
+        before = self.crashes.fleet_blocked
+        self.crashes.merge_reply(workload, now_ms)
+        blocked = self.crashes.fleet_blocked
+        if blocked != before:
+            self._log.info("prompt_parts_in_force", blocked=[sorted(parts) for parts in blocked])
+            self.gateway.cancel_blocked()
+
     def _merge_workload(self, workload: Workload) -> None:
         """Record the loads, limits and notices that other entry nodes know."""
         now_ms = self.clock.now_ms()
         self.placement.set_peer_workload(workload)
+        self._merge_crashes(workload, now_ms)
         for limit in workload.limits:
             if self.placement.limits.merge(limit, now_ms):
                 self._log.info(
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -35,6 +35,7 @@
 from goldcrestridge_node.gateway_parts import NOT_READY, AdmittedRequest
 from goldcrestridge_node.headers import BodyFraming, may_be_event_stream
 from goldcrestridge_node.relay_refusals import CANNOT_RESUME, ORIGIN_NOT_FOUND, refusal_of
+from goldcrestridge_node.request_crashes import RequestCrashes
 from goldcrestridge_node.request_log import RequestRecord
 from goldcrestridge_node.request_permits import RequestPermits
 
@@ -60,6 +61,7 @@
     admitted: AdmittedRequest
     forwarding: Forwarding
     record: RequestRecord
+    crashes: RequestCrashes
     _excluded: set[str] = field(factory=set)
     _error_response: tuple[UpstreamResponse, bytes] | None = None
     _ticket: str | None = None
@@ -97,6 +99,12 @@
             if decision.step is Step.SEND and not self._is_allowed():
                 await self.gateway.refuse(self.exchange, NOT_READY, self.record)
                 return
+            blocked = self.crashes.refusal()
+            if decision.step is Step.SEND and blocked is not None:
+                if not self.forwarding.possible_runs:
+                    await self.gateway.refuse(self.exchange, blocked, self.record)
+                    return
+                decision = self.forwarding.give_up(blocked.detail)
             if decision.step is Step.SEND and instance is not None:
                 decision = await self._attempt(instance)
             if decision.step is Step.PASS_ON:
@@ -296,15 +304,7 @@
         placement.record_start(instance)
         self.record.versions.append(instance.version)
         try:
-            result = await self.gateway.dependencies.dispatcher.send(
-                self.request,
-                instance,
-                self._build_request_head(instance),
-                self._timeout_ms(),
-                self._denied,
-            )
-            if isinstance(result, UpstreamResponse):
-                result = await self._forward(result)
+            result = await self._send(instance)
         finally:
             placement.record_end(instance)
             self._end_ticket()
@@ -314,7 +314,28 @@
         self.record.add_attempt(instance.instance, outcome.value, reason, now_ms - started_ms)
         if isinstance(result, FailedAttempt):
             self._report_failure(instance, result, now_ms)
-        return self._decide_next(outcome, instance, now_ms)
+            await self.crashes.record_failure(instance, result)
+        decision = self._decide_next(outcome, instance, now_ms)
+        return self.crashes.decide(decision, self.forwarding)
+
+    async def _send(self, instance: UpstreamInstance) -> UpstreamResponse | FailedAttempt:
+        """Send the request to an instance and forward the response."""
+        result: UpstreamResponse | FailedAttempt = FailedAttempt(
+            AttemptOutcome.UNKNOWN,
+            "The attempt was cancelled, since its prompt was blocked.",
+            upstream_fault=False,
+        )
+        with self.crashes.attempt():
+            result = await self.gateway.dependencies.dispatcher.send(
+                self.request,
+                instance,
+                self._build_request_head(instance),
+                self._timeout_ms(),
+                self._denied,
+            )
+            if isinstance(result, UpstreamResponse):
+                result = await self._forward(result)
+        return result
 
     def _report_failure(
         self, instance: UpstreamInstance, failed: FailedAttempt, now_ms: float
@@ -384,7 +405,9 @@
                 upstream_fault=False,
             )
         except IncompleteResponseError as exc:
-            return FailedAttempt(AttemptOutcome.UNKNOWN, f"The response is incomplete: {exc}.")
+            return FailedAttempt(
+                AttemptOutcome.UNKNOWN, f"The response is incomplete: {exc}.", disconnected=True
+            )
         finally:
             await response.aclose()
 
@@ -452,6 +475,7 @@
         """
         placement = self.gateway.dependencies.placement
         if response.status < 500:
+            self.crashes.record_answer()
             placement.record_success(response.instance, self._now_ms)
         elif not response.head.rest_ms:
             placement.record_error_answer(response.instance, self._now_ms)
@@ -497,6 +521,7 @@
         if response.framing is BodyFraming.CLOSE and not self._splitter.has_events:
             raise IncompleteResponseError("its connection was closed before the first event")
         self.gateway.dependencies.placement.record_success(response.instance, self._now_ms)
+        self.crashes.record_answer()
         self.record.set_outcome("passed_on", "", response.status)
         if not self.exchange.started:
             await self._start_response(response)
@@ -504,6 +529,7 @@
         return response
 
     async def _write_events(self, response: UpstreamResponse, events: bytes) -> None:
+        self.crashes.record_event()
         if not self.exchange.started:
             self.record.first_event_ms = self._now_ms - self.record.started_ms
             self._begin_stream(response.instance)
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -14,6 +14,8 @@
 
 # Bounds the length of a log line during the release of a large service.
 MAX_AVOIDED = 4
+# Bounds the length of a log line for long prompts.
+MAX_LOGGED_PARTS = 16
 
 
 @define
@@ -83,6 +85,16 @@
     log: Any
     count: Callable[[Count], None]
 
+    def write_crash(self, record: RequestRecord, run: str, parts: tuple[str, ...]) -> None:
+        """Write that a run of an upstream ended before it answered a request."""
+        self.count(Count("upstream_crashes", 1, (("route", record.route),)))
+        self.log.info(
+            "upstream_crashed",
+            request_id=record.request_id,
+            upstream=run,
+            parts=list(parts[:MAX_LOGGED_PARTS]),
+        )
+
     def write(self, record: RequestRecord, now_ms: float) -> None:
         """Write the record of a request that has ended."""
         labels = (("route", record.route), ("outcome", record.outcome))
