Test the evidence on prompts that crash upstreams over whole fleets, and bound its cost

Changes of the leader, restarts, a node that is cut off, losses of many upstreams at once and invented parts are covered.

--- a/packages/core/src/goldcrestridge_core/prompt_crashes.py
+++ b/packages/core/src/goldcrestridge_core/prompt_crashes.py
@@ -41,7 +41,7 @@
 PROOF_MS = 500.0
 SUSPECTS_INTERVAL_MS = 50.0
 # Bounds on the memory and on messages.
-MAX_CRASHES = 256
+MAX_CRASHES = 128
 MAX_SHARED_CRASHES = 32
 MAX_PARTS = 64
 MAX_ANSWERED = 4_096
@@ -221,13 +221,11 @@
 
         A set within another one is left out: it would block requests that need not be guilty.
         """
-        sets = set()
-        for part in tied:
-            common = set(tied)
-            for crash in self._crashes.values():
-                if part in crash.parts:
-                    common &= set(crash.parts)
-            sets.add(frozenset(common))
+        together = {frozenset(tied.intersection(crash.parts)) for crash in self._crashes.values()}
+        sets = {
+            frozenset(tied).intersection(*(found for found in together if part in found))
+            for part in tied
+        }
         maximal = [item for item in sets if not any(item < other for other in sets)]
         return sorted(maximal, key=sorted)
 
--- /dev/null
+++ b/tests/core/crash_fleet.py
@@ -0,0 +1,220 @@
+"""Simulation of entry nodes in front of upstreams that crash under a part of a prompt."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from attrs import define, field
+
+from goldcrestridge_core.follow_types import (
+    EntryStatus,
+    FollowReply,
+    ReportDue,
+    Workload,
+    WorkloadReceived,
+)
+from goldcrestridge_core.follower import Follower
+from goldcrestridge_core.prompt_crashes import PromptCrashes
+from goldcrestridge_core.publisher import Leadership, Publisher
+from goldcrestridge_core.types import NodeId, Receive, Send, Tick
+from goldcrestridge_core.versions import VersionedDocument
+
+LEADERS = (NodeId("leader0"), NodeId("leader1"))
+MAX_CRASHES = 5
+ALLOWED_AFTER = 3
+
+
+@define
+class Upstream:
+    """One run of an upstream with the requests that wait or run on it."""
+
+    run: str
+    waiting: list[tuple[Entry, tuple[str, ...], bool]] = field(factory=list)
+    down: bool = False
+
+
+@define(eq=False)
+class Entry:
+    """One entry node; a restart replaces it."""
+
+    node: NodeId
+    follower: Follower
+    crashes: PromptCrashes
+
+
+@define
+class CrashFleet:
+    """Entry nodes that share what they know through a control leader.
+
+    ``contact_ms`` is the time within which all nodes in contact must have heard of a crash.
+    """
+
+    seed: int
+    size: int
+    contact_ms: float = 3_000.0
+    upstream_count: int = 5
+    restart_ms: float = 3_000.0
+    now_ms: float = 0.0
+    crash_times: list[float] = field(factory=list)
+    late_arrivals: int = 0
+    refused: list[tuple[float, tuple[str, ...]]] = field(factory=list)
+    begun: list[tuple[float, tuple[str, ...]]] = field(factory=list)
+    cut: set[NodeId] = field(factory=set)
+    excused: set[NodeId] = field(factory=set)
+    entries: dict[NodeId, Entry] = field(factory=dict)
+    leader: int = 0
+    publisher: Publisher = field(init=False)
+    upstreams: list[Upstream] = field(factory=list)
+    rng: random.Random = field(init=False)
+    _queue: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
+    _numbers: Any = field(factory=itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.publisher = self._new_publisher()
+        for number in range(self.size):
+            self.restart(NodeId(f"e{number}"))
+        self.upstreams = [self._new_upstream() for _ in range(self.upstream_count)]
+
+    def _new_publisher(self) -> Publisher:
+        document = VersionedDocument(1, b"1")
+        return Publisher(lambda _: Leadership(True, LEADERS[self.leader], LEADERS, document))
+
+    def _new_upstream(self) -> Upstream:
+        return Upstream(f"run{next(self._numbers)}")
+
+    def at(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Call a function after a time."""
+        heapq.heappush(self._queue, (self.now_ms + delay_ms, next(self._numbers), action))
+
+    def run(self, duration_ms: float) -> None:
+        """Advance the time."""
+        end_ms = self.now_ms + duration_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self._queue)
+            action()
+        self.now_ms = end_ms
+
+    # Nodes.
+
+    def restart(self, node: NodeId) -> None:
+        """Start a node, or start it again without what it knew."""
+        crashes = PromptCrashes()
+        status = EntryStatus(node, f"{node}:80", "dc", accepting=True)
+        follower = Follower(
+            status,
+            LEADERS,
+            random.Random(self.rng.getrandbits(32)),
+            lambda now_ms: crashes.add_report(Workload(), now_ms),
+        )
+        entry = self.entries[node] = Entry(node, follower, crashes)
+        self.at(self.rng.uniform(0.0, 500.0), lambda: self._post(entry, Tick()))
+
+    def change_leader(self) -> None:
+        """Let another control node lead, which knows nothing yet."""
+        self.leader = 1 - self.leader
+        self.publisher = self._new_publisher()
+
+    def _post(self, entry: Entry, event: Any) -> None:
+        if self.entries[entry.node] is not entry:
+            return
+        for effect in entry.follower.handle(event, self.now_ms):
+            if isinstance(effect, Send):
+                self.at(self.rng.uniform(0.5, 2.0), partial(self._ask, entry, effect))
+            elif isinstance(effect, WorkloadReceived):
+                entry.crashes.merge_reply(effect.workload, self.now_ms)
+        due_ms = entry.follower.next_deadline_ms()
+        if due_ms is not None:
+            self.at(max(0.0, due_ms - self.now_ms), lambda: self._tick(entry, due_ms))
+
+    def _tick(self, entry: Entry, due_ms: float) -> None:
+        if entry.follower.next_deadline_ms() == due_ms:
+            self._post(entry, Tick())
+
+    def _ask(self, entry: Entry, effect: Send) -> None:
+        if entry.node in self.cut or self.entries[entry.node] is not entry:
+            return
+        if effect.to != LEADERS[self.leader]:
+            reply = FollowReply(effect.message.sequence, False, LEADERS[self.leader])
+            self.at(1.0, lambda: self._post(entry, Receive(effect.to, reply)))
+            return
+        received = Receive(entry.node, effect.message)
+        for answer in self.publisher.handle(received, self.now_ms):
+            if isinstance(answer, Send):
+                self._deliver(answer)
+
+    def _deliver(self, answer: Send) -> None:
+        def deliver() -> None:
+            if answer.to not in self.cut:
+                self._post(self.entries[answer.to], Receive(LEADERS[self.leader], answer.message))
+
+        self.at(self.rng.uniform(0.5, 2.0), deliver)
+
+    # Requests.
+
+    def send(self, parts: tuple[str, ...], guilty: bool, attempts: int = 2) -> None:
+        """Send a request at a random entry node."""
+        self._try(self.entries[self.rng.choice(list(self.entries))], parts, guilty, attempts)
+
+    def _try(self, entry: Entry, parts: tuple[str, ...], guilty: bool, attempts: int) -> None:
+        if entry.crashes.blocked_by(parts, self.now_ms) is not None:
+            self.refused.append((self.now_ms, parts))
+            return
+        up = [upstream for upstream in self.upstreams if not upstream.down]
+        if not up:
+            return
+        upstream = self.rng.choice(up)
+        if guilty and self._is_late() and entry.node not in self.excused:
+            self.late_arrivals += 1
+        item = (entry, parts, guilty)
+        upstream.waiting.append(item)
+        # The request waits and is read, then its answer begins.
+        self.at(self.rng.choice([10.0, 60.0, 200.0]), lambda: self._begin(upstream, item, attempts))
+
+    def _is_late(self) -> bool:
+        if len(self.crash_times) < MAX_CRASHES:
+            return False
+        return self.now_ms > self.crash_times[MAX_CRASHES - 1] + self.contact_ms
+
+    def _begin(self, upstream: Upstream, item: Any, attempts: int) -> None:
+        entry, parts, guilty = item
+        if upstream.down or item not in upstream.waiting:
+            return
+        if entry.crashes.blocked_by(parts, self.now_ms) is not None:
+            upstream.waiting.remove(item)  # The node has cancelled it.
+            return
+        if guilty:
+            self.crash_times.append(self.now_ms)
+            self.crash(upstream, attempts)
+            return
+        upstream.waiting.remove(item)
+        self.begun.append((self.now_ms, parts))
+        began_ms = self.now_ms
+        self.at(500.0, lambda: entry.crashes.record_answer(parts, began_ms))
+
+    def crash(self, upstream: Upstream, attempts: int = 1) -> None:
+        """End a run; the nodes see it, and the upstream comes back as another run."""
+        upstream.down = True
+        for entry, parts, guilty in upstream.waiting:
+            if self.entries[entry.node] is not entry:
+                continue
+            entry.crashes.record_crash(upstream.run, parts, self.now_ms)
+            self._post(entry, ReportDue())
+            if attempts > 1 and entry.crashes.may_retry(parts, self.now_ms):
+                self._try(entry, parts, guilty, attempts - 1)
+        upstream.waiting.clear()
+        self.at(self.restart_ms, lambda: self._replace(upstream))
+
+    def _replace(self, upstream: Upstream) -> None:
+        self.upstreams[self.upstreams.index(upstream)] = self._new_upstream()
+
+    def share_begun(self, part: str, since_ms: float) -> float:
+        """Return the share of the decided requests with a part that began since a time."""
+        begun = sum(part in parts for at_ms, parts in self.begun if at_ms >= since_ms)
+        refused = sum(part in parts for at_ms, parts in self.refused if at_ms >= since_ms)
+        return begun / max(1, begun + refused)
