Use a run that follows a crash at once, also under the name of the one before

What callers saw: fewer engines than there are after crashes, where the upstream keeps its id. The list tells by address and time of start that it is another run. The test fails without the change.

--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -104,6 +104,7 @@
         services: dict[str, list[UpstreamInstance]] = {}
         for item in instances:
             services.setdefault(item.service, []).append(item)
+        before = {item.instance: item.life for items in self._services.values() for item in items}
         self._services = {name: tuple(items) for name, items in services.items()}
         self._orders.clear()
         self._record_versions(now_ms)
@@ -114,6 +115,11 @@
             for name, health in self._health.items()
             if name in listed or health.in_flight
         }
+        for item in itertools.chain.from_iterable(self._services.values()):
+            if before.get(item.instance, item.life) != item.life and item.instance in self._health:
+                # A later run under the same name has not failed yet.
+                in_flight = self._health[item.instance].in_flight
+                self._health[item.instance] = InstanceHealth(in_flight=in_flight)
         self.limits.retain(listed)
         self.notices.set_listed(itertools.chain.from_iterable(self._services.values()), now_ms)
 
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -6,6 +6,8 @@
 import random
 from collections import Counter
 
+from attrs import evolve
+
 from goldcrestridge_core.demand import Demand, demand_of
 from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
 from goldcrestridge_core.placement import (
@@ -285,3 +287,21 @@
     node.set_instances(versions("v1"), 8_000.0)
     assert node.served_versions("app", 8_500.0).only_version(1_000.0) is None
     assert node.served_versions("app", 9_000.0).only_version(1_000.0) == "v1"
+
+
+def test_a_run_that_follows_a_crash_is_used_at_once_under_the_same_name() -> None:
+    # Guards against the backoff of a sick instance for one that has just been started again.
+    crashed = UpstreamInstance("a", "s", "10.0.0.1:80", "dc", 8, False, born=1)
+    other = UpstreamInstance("b", "s", "10.0.0.2:80", "dc", 8, False, born=1)
+    node = placement([crashed, other])
+    for now_ms in range(5):
+        node.record_unreachable(crashed, float(now_ms))
+    assert {_chosen(node, 10.0) for _ in range(20)} == {"b"}
+    node.set_instances((evolve(crashed, born=2), other), 20.0)
+    assert {_chosen(node, 30.0) for _ in range(20)} == {"a", "b"}
+
+
+def _chosen(node: Placement, now_ms: float) -> str:
+    chosen = node.choose("s", Demand(), (), now_ms)
+    assert chosen is not None
+    return chosen.instance
