--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -315,8 +315,7 @@
         if isinstance(result, FailedAttempt):
             self._report_failure(instance, result, now_ms)
             await self.crashes.record_failure(instance, result)
-        decision = self._decide_next(outcome, instance, now_ms)
-        return self.crashes.decide(decision, self.forwarding)
+        return self._decide_next(outcome, instance, now_ms)
 
     async def _send(self, instance: UpstreamInstance) -> UpstreamResponse | FailedAttempt:
         """Send the request to an instance and forward the response."""
@@ -357,13 +356,16 @@
         self, outcome: AttemptOutcome, instance: UpstreamInstance, now_ms: float
     ) -> Decision:
         deps = self.gateway.dependencies
+        self._excluded.add(instance.instance)
+        if outcome is AttemptOutcome.UNKNOWN and self.crashes.bars_retry():
+            self.forwarding.after_attempt(outcome, now_ms, has_retry_budget=False)
+            return self.forwarding.give_up("upstreams crashed under parts of its prompt")
         has_retry_budget = True
         if outcome is not AttemptOutcome.ERROR and self.forwarding.needs_retry_budget(
             outcome, now_ms
         ):
             live_entries = deps.placement.live_entries
             has_retry_budget = deps.retry_budget.spend(self.admitted.service, live_entries, now_ms)
-        self._excluded.add(instance.instance)
         return self.forwarding.after_attempt(outcome, now_ms, has_retry_budget)
 
     def _end_ticket(self) -> None:
--- a/packages/node/src/goldcrestridge_node/request_crashes.py
+++ b/packages/node/src/goldcrestridge_node/request_crashes.py
@@ -11,7 +11,6 @@
 from attrs import define
 
 from goldcrestridge_core.follow_types import UpstreamInstance
-from goldcrestridge_core.forwarding import Decision, Forwarding, Step
 from goldcrestridge_core.prompt_crashes import PROOF_MS
 from goldcrestridge_node.dispatch import FailedAttempt
 from goldcrestridge_node.refusals import Refusal
@@ -30,7 +29,7 @@
     record: RequestRecord
     _began_ms: float = math.inf  # When the current attempt brought its first event.
     _proved: bool = False
-    _crashed: bool = False  # An upstream ended before it had proved to answer this request.
+    _crashed: bool = False  # The upstream of the last attempt ended before it had answered.
     _scope: anyio.CancelScope | None = None
 
     @property
@@ -56,7 +55,7 @@
     @contextmanager
     def attempt(self) -> Iterator[anyio.CancelScope]:
         """Watch one attempt; it is cancelled if its prompt is blocked before the answer begins."""
-        self._began_ms, self._proved = math.inf, False
+        self._began_ms, self._proved, self._crashed = math.inf, False, False
         with anyio.CancelScope() as scope:
             self._scope = scope
             if self.parts:
@@ -99,10 +98,8 @@
         deps.log.write_crash(self.record, instance.life, self.parts)
         deps.report_crash()
 
-    def decide(self, decision: Decision, forwarding: Forwarding) -> Decision:
-        """Return the decision after an attempt, without a retry that may crash another upstream."""
-        if decision.step is not Step.SEND or not self._crashed:
-            return decision
-        if self.gateway.dependencies.crashes.may_retry(self.parts, self._now_ms):
-            return decision
-        return forwarding.give_up("upstreams crashed under parts of its prompt")
+    def bars_retry(self) -> bool:
+        """Return whether another attempt may crash another upstream."""
+        if not self._crashed:
+            return False
+        return not self.gateway.dependencies.crashes.may_retry(self.parts, self._now_ms)
