Choose an upstream whose rest has ended only after a load report

Cause: nobody polls an upstream while it rests, so the shard owner did not know, and granted a slot before the next poll. It now waits for a report that was measured after the rest, for two polls at most; admission without an owner waits for the same time, since the owner polls first and says if the upstream leaves.

--- a/packages/core/src/goldcrestridge_core/choice.py
+++ b/packages/core/src/goldcrestridge_core/choice.py
@@ -41,6 +41,8 @@
 FAILURES_BEFORE_BACKOFF = 3  # For failed calls; a failed connect backs off at once.
 # An upstream that reports again after a gap of several report intervals has been started again.
 REPORT_GAP_MS = 2_000.0
+# Two polls of an upstream whose rest has ended. Without a report by then it is used all the same.
+REST_CONFIRM_MS = 1_000.0
 
 _LAST_ORDER_KEY = (math.inf, 0, 0)
 
@@ -80,7 +82,7 @@
     bucket: RequestBucket | None = None  # Requests that the limit allows.
     failures: int = 0
     blocked_until_ms: float = 0.0
-    rest_until_ms: float = 0.0  # The upstream wants no requests until then.
+    rest_until_ms: float = -math.inf  # The upstream wants no requests until then.
     suspect: bool = False  # Backed off without a completed call since.
     probing: bool = False
     order_key: tuple[float, int, int] | None = None  # Entry in the open order, None if not there.
@@ -90,6 +92,16 @@
         """Return whether no report states another version; the answer of the upstream decides."""
         return self.version in (None, version)
 
+    @property
+    def usable_after_rest_ms(self) -> float:
+        """Return when a rest ends, and until when a report after it is awaited.
+
+        Nobody polls an upstream while it rests, so it may have begun to leave unnoticed.
+        """
+        if self.reported_ms < self.rest_until_ms:
+            return self.rest_until_ms + REST_CONFIRM_MS
+        return self.rest_until_ms
+
     def estimated_load(self, now_ms: float) -> float:
         """Return the estimated number of requests at the upstream, not rounded."""
         if now_ms - self.reported_ms > MAX_REPORT_AGE_MS:
@@ -343,6 +355,7 @@
         if state is not None and until_ms > state.rest_until_ms:
             state.rest_until_ms = until_ms
             self._schedule_refresh(until_ms, upstream)
+            self._schedule_refresh(until_ms + REST_CONFIRM_MS, upstream)
             self._refresh(state, now_ms)
 
     def is_resting(self, upstream: UpstreamId, now_ms: float) -> bool:
@@ -421,7 +434,7 @@
         name = state.upstream.name
         speed = self._stragglers.speed(name)
         if state.leaving_ms is not None or now_ms < max(
-            state.blocked_until_ms, state.rest_until_ms
+            state.blocked_until_ms, state.usable_after_rest_ms
         ):
             self._update_totals(state, 0, 0, 0)
             return
--- a/packages/core/src/goldcrestridge_core/slots.py
+++ b/packages/core/src/goldcrestridge_core/slots.py
@@ -11,6 +11,7 @@
 from attrs import define, evolve, field, frozen
 
 from goldcrestridge_core.call_types import Call
+from goldcrestridge_core.choice import REST_CONFIRM_MS
 from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.slot_messages import held_grant, release_of, same_grant, to_owner
 from goldcrestridge_core.slot_notices import SlotNotices
@@ -229,7 +230,9 @@
         If it asked this node, slots that were granted before are not used either.
         """
         upstream, left_ms = message.upstream, message.left_ms
-        until_ms = max(self._avoid_until_ms.get(upstream, now_ms), now_ms + left_ms)
+        # The owner of the shard polls the upstream first and says if it has begun to leave.
+        rest_end_ms = now_ms + left_ms + REST_CONFIRM_MS
+        until_ms = max(self._avoid_until_ms.get(upstream, now_ms), rest_end_ms)
         self._avoid_until_ms[upstream] = until_ms
         if message.source == LOAD_REPORT:
             self.notices.hear(upstream, False, left_ms, now_ms)
