--- a/packages/lab/src/goldcrestridge_lab/soak.py
+++ b/packages/lab/src/goldcrestridge_lab/soak.py
@@ -32,6 +32,7 @@
 from goldcrestridge_lab.soak_checks import DRAIN_MS, RECONNECT_MS, Observations, find_violations
 from goldcrestridge_lab.soak_net import Proxy
 from goldcrestridge_lab.soak_nodes import BOUNDS, CALLER_PORT, OPERATOR_PORT, Node, Nodes
+from goldcrestridge_lab.soak_prompts import Prompts, crash_by_prompt, send_guilty_prompts
 from goldcrestridge_lab.soak_servers import Arrival, Upstream, UpstreamList
 from goldcrestridge_lab.soak_signals import ask_for_rest, limit_after_faults, name_limit
 
@@ -81,9 +82,11 @@
     upstreams: list[Upstream] = field(factory=list)
     # Start, end and requests a second of each limit that an instance named.
     limits: dict[str, list[tuple[float, float, float]]] = field(factory=dict)
+    prompts: Prompts = field(factory=Prompts)
     entry_proxies: dict[str, Proxy] = field(factory=dict)
     upstream_proxies: dict[str, Proxy] = field(factory=dict)
     _upstream_numbers: itertools.count[int] = field(factory=itertools.count)
+    _crash_tasks: set[asyncio.Future[None]] = field(factory=set)
     _started_ms: float = 0.0
     _recovered_ms: float = float("inf")
     _rng: random.Random = field(init=False)
@@ -122,7 +125,7 @@
         self.upstream_list = UpstreamList(
             list_address,
             self.now_ms,
-            lambda item: _host_port(self._proxy_of(item).source),
+            lambda item: _host_port(self.proxy_of(item).source),
             self.upstreams,
         )
         ips = [node.ip for node in control]
@@ -140,18 +143,26 @@
         number = next(self._upstream_numbers)
         address = (self._ip(4, number), UPSTREAM_PORT)
         upstream = Upstream(
-            service, address, self._new_instance_id(), self.now_ms, self.arrivals.append, self._rng
+            service, address, self.new_instance_id(), self.now_ms, self.arrivals.append, self._rng
         )
         upstream.version = VERSIONS[number % len(VERSIONS)]
+        upstream.crash_by_prompt = self._crash_by_prompt
         self.upstreams.append(upstream)
         source = (self._ip(5, number), UPSTREAM_PORT)
         self.upstream_proxies[address[0]] = Proxy(source, address, random.Random(number))
         return upstream
 
-    def _new_instance_id(self) -> str:
+    def _crash_by_prompt(self, upstream: Upstream, part: str) -> None:
+        task = asyncio.ensure_future(crash_by_prompt(self, upstream, part))
+        self._crash_tasks.add(task)
+        task.add_done_callback(self._crash_tasks.discard)
+
+    def new_instance_id(self) -> str:
+        """Return an id for another instance."""
         return f"i-{self._rng.randrange(1 << 40):010x}"
 
-    def _proxy_of(self, upstream: Upstream) -> Proxy:
+    def proxy_of(self, upstream: Upstream) -> Proxy:
+        """Return the proxy through which an upstream is reached."""
         return self.upstream_proxies[upstream.address[0]]
 
     async def run(self) -> bool:
@@ -181,6 +192,8 @@
             self.drains,
             self.limits,
             self._recovered_ms,
+            self.prompts.crashes,
+            [node.ip for node in self.nodes.control],
         )
         self.violations += [*self.operators.violations, *find_violations(observations)]
         self.violations += [
@@ -215,6 +228,8 @@
                 rng = random.Random(f"{self.seed} faults {number}")
                 tasks.create_task(self._inject_faults(until_ms, rng))
             tasks.create_task(limit_after_faults(self, until_ms, recovered_ms))
+            end_ms = recovered_ms + FAULT_FREE_MS
+            tasks.create_task(send_guilty_prompts(self, until_ms, end_ms))
         final = await self._read_final_version()
         newest_acknowledged = self.operators.newest_acknowledged(self.now_ms())
         if final < newest_acknowledged:
@@ -251,6 +266,7 @@
             directory_ips,
             lambda entry: self.entry_proxies[entry].source,
             self.calls,
+            self.prompts,
         )
 
     # Faults; each is counted and reported under the name of its method.
@@ -368,7 +384,7 @@
 
     async def _disturb_back(self, rng: random.Random) -> None:
         upstream = rng.choice(self.upstreams)
-        await self._disturb_proxy(rng, self._proxy_of(upstream), upstream.instance)
+        await self._disturb_proxy(rng, self.proxy_of(upstream), upstream.instance)
 
     async def _disturb_proxy(self, rng: random.Random, proxy: Proxy, name: str) -> None:
         disturbance = rng.choice(("delay", "reset", "in", "out", "both", "refuse"))
@@ -399,7 +415,7 @@
         await self._hold_fault(rng, crashed)
         if upstream.leaving_since_ms is None and not upstream.running:
             if rng.random() >= KEPT_ID_SHARE:
-                upstream.instance = self._new_instance_id()
+                upstream.instance = self.new_instance_id()
             upstream.version = rng.choice(VERSIONS)
             others = [item for item in self.upstreams if item is not upstream and item.running]
             if sum(item.service == upstream.service for item in others) >= 2:
@@ -414,7 +430,7 @@
         upstream = rng.choice(candidates)
         replacement = self._add_upstream(upstream.service)
         await replacement.start()
-        await self._proxy_of(replacement).start()
+        await self.proxy_of(replacement).start()
         upstream.leaving_since_ms = self.now_ms()
         await asyncio.sleep((DRAIN_MS + RECONNECT_MS) / MS_PER_SECOND)
         upstream.crash()
@@ -444,6 +460,8 @@
             f"  attempts to take up a stream: {len(resumed)}, "
             f"completed: {sum(call.served for call in resumed)}; limits named: "
             f"{sum(map(len, self.limits.values()))}",
+            f"  crashes by prompts: {len(self.prompts.crashes)}; prompts refused: "
+            f"{sum(call.blocked for call in self.calls)}",
             f"  faults: {dict(sorted(self.faults.items()))}",
             *(f"  BROKEN {violation}" for violation in self.violations[:20]),
         ]
--- a/packages/lab/src/goldcrestridge_lab/soak_callers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_callers.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field
+from attrs import Factory, define, field
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_lab.soak_net import (
@@ -20,6 +20,7 @@
     read_head,
 )
 from goldcrestridge_lab.soak_nodes import DIRECTORY_PORT, OPERATOR_PORT
+from goldcrestridge_lab.soak_prompts import Prompts, guilty_part
 from goldcrestridge_lab.soak_servers import (
     HEADER_PREFIX,
     STREAM_EVENTS,
@@ -136,6 +137,8 @@
     stream: Stream | None = None
     takes_up: bool = False  # The stream began in an earlier attempt.
     received: int = 0  # Events that this attempt brought.
+    guilty_part: str = ""  # The part of its prompt that crashes upstreams.
+    blocked: bool = False  # It was refused for a part of its prompt.
 
     @property
     def resumable(self) -> bool:
@@ -155,6 +158,7 @@
     directory_ips: list[str]
     proxy_address: Callable[[str], tuple[str, int]]
     calls: list[Call]
+    prompts: Prompts = Factory(Prompts)
     _call_numbers: Any = field(factory=itertools.count)
     _addresses: list[str] = field(factory=list)
     _resolved_ms: float = float("-inf")
@@ -214,6 +218,8 @@
         self, call: Call, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Send a request and read the response; return whether the connection can be reused."""
+        prompt = self.prompts.make(call.kind, call.request_id, self.rng)
+        call.guilty_part = guilty_part(prompt)
         body = b"b" * self.rng.choice((0, 10, 3_000))
         target = f"/{call.kind}/{self.rng.randrange(100)}?q={call.request_id}"
         resume_headers: tuple[tuple[str, str], ...] = ()
@@ -229,6 +235,7 @@
             (HEADER_PREFIX + "request-id", call.request_id),
             (HEADER_PREFIX + "deadline-ms", str(int(DEADLINE_MS))),
             ("x-api-key", call.key),
+            (HEADER_PREFIX + "prompt-prefix", prompt),
             ("content-length", str(len(body))),
             *resume_headers,
         )
@@ -241,6 +248,7 @@
             await self._read_stream(call, call.stream, reader)
         else:
             content = await reader.readexactly(int(answer.headers.get("content-length", "0")))
+            call.blocked = b"prompt_blocked" in content
             if status == 200:
                 self._check_body(call, content == expected_body(call.request_id, target, body))
         call.status = status
--- a/packages/lab/src/goldcrestridge_lab/soak_checks.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_checks.py
@@ -9,6 +9,7 @@
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_lab.soak_callers import REFUSALS, REVOCABLE_KEY, Call, Operators
 from goldcrestridge_lab.soak_nodes import BOUNDS
+from goldcrestridge_lab.soak_prompts import PromptCrash
 from goldcrestridge_lab.soak_servers import Arrival
 
 # The platform's bounds: connected nodes stop using a leaving upstream within DRAIN_MS, and nodes
@@ -33,6 +34,13 @@
 # from REST_GRACE_MS on.
 ALLOWED_IN_REST = 2
 REST_GRACE_MS = 500.0
+# The platform allows this many requests with a part that crashes upstreams, from CONTACT_MS after
+# the fifth crash on.
+MAX_PROMPT_CRASHES = 5
+ALLOWED_AFTER_CRASHES = 3
+# Of at least MIN_SOUND sound calls of a kind, less than this share may be refused for their prompt.
+MIN_SOUND = 20
+MAX_SOUND_BLOCKED = 0.5
 AT_MOST_ONCE_KINDS = ("once", "single")  # Kinds of calls that run at most once.
 
 Spans = dict[str, list[tuple[float, float]]]
@@ -47,7 +55,7 @@
     ``fault_spans`` and ``drains`` hold the start and end of faults and of planned shutdowns, keyed
     by the address of a node, the instance of an upstream, or ``list``. ``limits`` holds the start
     and end of each time in which an instance named a limit, with the requests a second. No fault is
-    active from ``recovered_ms`` on.
+    active from ``recovered_ms`` on, but for prompts that crash upstreams.
     """
 
     calls: list[Call]
@@ -58,6 +66,8 @@
     drains: Spans
     limits: dict[str, list[tuple[float, float, float]]] = field(factory=dict)
     recovered_ms: float = float("inf")
+    prompt_crashes: list[PromptCrash] = field(factory=list)
+    control_ips: list[str] = field(factory=list)
 
 
 def find_violations(observations: Observations) -> Iterator[str]:
@@ -79,6 +89,8 @@
     yield from _check_rests(observations)
     yield from _check_joined_streams(observations)
     yield from _check_taken_up_streams(observations)
+    yield from _check_guilty_prompts(observations)
+    yield from _check_sound_prompts(observations)
 
 
 def _check_call(call: Call, runs: list[Arrival]) -> Iterator[str]:
@@ -276,3 +288,36 @@
     new_share = sum(call.served or call.received > 0 for call in new) / len(new)
     if share < MIN_TAKEN_UP_RATIO * new_share:
         yield f"{share:.0%} of {len(taken_up)} streams went on, {new_share:.0%} of new ones began"
+
+
+def _check_guilty_prompts(observations: Observations) -> Iterator[str]:
+    """Check that a part of prompts that crashes upstreams is sent to no further ones."""
+    entries = {call.request_id: call.entry.rpartition(":")[0] for call in observations.calls}
+    for part in sorted({crash.part for crash in observations.prompt_crashes}):
+        times = sorted(item.at_ms for item in observations.prompt_crashes if item.part == part)
+        if len(times) < MAX_PROMPT_CRASHES:
+            continue
+        begin_ms = times[MAX_PROMPT_CRASHES - 1] + CONTACT_MS
+        late = [
+            item.request_id
+            for item in observations.arrivals
+            if item.guilty_part == part
+            and item.at_ms > begin_ms
+            and _is_undisturbed(
+                observations,
+                (entries.get(item.request_id, ""), *observations.control_ips),
+                item.at_ms - CONTACT_MS,
+                item.at_ms,
+            )
+        ]
+        if len(late) > ALLOWED_AFTER_CRASHES:
+            yield f"{len(late)} requests with the part {part} came after it was known: {late[:5]}"
+
+
+def _check_sound_prompts(observations: Observations) -> Iterator[str]:
+    """Check that sound prompts are not refused beside those that crash upstreams."""
+    for kind in sorted({call.kind for call in observations.calls}):
+        sound = [call for call in observations.calls if call.kind == kind and not call.guilty_part]
+        blocked = sum(call.blocked for call in sound)
+        if len(sound) >= MIN_SOUND and blocked >= MAX_SOUND_BLOCKED * len(sound):
+            yield f"{blocked} of {len(sound)} sound calls of {kind} were refused for their prompts"
--- /dev/null
+++ b/packages/lab/src/goldcrestridge_lab/soak_prompts.py
@@ -0,0 +1,87 @@
+"""Prompts of the fault soak: some have a part that crashes the upstream that answers them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from goldcrestridge_core.clock import MS_PER_SECOND
+
+if TYPE_CHECKING:
+    from goldcrestridge_lab.soak import Soak
+    from goldcrestridge_lab.soak_servers import Upstream
+
+GUILTY_PREFIX = "bad"
+GUILTY_SHARE = 0.05
+SOUND_PARTS = 4
+GUILTY_MS = 6_000.0
+PAUSE_MS = 3_000.0
+DOWN_S = (0.5, 2.0)
+# Faults have ended this long before the last guilty part, which then meets no other fault.
+QUIET_MS = 1_000.0
+
+
+@frozen
+class PromptCrash:
+    """An upstream crashed under a prompt with a part."""
+
+    part: str
+    at_ms: float
+
+
+@define
+class Prompts:
+    """Make the prompts of callers; while ``guilty`` is set, some of them have that part.
+
+    ``crashes`` holds the crashes of upstreams under guilty parts.
+    """
+
+    guilty: str = ""
+    crashes: list[PromptCrash] = field(factory=list)
+
+    def make(self, kind: str, request_id: str, rng: random.Random) -> str:
+        """Return the parts of a prompt with their sizes, the last one of this request alone."""
+        parts = [kind, f"subject{rng.randrange(SOUND_PARTS)}"]
+        if self.guilty and rng.random() < GUILTY_SHARE:
+            parts.insert(rng.randrange(3), self.guilty)
+        return ",".join(f"{part}:10" for part in (*parts, request_id))
+
+
+def guilty_part(prompt: str) -> str:
+    """Return the part of a prompt that crashes upstreams, or an empty text."""
+    parts = [item.partition(":")[0] for item in prompt.split(",")[:-1]]
+    return next((part for part in parts if part.startswith(GUILTY_PREFIX)), "")
+
+
+async def send_guilty_prompts(soak: Soak, until_ms: float, end_ms: float) -> None:
+    """Let one part after the other be guilty, the last one while no other fault is active."""
+    for number in itertools.count():
+        await asyncio.sleep(PAUSE_MS / MS_PER_SECOND)
+        if soak.now_ms() + GUILTY_MS > until_ms:
+            break
+        soak.prompts.guilty = f"{GUILTY_PREFIX}{number}"
+        await asyncio.sleep(GUILTY_MS / MS_PER_SECOND)
+        soak.prompts.guilty = ""
+    await asyncio.sleep(max(0.0, until_ms + QUIET_MS - soak.now_ms()) / MS_PER_SECOND)
+    soak.prompts.guilty = f"{GUILTY_PREFIX}last"
+    await asyncio.sleep(max(0.0, end_ms - soak.now_ms()) / MS_PER_SECOND)
+
+
+async def crash_by_prompt(soak: Soak, upstream: Upstream, part: str) -> None:
+    """Crash an upstream with its address, and start it again as a new instance."""
+    proxy = soak.proxy_of(upstream)
+    crashed, begin_ms = upstream.instance, soak.now_ms()
+    soak.prompts.crashes.append(PromptCrash(part, begin_ms))
+    upstream.crash()
+    proxy.stop()
+    rng = random.Random(f"{soak.seed} {crashed}")
+    await asyncio.sleep(rng.uniform(*DOWN_S))
+    soak.fault_spans.setdefault(crashed, []).append((begin_ms, soak.now_ms()))
+    await proxy.start()
+    if upstream.leaving_since_ms is None and not upstream.running:
+        upstream.instance = soak.new_instance_id()
+        await upstream.start()
--- a/packages/lab/src/goldcrestridge_lab/soak_servers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_servers.py
@@ -19,6 +19,7 @@
     read_chunk,
     read_head,
 )
+from goldcrestridge_lab.soak_prompts import guilty_part
 
 HEADER_PREFIX = "x-goldcrestridge-"
 REQUEST_ID = HEADER_PREFIX + "request-id"
@@ -56,6 +57,7 @@
     ran: bool
     leaving: bool = False
     rest_s: float = 0.0
+    guilty_part: str = ""  # The part of its prompt that crashes upstreams.
 
 
 @define(eq=False)
@@ -68,7 +70,8 @@
     length nor chunks, and some are broken off) and ``endless`` (some responses are bytes without
     end). ``version`` is that of its software. While ``limit_per_second`` is set, all its responses
     name that limit. While ``rest_s`` is set, it rejects requests and asks for a rest of that
-    length. ``born`` numbers its starts.
+    length. ``born`` numbers its starts. ``crash_by_prompt`` is called when it crashes as it begins
+    to answer a prompt, with the guilty part.
     """
 
     service: str
@@ -85,6 +88,7 @@
     limit_per_second: float | None = None
     rest_s: float = 0.0
     born: int = 0
+    crash_by_prompt: Callable[[Upstream, str], None] | None = None
     _busy: int = 0
     _writers: set[asyncio.StreamWriter] = field(factory=set)
     _server: asyncio.Server | None = None
@@ -144,6 +148,7 @@
             ran=status == 200,
             leaving=self.leaving_since_ms is not None and status != 421,
             rest_s=self.rest_s if status == 503 else 0.0,
+            guilty_part=guilty_part(headers.get(HEADER_PREFIX + "prompt-prefix", "")),
         )
         self.record(arrival)
         if status != 200:
@@ -153,18 +158,27 @@
             return
         self._busy += 1
         try:
-            await self._execute(request, request_id, body, writer)
+            await self._execute(request, request_id, body, writer, arrival.guilty_part)
         finally:
             self._busy -= 1
 
     async def _execute(
-        self, request: MessageHead, request_id: str, body: bytes, writer: asyncio.StreamWriter
+        self,
+        request: MessageHead,
+        request_id: str,
+        body: bytes,
+        writer: asyncio.StreamWriter,
+        guilty: str,
     ) -> None:
         slowdown = 10.0 if self.mode == "slow" else 1.0
         await asyncio.sleep(
             slowdown * self.service_time_ms * self.rng.uniform(0.5, 1.5) / MS_PER_SECOND
         )
-        if self.mode == "grey" and self.rng.random() < 0.5:
+        if writer.is_closing():
+            return
+        if guilty and self.crash_by_prompt is not None and self.running:
+            self.crash_by_prompt(self, guilty)
+        elif self.mode == "grey" and self.rng.random() < 0.5:
             self._write_response(writer, request_id, 500, b"failed")
         elif self.mode == "lost" and self.rng.random() < 0.5:
             abort(writer)
--- a/tests/lab/test_soak_checks.py
+++ b/tests/lab/test_soak_checks.py
@@ -16,6 +16,7 @@
 )
 from goldcrestridge_lab.soak_checks import DRAIN_MS, RECONNECT_MS, Observations, find_violations
 from goldcrestridge_lab.soak_nodes import BOUNDS
+from goldcrestridge_lab.soak_prompts import PromptCrash
 from goldcrestridge_lab.soak_servers import Arrival, encode_event
 
 ENTRY = "127.20.2.1:18080"
@@ -196,3 +197,30 @@
     assert violations(observations(calls[:3], arrivals[:3])) == []
     early = [told(0, 50_000.0, rest_s=2.0)] + [told(n, 50_400.0) for n in (1, 2, 3)]
     assert violations(observations(calls, early)) == []
+
+
+def test_prompts_that_go_on_to_crash_upstreams_are_reported() -> None:
+    crashes = [PromptCrash("bad", 50_000.0 + number) for number in range(5)]
+    calls = [call(number) for number in range(4)]
+    late = [evolve(arrival(number, at_ms=53_100.0), guilty_part="bad") for number in range(4)]
+    observed = observations(calls, late, prompt_crashes=crashes)
+    assert any("with the part bad" in line for line in violations(observed))
+    assert violations(observations(calls, late[:3], prompt_crashes=crashes)) == []
+    assert violations(observations(calls, late, prompt_crashes=crashes[:4])) == []
+    early = [evolve(item, at_ms=52_900.0) for item in late]
+    assert violations(observations(calls, early, prompt_crashes=crashes)) == []
+    restarted = {"127.20.2.1": [(51_000.0, 51_500.0)]}
+    disturbed = observations(calls, late, prompt_crashes=crashes, fault_spans=restarted)
+    assert violations(disturbed) == []
+
+
+def test_sound_prompts_that_are_refused_are_reported() -> None:
+    calls = [call(number, status=503) for number in range(20)]
+    for item in calls[:10]:
+        item.blocked = True
+    (violation,) = violations(observations(calls, []))
+    assert "sound calls of once" in violation
+    calls[0].blocked = False
+    assert violations(observations(calls, [])) == []
+    calls[0].blocked, calls[0].guilty_part = True, "bad"
+    assert violations(observations(calls, [])) == []
