Check in the fault soak that connected nodes go by acknowledged routes

Calls of /read/ show by the service that runs them which versions allow them. After the faults the routes now change every 3.5 s.

--- a/packages/lab/src/goldcrestridge_lab/soak.py
+++ b/packages/lab/src/goldcrestridge_lab/soak.py
@@ -29,7 +29,13 @@
 
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_lab.soak_callers import Call, Caller, Operators, send_request
-from goldcrestridge_lab.soak_checks import DRAIN_MS, RECONNECT_MS, Observations, find_violations
+from goldcrestridge_lab.soak_checks import (
+    CONFIG_PROPAGATION_MS,
+    DRAIN_MS,
+    RECONNECT_MS,
+    Observations,
+    find_violations,
+)
 from goldcrestridge_lab.soak_net import Proxy
 from goldcrestridge_lab.soak_nodes import BOUNDS, CALLER_PORT, OPERATOR_PORT, Node, Nodes
 from goldcrestridge_lab.soak_prompts import Prompts, crash_by_prompt, send_guilty_prompts
@@ -47,12 +53,12 @@
 KEPT_ID_SHARE = 0.2
 CALLERS_PER_ENTRY = 3
 CALLER_PAUSE_MS = 60.0
-CONFIG_PROPAGATION_MS = 2_500.0  # The platform's bound for a new version to reach connected nodes.
 RECOVERY_MS = 12_000.0  # The platform's bound for recovery after the last fault.
 START_TIMEOUT_MS = 30_000.0
 # Documented bound: the share of calls that must be served after recovery from all faults.
 MIN_SERVED_SHARE = 0.25
 FAULT_FREE_MS = 3_000.0
+CHANGE_PAUSE_MS = 3_500.0  # Between changes of the routes after the faults.
 EXIT_TERMINATED = 3
 
 
@@ -230,6 +236,7 @@
             tasks.create_task(limit_after_faults(self, until_ms, recovered_ms))
             end_ms = recovered_ms + FAULT_FREE_MS
             tasks.create_task(send_guilty_prompts(self, until_ms, end_ms))
+            tasks.create_task(self._change_routes(until_ms + RECONNECT_MS, end_ms))
         final = await self._read_final_version()
         newest_acknowledged = self.operators.newest_acknowledged(self.now_ms())
         if final < newest_acknowledged:
@@ -244,6 +251,15 @@
                 f"the minimum share is {MIN_SERVED_SHARE:g}"
             )
 
+    async def _change_routes(self, begin_ms: float, end_ms: float) -> None:
+        """Change the routes again and again while no fault is active."""
+        await asyncio.sleep(max(0.0, begin_ms - self.now_ms()) / MS_PER_SECOND)
+        for service in itertools.cycle("ab"):
+            if self.now_ms() > end_ms - 2 * CONFIG_PROPAGATION_MS:
+                return
+            await self.operators.change(service=service)
+            await asyncio.sleep(CHANGE_PAUSE_MS / MS_PER_SECOND)
+
     async def _read_final_version(self) -> int:
         """Return the version in force at the end, or 0 if no known version can be read."""
         for _ in range(50):
--- a/packages/lab/src/goldcrestridge_lab/soak_callers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_callers.py
@@ -349,6 +349,7 @@
     acknowledged_ms: dict[int, float] = field(factory=dict)
     includes_revocable_key: dict[int, bool] = field(factory=dict)
     sent_ms: dict[int, float] = field(factory=dict)
+    services: dict[int, str] = field(factory=dict)  # The service of the paths below /read/.
     reads: int = 0
     _version: int = 0
 
@@ -371,13 +372,16 @@
             await asyncio.sleep(self.rng.uniform(0.1, 0.8))
             await self.rng.choice(actions)()
 
-    async def change(self, attempts: int = 8) -> int:
-        """Send a new version until it is acknowledged or all attempts are used; return it."""
+    async def change(self, attempts: int = 8, service: str = "") -> int:
+        """Send a new version until it is acknowledged or all attempts are used; return it.
+
+        Its paths below /read/ go to ``service``, or to a random one.
+        """
         self._version += self.rng.randrange(1, 4)
         version = self._version
         self.includes_revocable_key[version] = self.rng.random() < 0.5
         self.sent_ms[version] = self.now_ms()
-        service = self.rng.choice("ab")
+        service = self.services[version] = service or self.rng.choice("ab")
         self.manifests[version] = encode_manifest(
             version, service, self.includes_revocable_key[version]
         )
--- a/packages/lab/src/goldcrestridge_lab/soak_checks.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_checks.py
@@ -22,6 +22,8 @@
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
 CONTACT_MS = 3_000.0
+# An accepted version is in force on every connected node within this time.
+CONFIG_PROPAGATION_MS = 2_500.0
 # Streams that may hold events of two versions, since the list of upstreams lags.
 MAX_JOINED_STREAMS = 2
 # Of at least MIN_TAKEN_UP streams that callers take up, the share that goes on must be at least
@@ -89,6 +91,7 @@
     yield from _check_rests(observations)
     yield from _check_joined_streams(observations)
     yield from _check_taken_up_streams(observations)
+    yield from _check_routes_in_force(observations)
     yield from _check_guilty_prompts(observations)
     yield from _check_sound_prompts(observations)
 
@@ -290,6 +293,28 @@
         yield f"{share:.0%} of {len(taken_up)} streams went on, {new_share:.0%} of new ones began"
 
 
+def _check_routes_in_force(observations: Observations) -> Iterator[str]:
+    """Check that connected nodes handle no call as only a replaced version of the routes allows."""
+    operators = observations.operators
+    calls = {call.request_id: call for call in observations.calls}
+    for arrival in observations.arrivals:
+        call = calls.get(arrival.request_id)
+        if call is None or call.kind != "read" or not arrival.ran:
+            continue
+        newest = operators.newest_acknowledged(call.sent_ms - CONFIG_PROPAGATION_MS)
+        allowed = {
+            service
+            for version, service in operators.services.items()
+            if version >= newest and operators.sent_ms[version] <= arrival.at_ms
+        }
+        if not newest or arrival.service in allowed:
+            continue
+        names = (call.entry.rpartition(":")[0], *observations.control_ips)
+        since_ms = call.sent_ms - CONFIG_PROPAGATION_MS - RECONNECT_MS
+        if _is_undisturbed(observations, names, since_ms, arrival.at_ms):
+            yield f"call handled by routes older than version {newest}: {call.request_id}"
+
+
 def _check_guilty_prompts(observations: Observations) -> Iterator[str]:
     """Check that a part of prompts that crashes upstreams is sent to no further ones."""
     entries = {call.request_id: call.entry.rpartition(":")[0] for call in observations.calls}
--- a/tests/lab/test_soak_checks.py
+++ b/tests/lab/test_soak_checks.py
@@ -224,3 +224,19 @@
     assert violations(observations(calls, [])) == []
     calls[0].blocked, calls[0].guilty_part = True, "bad"
     assert violations(observations(calls, [])) == []
+
+
+def test_a_call_that_is_handled_by_replaced_routes_is_reported() -> None:
+    operators = Operators(lambda: 0.0, random.Random(1), [], 2_500.0)
+    operators.services = {1: "b", 2: "a"}
+    operators.sent_ms = {1: 0.0, 2: 45_000.0}
+    operators.acknowledged_ms = {1: 10.0, 2: 47_000.0}
+    calls = [call(kind="read")]
+    old = evolve(arrival(), service="b")
+    (violation,) = violations(observations(calls, [old], operators=operators))
+    assert "older than version 2" in violation
+    assert violations(observations(calls, [arrival()], operators=operators)) == []
+    cut = {"127.20.2.1": [(49_000.0, 49_500.0)]}
+    assert violations(observations(calls, [old], operators=operators, fault_spans=cut)) == []
+    operators.acknowledged_ms[2] = 48_000.0
+    assert violations(observations(calls, [old], operators=operators)) == []
