--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -90,9 +90,8 @@
     _sequence: int = 0
     _sent_ms: float = -math.inf
     _awaiting_reply: bool = False
-    _open_ms: dict[int, float] = field(
-        factory=dict
-    )  # Unanswered requests, and when they were sent.
+    # When the unanswered requests were sent, by sequence number.
+    _open_ms: dict[int, float] = field(factory=dict)
     _applied: int = 0  # Sequence number of the newest request whose reply was applied.
     _poll_after_reply: bool = False
     _next_request_ms: float = -math.inf
