--- a/packages/core/src/goldcrestridge_core/prompt_crashes.py
+++ b/packages/core/src/goldcrestridge_core/prompt_crashes.py
@@ -7,9 +7,9 @@
 
 Evidence is a run of an upstream that ended while it had not shown that it can answer a request. All
 parts of that request are suspects. An answer clears the parts of its prompt. The part that most
-crashes have in common explains them, so that the neighbours of a guilty request need evidence of
-their own. Parts that always came together are blocked together only: a request with one of them
-passes, and shows which one it is.
+crashes have in common explains them, so that requests which merely waited at the same upstream
+need evidence of their own. Parts that always came together are blocked together only: a request
+with one of them passes, and shows which one it is.
 
 Each entry node decides by its own evidence, and the control leader by that of all nodes.
 """
@@ -219,7 +219,7 @@
     def _sets_of(self, tied: set[str]) -> list[frozenset[str]]:
         """Return, for parts with the same crashes, those that came together in all requests.
 
-        A set within another one is left out: it would block requests that need not be guilty.
+        A set within another one is left out: it would block requests that may crash nothing.
         """
         together = {frozenset(tied.intersection(crash.parts)) for crash in self._crashes.values()}
         sets = {
--- a/packages/lab/src/goldcrestridge_lab/soak.py
+++ b/packages/lab/src/goldcrestridge_lab/soak.py
@@ -38,7 +38,7 @@
 )
 from goldcrestridge_lab.soak_net import Proxy
 from goldcrestridge_lab.soak_nodes import BOUNDS, CALLER_PORT, OPERATOR_PORT, Node, Nodes
-from goldcrestridge_lab.soak_prompts import Prompts, crash_by_prompt, send_guilty_prompts
+from goldcrestridge_lab.soak_prompts import Prompts, crash_by_prompt, send_crashing_prompts
 from goldcrestridge_lab.soak_servers import Arrival, Upstream, UpstreamList
 from goldcrestridge_lab.soak_signals import ask_for_rest, limit_after_faults, name_limit
 
@@ -235,7 +235,7 @@
                 tasks.create_task(self._inject_faults(until_ms, rng))
             tasks.create_task(limit_after_faults(self, until_ms, recovered_ms))
             end_ms = recovered_ms + FAULT_FREE_MS
-            tasks.create_task(send_guilty_prompts(self, until_ms, end_ms))
+            tasks.create_task(send_crashing_prompts(self, until_ms, end_ms))
             tasks.create_task(self._change_routes(until_ms + RECONNECT_MS, end_ms))
         final = await self._read_final_version()
         newest_acknowledged = self.operators.newest_acknowledged(self.now_ms())
--- a/packages/lab/src/goldcrestridge_lab/soak_callers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_callers.py
@@ -20,7 +20,7 @@
     read_head,
 )
 from goldcrestridge_lab.soak_nodes import DIRECTORY_PORT, OPERATOR_PORT
-from goldcrestridge_lab.soak_prompts import Prompts, guilty_part
+from goldcrestridge_lab.soak_prompts import Prompts, crashing_part
 from goldcrestridge_lab.soak_servers import (
     HEADER_PREFIX,
     STREAM_EVENTS,
@@ -137,7 +137,7 @@
     stream: Stream | None = None
     takes_up: bool = False  # The stream began in an earlier attempt.
     received: int = 0  # Events that this attempt brought.
-    guilty_part: str = ""  # The part of its prompt that crashes upstreams.
+    crashing_part: str = ""  # The part of its prompt that crashes upstreams.
     blocked: bool = False  # It was refused for a part of its prompt.
 
     @property
@@ -219,7 +219,7 @@
     ) -> bool:
         """Send a request and read the response; return whether the connection can be reused."""
         prompt = self.prompts.make(call.kind, call.request_id, self.rng)
-        call.guilty_part = guilty_part(prompt)
+        call.crashing_part = crashing_part(prompt)
         body = b"b" * self.rng.choice((0, 10, 3_000))
         target = f"/{call.kind}/{self.rng.randrange(100)}?q={call.request_id}"
         resume_headers: tuple[tuple[str, str], ...] = ()
--- a/packages/lab/src/goldcrestridge_lab/soak_checks.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_checks.py
@@ -92,7 +92,7 @@
     yield from _check_joined_streams(observations)
     yield from _check_taken_up_streams(observations)
     yield from _check_routes_in_force(observations)
-    yield from _check_guilty_prompts(observations)
+    yield from _check_crashing_prompts(observations)
     yield from _check_sound_prompts(observations)
 
 
@@ -315,7 +315,7 @@
             yield f"call handled by routes older than version {newest}: {call.request_id}"
 
 
-def _check_guilty_prompts(observations: Observations) -> Iterator[str]:
+def _check_crashing_prompts(observations: Observations) -> Iterator[str]:
     """Check that a part of prompts that crashes upstreams is sent to no further ones."""
     entries = {call.request_id: call.entry.rpartition(":")[0] for call in observations.calls}
     for part in sorted({crash.part for crash in observations.prompt_crashes}):
@@ -326,7 +326,7 @@
         late = [
             item.request_id
             for item in observations.arrivals
-            if item.guilty_part == part
+            if item.crashing_part == part
             and item.at_ms > begin_ms
             and _is_undisturbed(
                 observations,
@@ -342,7 +342,9 @@
 def _check_sound_prompts(observations: Observations) -> Iterator[str]:
     """Check that sound prompts are not refused beside those that crash upstreams."""
     for kind in sorted({call.kind for call in observations.calls}):
-        sound = [call for call in observations.calls if call.kind == kind and not call.guilty_part]
+        sound = [
+            call for call in observations.calls if call.kind == kind and not call.crashing_part
+        ]
         blocked = sum(call.blocked for call in sound)
         if len(sound) >= MIN_SOUND and blocked >= MAX_SOUND_BLOCKED * len(sound):
             yield f"{blocked} of {len(sound)} sound calls of {kind} were refused for their prompts"
--- a/packages/lab/src/goldcrestridge_lab/soak_prompts.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_prompts.py
@@ -15,13 +15,13 @@
     from goldcrestridge_lab.soak import Soak
     from goldcrestridge_lab.soak_servers import Upstream
 
-GUILTY_PREFIX = "bad"
-GUILTY_SHARE = 0.05
+CRASHING_PREFIX = "bad"
+CRASHING_SHARE = 0.05
 SOUND_PARTS = 4
-GUILTY_MS = 6_000.0
+CRASHING_MS = 6_000.0
 PAUSE_MS = 3_000.0
 DOWN_S = (0.5, 2.0)
-# Faults have ended this long before the last guilty part, which then meets no other fault.
+# The last part that crashes upstreams follows the other faults after this time.
 QUIET_MS = 1_000.0
 
 
@@ -35,39 +35,39 @@
 
 @define
 class Prompts:
-    """Make the prompts of callers; while ``guilty`` is set, some of them have that part.
+    """Make the prompts of callers; while ``crashing`` is set, some of them have that part.
 
-    ``crashes`` holds the crashes of upstreams under guilty parts.
+    ``crashes`` holds the crashes of upstreams under crashing parts.
     """
 
-    guilty: str = ""
+    crashing: str = ""
     crashes: list[PromptCrash] = field(factory=list)
 
     def make(self, kind: str, request_id: str, rng: random.Random) -> str:
         """Return the parts of a prompt with their sizes, the last one of this request alone."""
         parts = [kind, f"subject{rng.randrange(SOUND_PARTS)}"]
-        if self.guilty and rng.random() < GUILTY_SHARE:
-            parts.insert(rng.randrange(3), self.guilty)
+        if self.crashing and rng.random() < CRASHING_SHARE:
+            parts.insert(rng.randrange(3), self.crashing)
         return ",".join(f"{part}:10" for part in (*parts, request_id))
 
 
-def guilty_part(prompt: str) -> str:
+def crashing_part(prompt: str) -> str:
     """Return the part of a prompt that crashes upstreams, or an empty text."""
     parts = [item.partition(":")[0] for item in prompt.split(",")[:-1]]
-    return next((part for part in parts if part.startswith(GUILTY_PREFIX)), "")
+    return next((part for part in parts if part.startswith(CRASHING_PREFIX)), "")
 
 
-async def send_guilty_prompts(soak: Soak, until_ms: float, end_ms: float) -> None:
-    """Let one part after the other be guilty, the last one while no other fault is active."""
+async def send_crashing_prompts(soak: Soak, until_ms: float, end_ms: float) -> None:
+    """Let one part after the other crash upstreams, the last one while no other fault is active."""
     for number in itertools.count():
         await asyncio.sleep(PAUSE_MS / MS_PER_SECOND)
-        if soak.now_ms() + GUILTY_MS > until_ms:
+        if soak.now_ms() + CRASHING_MS > until_ms:
             break
-        soak.prompts.guilty = f"{GUILTY_PREFIX}{number}"
-        await asyncio.sleep(GUILTY_MS / MS_PER_SECOND)
-        soak.prompts.guilty = ""
+        soak.prompts.crashing = f"{CRASHING_PREFIX}{number}"
+        await asyncio.sleep(CRASHING_MS / MS_PER_SECOND)
+        soak.prompts.crashing = ""
     await asyncio.sleep(max(0.0, until_ms + QUIET_MS - soak.now_ms()) / MS_PER_SECOND)
-    soak.prompts.guilty = f"{GUILTY_PREFIX}last"
+    soak.prompts.crashing = f"{CRASHING_PREFIX}last"
     await asyncio.sleep(max(0.0, end_ms - soak.now_ms()) / MS_PER_SECOND)
 
 
--- a/packages/lab/src/goldcrestridge_lab/soak_servers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_servers.py
@@ -19,7 +19,7 @@
     read_chunk,
     read_head,
 )
-from goldcrestridge_lab.soak_prompts import guilty_part
+from goldcrestridge_lab.soak_prompts import crashing_part
 
 HEADER_PREFIX = "x-goldcrestridge-"
 REQUEST_ID = HEADER_PREFIX + "request-id"
@@ -57,7 +57,7 @@
     ran: bool
     leaving: bool = False
     rest_s: float = 0.0
-    guilty_part: str = ""  # The part of its prompt that crashes upstreams.
+    crashing_part: str = ""  # The part of its prompt that crashes upstreams.
 
 
 @define(eq=False)
@@ -71,7 +71,7 @@
     end). ``version`` is that of its software. While ``limit_per_second`` is set, all its responses
     name that limit. While ``rest_s`` is set, it rejects requests and asks for a rest of that
     length. ``born`` numbers its starts. ``crash_by_prompt`` is called when it crashes as it begins
-    to answer a prompt, with the guilty part.
+    to answer a prompt, with the crashing part.
     """
 
     service: str
@@ -148,7 +148,7 @@
             ran=status == 200,
             leaving=self.leaving_since_ms is not None and status != 421,
             rest_s=self.rest_s if status == 503 else 0.0,
-            guilty_part=guilty_part(headers.get(HEADER_PREFIX + "prompt-prefix", "")),
+            crashing_part=crashing_part(headers.get(HEADER_PREFIX + "prompt-prefix", "")),
         )
         self.record(arrival)
         if status != 200:
@@ -158,7 +158,7 @@
             return
         self._busy += 1
         try:
-            await self._execute(request, request_id, body, writer, arrival.guilty_part)
+            await self._execute(request, request_id, body, writer, arrival.crashing_part)
         finally:
             self._busy -= 1
 
@@ -168,7 +168,7 @@
         request_id: str,
         body: bytes,
         writer: asyncio.StreamWriter,
-        guilty: str,
+        crashing: str,
     ) -> None:
         slowdown = 10.0 if self.mode == "slow" else 1.0
         await asyncio.sleep(
@@ -176,8 +176,8 @@
         )
         if writer.is_closing():
             return
-        if guilty and self.crash_by_prompt is not None and self.running:
-            self.crash_by_prompt(self, guilty)
+        if crashing and self.crash_by_prompt is not None and self.running:
+            self.crash_by_prompt(self, crashing)
         elif self.mode == "grey" and self.rng.random() < 0.5:
             self._write_response(writer, request_id, 500, b"failed")
         elif self.mode == "lost" and self.rng.random() < 0.5:
--- a/tests/core/crash_fleet.py
+++ b/tests/core/crash_fleet.py
@@ -157,11 +157,11 @@
 
     # Requests.
 
-    def send(self, parts: tuple[str, ...], guilty: bool, attempts: int = 2) -> None:
+    def send(self, parts: tuple[str, ...], crashing: bool, attempts: int = 2) -> None:
         """Send a request at a random entry node."""
-        self._try(self.entries[self.rng.choice(list(self.entries))], parts, guilty, attempts)
+        self._try(self.entries[self.rng.choice(list(self.entries))], parts, crashing, attempts)
 
-    def _try(self, entry: Entry, parts: tuple[str, ...], guilty: bool, attempts: int) -> None:
+    def _try(self, entry: Entry, parts: tuple[str, ...], crashing: bool, attempts: int) -> None:
         if entry.crashes.blocked_by(parts, self.now_ms) is not None:
             self.refused.append((self.now_ms, parts))
             return
@@ -169,9 +169,9 @@
         if not up:
             return
         upstream = self.rng.choice(up)
-        if guilty and self._is_late() and entry.node not in self.excused:
+        if crashing and self._is_late() and entry.node not in self.excused:
             self.late_arrivals += 1
-        item = (entry, parts, guilty)
+        item = (entry, parts, crashing)
         upstream.waiting.append(item)
         # The request waits and is read, then its answer begins.
         self.at(self.rng.choice([10.0, 60.0, 200.0]), lambda: self._begin(upstream, item, attempts))
@@ -182,13 +182,13 @@
         return self.now_ms > self.crash_times[MAX_CRASHES - 1] + self.contact_ms
 
     def _begin(self, upstream: Upstream, item: Any, attempts: int) -> None:
-        entry, parts, guilty = item
+        entry, parts, crashing = item
         if upstream.down or item not in upstream.waiting:
             return
         if entry.crashes.blocked_by(parts, self.now_ms) is not None:
             upstream.waiting.remove(item)  # The node has cancelled it.
             return
-        if guilty:
+        if crashing:
             self.crash_times.append(self.now_ms)
             self.crash(upstream, attempts)
             return
@@ -200,13 +200,13 @@
     def crash(self, upstream: Upstream, attempts: int = 1) -> None:
         """End a run; the nodes see it, and the upstream comes back as another run."""
         upstream.down = True
-        for entry, parts, guilty in upstream.waiting:
+        for entry, parts, crashing in upstream.waiting:
             if self.entries[entry.node] is not entry:
                 continue
             entry.crashes.record_crash(upstream.run, parts, self.now_ms)
             self._post(entry, ReportDue())
             if attempts > 1 and entry.crashes.may_retry(parts, self.now_ms):
-                self._try(entry, parts, guilty, attempts - 1)
+                self._try(entry, parts, crashing, attempts - 1)
         upstream.waiting.clear()
         self.at(self.restart_ms, lambda: self._replace(upstream))
 
--- a/tests/core/test_prompt_crashes.py
+++ b/tests/core/test_prompt_crashes.py
@@ -27,17 +27,17 @@
     """Send sound requests again and again."""
 
     def send() -> None:
-        fleet.send(fleet.rng.choice(parts), guilty=False)
+        fleet.send(fleet.rng.choice(parts), crashing=False)
         fleet.at(every_ms, send)
 
     send()
 
 
-def send_guilty(fleet: CrashFleet, every_ms: float, parts: tuple[str, ...]) -> None:
+def send_crashing(fleet: CrashFleet, every_ms: float, parts: tuple[str, ...]) -> None:
     """Send requests under which upstreams crash, again and again."""
 
     def send() -> None:
-        fleet.send(parts, guilty=True)
+        fleet.send(parts, crashing=True)
         fleet.at(fleet.rng.uniform(0.2, 1.8) * every_ms, send)
 
     send()
@@ -54,7 +54,7 @@
     fleet = CrashFleet(size, size, contact_ms, upstream_count=max(5, size // 4))
     send_sound(fleet, 20.0, [("a",), ("a", "b"), ("c",)])
     fleet.run(5_000.0)
-    send_guilty(fleet, 250.0, parts)
+    send_crashing(fleet, 250.0, parts)
     fleet.run(20_000.0)
     assert fleet.late_arrivals <= ALLOWED_AFTER
     assert len(fleet.crash_times) <= 8
@@ -69,7 +69,7 @@
     fleet = CrashFleet(seed, 12)
     send_sound(fleet, 20.0, [("a",), ("a", "b")])
     fleet.run(5_000.0)
-    send_guilty(fleet, 150.0, ("a", BAD))
+    send_crashing(fleet, 150.0, ("a", BAD))
     fleet.run(3_000.0)
     for number in range(6):
         fleet.change_leader()
@@ -90,18 +90,18 @@
     send_sound(fleet, 20.0, [("a",)])
     fleet.run(3_000.0)
     fleet.cut = set(fleet.entries)
-    send_guilty(fleet, 100.0, ("a", BAD))
+    send_crashing(fleet, 100.0, ("a", BAD))
     fleet.run(20_000.0)
     assert len(fleet.crash_times) <= 5
     assert fleet.share_begun("a", 8_000.0) > 0.0
 
 
-def test_a_part_that_always_comes_with_the_guilty_one_passes_alone() -> None:
+def test_a_part_that_always_comes_with_the_crashing_one_passes_alone() -> None:
     # Guards against refusing all requests with a rare part because of its neighbour.
     fleet = CrashFleet(5, 12)
     send_sound(fleet, 20.0, [("a",)])
     fleet.run(5_000.0)
-    send_guilty(fleet, 150.0, ("a", "rare", BAD))
+    send_crashing(fleet, 150.0, ("a", "rare", BAD))
     fleet.run(8_000.0)
     since_ms = fleet.now_ms
     send_sound(fleet, 50.0, [("a", "rare")])
--- a/tests/lab/test_soak_checks.py
+++ b/tests/lab/test_soak_checks.py
@@ -202,7 +202,7 @@
 def test_prompts_that_go_on_to_crash_upstreams_are_reported() -> None:
     crashes = [PromptCrash("bad", 50_000.0 + number) for number in range(5)]
     calls = [call(number) for number in range(4)]
-    late = [evolve(arrival(number, at_ms=53_100.0), guilty_part="bad") for number in range(4)]
+    late = [evolve(arrival(number, at_ms=53_100.0), crashing_part="bad") for number in range(4)]
     observed = observations(calls, late, prompt_crashes=crashes)
     assert any("with the part bad" in line for line in violations(observed))
     assert violations(observations(calls, late[:3], prompt_crashes=crashes)) == []
@@ -222,7 +222,7 @@
     assert "sound calls of once" in violation
     calls[0].blocked = False
     assert violations(observations(calls, [])) == []
-    calls[0].blocked, calls[0].guilty_part = True, "bad"
+    calls[0].blocked, calls[0].crashing_part = True, "bad"
     assert violations(observations(calls, [])) == []
 
 
--- a/tests/node/test_gateway_crashes.py
+++ b/tests/node/test_gateway_crashes.py
@@ -38,13 +38,13 @@
 
 @define
 class CrashingPool:
-    """Upstreams that crash when they begin to answer a prompt with the part ``guilty``.
+    """Upstreams that crash when they begin to answer a prompt with the part ``crashing``.
 
     A crash ends all connections and the listener. ``with_head`` sends the head of the answer first.
     Each upstream is back after RESTART_MS as a new instance at another port.
     """
 
-    guilty: str
+    crashing: str
     with_head: bool = True
     work_ms: float = 5.0
     running: RunningGateway | None = None
@@ -66,7 +66,7 @@
     async def _serve(self, name: str, exchange: UpstreamExchange) -> None:
         parts = [part.split(":")[0] for part in exchange.headers["prompt"].split(",")]
         self._writers.setdefault(name, set()).add(exchange.writer)
-        if self.guilty in parts[:-1]:
+        if self.crashing in parts[:-1]:
             self.late_arrivals += self.crashes >= MAX_CRASHES
             await anyio.sleep(self.work_ms / MS_PER_SECOND)
             if self.with_head:
@@ -148,7 +148,7 @@
 
 
 @pytest.mark.parametrize(
-    ("sound", "poison", "guilty"),
+    ("sound", "poison", "crashing"),
     [
         (["aa:400"], "aa:400,bad:20", "bad"),
         (["aa:400"], "bad:20,aa:400", "bad"),
@@ -162,11 +162,11 @@
 )
 @pytest.mark.parametrize("path", ["/stream/x", "/resume/x", "/read/x"])
 async def test_a_part_that_crashes_upstreams_is_sent_no_more(
-    path: str, sound: list[str], poison: str, guilty: str
+    path: str, sound: list[str], poison: str, crashing: str
 ) -> None:
     # Guards against requests with one part in their prompts that crash one upstream after the
     # other, and against refusing the sound ones that share all their other parts.
-    pool = CrashingPool(guilty)
+    pool = CrashingPool(crashing)
     upstreams = [pool.upstream() for _ in range(4)]
     async with running_gateway(*upstreams, engine=ENGINE) as running:
         pool.running = running
