Keep no reports at control nodes that do not lead

A node that was polled before it led would have returned limits and blocked parts of that time as its own once it led. The test failed before.

--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -94,7 +94,7 @@
         effects: list[Any] = []
         match event:
             case Receive(sender=sender, message=FollowRequest() as request):
-                effects += self._register(request, now_ms)
+                effects += self._register(request, current.leads, now_ms)
                 self._sweep(current, now_ms)
                 effects.append(Send(sender, self._answer(request, current, now_ms)))
             case InstancesListed(instances=instances):
@@ -102,11 +102,12 @@
         self._sweep(current, now_ms)
         return effects + self._hint_changes(current, now_ms)
 
-    def _register(self, request: FollowRequest, now_ms: float) -> list[Any]:
+    def _register(self, request: FollowRequest, leads: bool, now_ms: float) -> list[Any]:
         status = request.status
         known = self._entries.get(status.node)
         self._entries[status.node] = _Entry(status, now_ms)
-        self._workloads.report(status.node, request.workload, now_ms)
+        if leads:
+            self._workloads.report(status.node, request.workload, now_ms)
         self._record_rests(status.node, request.workload.rests, now_ms)
         if known is not None and known.status == status:
             return []
--- a/tests/core/test_workload_sums.py
+++ b/tests/core/test_workload_sums.py
@@ -5,8 +5,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, Workload
-from goldcrestridge_core.types import NodeId
+from goldcrestridge_core.follow_types import (
+    BlockedParts,
+    EntryStatus,
+    FollowReply,
+    FollowRequest,
+    InstanceLoad,
+    NamedLimit,
+    ServiceWork,
+    Workload,
+)
+from goldcrestridge_core.publisher import Leadership, Publisher
+from goldcrestridge_core.types import NodeId, Receive, Send
+from goldcrestridge_core.versions import VersionedDocument
 from goldcrestridge_core.workload_sums import WorkloadSums
 
 NODES = [NodeId(f"e{number}") for number in range(4)]
@@ -51,3 +62,25 @@
             ServiceWork(service, 0, 0)
         ]
         assert [found.short, found.long, found.tight] == total
+
+
+def test_a_control_node_that_does_not_lead_keeps_no_reports() -> None:
+    # Guards against a new leader that returns limits and blocked parts of an earlier time.
+    leads = [False]
+    publisher = Publisher(
+        lambda _now_ms: Leadership(leads[0], None, (), VersionedDocument(1, b"1"))
+    )
+
+    def poll(node: NodeId, workload: Workload, now_ms: float) -> Workload:
+        status = EntryStatus(node, "x:80", "dc", True)
+        request = FollowRequest(1, status, 1, "", "", workload)
+        effects = publisher.handle(Receive(node, request), now_ms)
+        sent = [item.message for item in effects if isinstance(item, Send)]
+        (reply,) = [message for message in sent if isinstance(message, FollowReply)]
+        return reply.workload
+
+    blocked = (BlockedParts(("bad",), 10.0),)
+    poll(NODES[0], Workload(limits=(NamedLimit("i", 1.0, 2.0, 1.0),), blocked=blocked), 0.0)
+    leads[0] = True
+    answer = poll(NODES[1], Workload(), 9_000.0)
+    assert (answer.limits, answer.blocked) == ((), ())
