Let no single node and no caller decide what prompts the fleet refuses

A node that was just started has seen no answer yet, so three ordinary crashes made it block a rare part, and the leader passed its conclusion on; that other nodes had seen the part answered did not lift it. Nodes now report on only what a leader blocked, and a block is counted again when an answer from before the crashes is heard of. What an answer had cleared came back once prompts with thousands of new parts had pushed the answer out of memory. It is now taken out of the crashes themselves. An answer that is being passed on is no longer cancelled when its prompt is blocked (no test).

--- a/packages/core/src/goldcrestridge_core/prompt_crashes.py
+++ b/packages/core/src/goldcrestridge_core/prompt_crashes.py
@@ -19,9 +19,9 @@
 import hashlib
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from goldcrestridge_core.follow_types import AnsweredPart, BlockedParts, PromptCrash, Workload
 
@@ -60,14 +60,21 @@
     return "#" + hashlib.blake2b(part.encode("utf-8", "replace"), digest_size=15).hexdigest()
 
 
-@frozen
+@define
 class _Crash:
-    """A run that ended under a request; ``known`` are the parts that were answered before."""
+    """A run that ended under a request; ``known`` are the parts that were answered before.
+
+    ``suspects`` are the parts that were not answered since.
+    """
 
     run: str
     parts: Parts
     known: frozenset[str]
     at_ms: float
+    suspects: set[str] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.suspects = set(self.parts)
 
 
 @define
@@ -98,11 +105,15 @@
         self._add(_Crash(run, kept, known & set(kept), now_ms))
         self._block(now_ms)
 
-    def record_answer(self, parts: Iterable[str], began_ms: float) -> None:
+    def record_answer(self, parts: Collection[str], began_ms: float) -> None:
         """Record that an upstream answered a prompt with these parts, from ``began_ms`` on."""
         for part in parts:
             self._answered_ms[part] = max(began_ms, self._answered_ms.get(part, -math.inf))
             self._answered_ms.move_to_end(part)
+        # The answers of a part can be forgotten, what they cleared must not come back.
+        for crash in self._crashes.values():
+            if crash.at_ms < began_ms:
+                crash.suspects.difference_update(parts)
         while len(self._answered_ms) > MAX_ANSWERED:
             self._answered_ms.popitem(last=False)
         if self._blocked:
@@ -177,7 +188,7 @@
         """Return, for each part, the runs that crashed under it since its last answer."""
         runs: dict[str, dict[str, float]] = {}
         for crash in self._recent(now_ms):
-            for part in crash.parts:
+            for part in crash.suspects:
                 if crash.at_ms > self._answered_ms.get(part, -math.inf):
                     runs.setdefault(part, {}).setdefault(crash.run, crash.at_ms)
         return runs
@@ -232,7 +243,12 @@
     # Messages between entry nodes and the control leader.
 
     def add_report(self, workload: Workload, now_ms: float) -> Workload:
-        """Return the report of an entry node with what it knows of crashes."""
+        """Return the report of an entry node with what it knows of crashes.
+
+        It names the parts that a leader had blocked, not those that it blocks by its own evidence,
+        since other nodes may have seen them answered.
+        """
+        self._expire(now_ms)
         crashes = self._recent(now_ms)[-MAX_SHARED_CRASHES:]
         return evolve(
             workload,
@@ -241,15 +257,16 @@
                 for item in crashes
             ),
             answers=self._shared_answers(now_ms),
-            blocked=self._shared_blocked(now_ms),
+            blocked=_shared_blocked(self._fleet_blocked, now_ms),
         )
 
     def add_reply(self, workload: Workload, now_ms: float) -> Workload:
         """Return the control leader's reply with what the nodes need to know of crashes."""
+        self._expire(now_ms)
         return evolve(
             workload,
             answers=self._shared_answers(now_ms),
-            blocked=self._shared_blocked(now_ms),
+            blocked=_shared_blocked(self._blocked, now_ms),
             suspects=self.suspects(now_ms),
         )
 
@@ -264,14 +281,6 @@
             if part in self._answered_ms
         )
 
-    def _shared_blocked(self, now_ms: float) -> tuple[BlockedParts, ...]:
-        self._expire(now_ms)
-        blocked = {**self._fleet_blocked, **self._blocked}
-        return tuple(
-            BlockedParts(tuple(sorted(parts)), now_ms - at_ms)
-            for parts, at_ms in sorted(blocked.items(), key=lambda item: sorted(item[0]))
-        )
-
     def suspects(self, now_ms: float) -> Parts:
         """Return the parts of which it matters whether they were answered.
 
@@ -298,9 +307,9 @@
         if any(added):
             self._block(now_ms)
         for item in workload.blocked:
-            parts, at_ms = frozenset(item.parts), now_ms - item.age_ms
-            for left in self._cleared({parts: at_ms}):
-                self._blocked.setdefault(left, at_ms)
+            # What a former leader blocked holds on, unless this one knows of an answer.
+            if not any(part in self._answered_ms for part in item.parts):
+                self._blocked.setdefault(frozenset(item.parts), now_ms - item.age_ms)
 
     def merge_reply(self, workload: Workload, now_ms: float) -> None:
         """Apply what the control leader knows of all nodes at an entry node."""
@@ -310,8 +319,16 @@
         self._fleet_suspects = frozenset(workload.suspects)
 
     def _merge_answers(self, workload: Workload, now_ms: float) -> None:
+        """Apply what other nodes saw answered, also before the crashes."""
+        heard = {item.part for item in workload.answers if item.part not in self._answered_ms}
         for item in workload.answers:
             self.record_answer((item.part,), now_ms - item.age_ms)
+        doubtful = [parts for parts in self._blocked if heard & parts]
+        if doubtful:
+            # Parts that were answered before need more crashes than were counted for them.
+            for parts in doubtful:
+                del self._blocked[parts]
+            self._block(now_ms)
 
     def _expire(self, now_ms: float) -> None:
         for table in (self._blocked, self._fleet_blocked):
@@ -319,6 +336,15 @@
                 del table[parts]
 
 
+def _shared_blocked(
+    blocked: dict[frozenset[str], float], now_ms: float
+) -> tuple[BlockedParts, ...]:
+    return tuple(
+        BlockedParts(tuple(sorted(parts)), now_ms - at_ms)
+        for parts, at_ms in sorted(blocked.items(), key=lambda item: sorted(item[0]))
+    )
+
+
 def _suffices(found: set[str], times: dict[str, float], known: bool) -> bool:
     """Return whether the crashes of some runs are enough to block a part."""
     if not known:
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -435,6 +435,7 @@
                 if size > MAX_WHOLE_RESPONSE_BYTES:
                     return await self._forward_long(response, parts, chunks)
         body = b"".join(parts)
+        self.crashes.record_event()
         self.record.add_body_end(response.framing)
         if self.exchange.started:
             return FailedAttempt(
@@ -460,6 +461,7 @@
         if self.exchange.started or self.exchange.scope["http_version"] != "1.1":
             raise IncompleteResponseError("it is too long to be held")
         self.forwarding.committed = True
+        self.crashes.record_event()
         await self._start_response(response)
         await self.exchange.write(b"".join(parts), more=True)
         async for chunk in chunks:
--- a/tests/core/test_prompt_crashes.py
+++ b/tests/core/test_prompt_crashes.py
@@ -254,3 +254,34 @@
     for names in (("a",), ("b",), ("a", "b"), ("a", "b", "c", "d")):
         if state.blocked_by(names, now_ms) is not None:
             assert leader.blocked_by(names, now_ms) is not None
+
+
+def test_invented_parts_do_not_revive_evidence_that_an_answer_has_cleared() -> None:
+    # Guards against a caller whose long prompts push out what is known of other parts.
+    state = PromptCrashes()
+    for number in range(6):
+        state.record_crash(f"run{number}", ("rare",), number * 1_000.0)
+        state.record_answer(("rare",), number * 1_000.0 + 500.0)
+    state.record_answer([f"p{number}" for number in range(MAX_ANSWERED)], 7_000.0)
+    state.record_crash("other", ("x",), 8_000.0)
+    assert state.blocked_by(("rare",), 8_000.0) is None
+
+
+def exchange(node: PromptCrashes, leader: PromptCrashes, now_ms: float) -> None:
+    leader.merge_report(node.add_report(Workload(), now_ms), now_ms)
+    node.merge_reply(leader.add_reply(Workload(), now_ms), now_ms)
+
+
+def test_what_other_nodes_saw_answered_lifts_the_block_of_a_node_that_was_just_started() -> None:
+    # Guards against a rare part that the whole fleet refuses by the evidence of a node that has
+    # seen no answer yet, although other nodes have.
+    started, other, leader = PromptCrashes(), PromptCrashes(), PromptCrashes()
+    other.record_answer(("rare",), 0.0)
+    crash(started, "rare", runs=3, now_ms=10_000.0)
+    for now_ms in (10_010.0, 11_000.0, 12_000.0):
+        for node in (started, other):
+            exchange(node, leader, now_ms)
+    assert all(node.blocked_by(("rare",), 12_010.0) is None for node in (started, other, leader))
+    for number in range(5):
+        started.record_crash(f"later{number}", ("rare",), 13_000.0 + number * 1_000.0)
+    assert started.blocked_by(("rare",), 18_000.0) == frozenset({"rare"})
