Let requests wait for the routes while a node starts

After a restart of all nodes the leader is elected some 0.8 s later.

A node that has not served yet lets a request wait for its first routes, for three quarters of its time limit and three seconds from its start at most. A node that has served before refuses at once as ever. The test fails on the former code.

--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -33,6 +33,11 @@
 
 NO_ROUTE = Refusal(404, "no_route", "No route matches host and path.")
 UNKNOWN_KEY = Refusal(401, "invalid_api_key", "The key is missing or unknown.")
+# For this long after its start a node expects the routes at any moment: the control nodes may have
+# started with it, and then have to elect a leader first.
+STARTING_MS = 3_000.0
+# Share of its time limit that a request waits for them at most.
+START_WAIT_SHARE = 0.75
 INTERNAL_ERROR = Refusal(500, "internal", "The router failed.", outcome=Outcome.UNKNOWN, close=True)
 
 
@@ -53,6 +58,18 @@
     _reserved_bytes: int = 0
     _tickets: Iterator[int] = field(factory=itertools.count)
     _idle: anyio.Event = field(factory=anyio.Event)
+    _started_ms: float = field(init=False)
+    _served_any: bool = False  # The routes and the list of upstreams were complete once.
+    _news: anyio.Event = field(factory=anyio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Note the time of the start."""
+        self._started_ms = self.dependencies.clock.now_ms()
+
+    def notify_news(self) -> None:
+        """Let the requests go on that wait for the first routes or the first list of upstreams."""
+        self._news.set()
+        self._news = anyio.Event()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -136,6 +153,8 @@
         self, exchange: Exchange, head: CallerHead, body: bytes, record: RequestRecord
     ) -> None:
         admitted = self._admit(exchange.scope, head, record)
+        if admitted is NOT_READY:
+            admitted = await self._admit_once_started(exchange.scope, head, record)
         if isinstance(admitted, Refusal):
             await self.refuse(exchange, admitted, record)
             return
@@ -163,6 +182,26 @@
 
     def _admit(
         self, scope: Scope, head: CallerHead, record: RequestRecord
+    async def _admit_once_started(
+        self, scope: Scope, head: CallerHead, record: RequestRecord
+    ) -> AdmittedRequest | Refusal:
+        """Admit a request that came while this node starts, as soon as it knows the routes.
+
+        After a restart of the whole fleet there is no other node that the caller could turn to.
+        """
+        wait_until_ms = self._started_ms + STARTING_MS
+        if head.time_limit_ms is not None:
+            share_ms = START_WAIT_SHARE * head.time_limit_ms
+            wait_until_ms = min(wait_until_ms, record.started_ms + share_ms)
+        admitted: AdmittedRequest | Refusal = NOT_READY
+        with anyio.move_on_after(
+            max(0.0, wait_until_ms - self.dependencies.clock.now_ms()) / MS_PER_SECOND
+        ):
+            while admitted is NOT_READY and not self._served_any:
+                await self._news.wait()
+                admitted = self._admit(scope, head, record)
+        return admitted
+
     ) -> AdmittedRequest | Refusal:
         """Look up route and key.
 
@@ -197,6 +236,7 @@
             record.workspace = workspace.name
         service = route.pick_service(self.dependencies.placement.rng.random())
         admitted = _admitted_request(table, route, workspace, service, head)
+        self._served_any = True
         self.dependencies.placement.record_arrival(service, admitted.demand, now_ms)
         record.rank = admitted.rank
         record.prompt_tokens, record.output_tokens = head.prompt_tokens, head.output_tokens
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -265,9 +265,11 @@
         match effect:
             case RoutesReceived():
                 self._set_routes(effect)
+                self.gateway.notify_news()
             case InstancesReceived(instances=instances):
                 self.placement.set_instances(instances, self.clock.now_ms())
                 self._log.info("upstreams_in_force", count=len(instances))
+                self.gateway.notify_news()
             case EngineFound() | EngineDenied():
                 self._engines.resolve(effect)
             case PermitDecided(ticket=ticket):
--- a/tests/node/test_gateway.py
+++ b/tests/node/test_gateway.py
@@ -21,6 +21,7 @@
 )
 
 from goldcrestridge_core.routes import EngineLimits, RoutedWorkspace, RouteTable
+from goldcrestridge_node.gateway import START_WAIT_SHARE, Gateway
 
 pytestmark = pytest.mark.anyio
 
@@ -449,3 +450,48 @@
         for exchange in upstream.exchanges
     )
     assert urgent < other
+
+
+async def test_a_request_during_the_start_of_a_node_is_served_once_the_routes_have_come() -> None:
+    # Load: callers return while the whole fleet starts again. Guards against refusals that use up
+    # the only retry of callers for whom no other node is ready either.
+    async with running_gateway(scripted("a", ok)) as running, anyio.create_task_group() as tasks:
+        gateway = running.gateway
+        table, gateway.dependencies.routes.table = gateway.dependencies.routes.table, None
+        statuses: list[int] = []
+
+        async def call() -> None:
+            statuses.append((await running.call("/charge/1")).status)
+
+        async with anyio.create_task_group() as calls:
+            calls.start_soon(call)
+            tasks.start_soon(_bring_routes, gateway, table)
+        assert statuses == [200]
+
+
+async def _bring_routes(gateway: Gateway, table: RouteTable | None) -> None:
+    """Set the routes after some news without them, once a request waits for them."""
+    while not gateway.in_flight:
+        await anyio.lowlevel.checkpoint()
+    gateway.notify_news()
+    gateway.dependencies.routes.table = table
+    gateway.notify_news()
+
+
+async def test_a_request_waits_for_the_start_of_a_node_for_a_part_of_its_time_only() -> None:
+    # Guards against callers that are held until they give up, where they could turn to another
+    # node, and against waits on a node that has served before and was cut off since.
+    async with running_gateway(scripted("a", ok)) as running:
+        routes = running.gateway.dependencies.routes
+        table, routes.table = routes.table, None
+        clock = running.gateway.dependencies.clock
+        began_ms = clock.now_ms()
+        response = await running.call("/charge/1", x_goldcrestridge_deadline_ms="400")
+        assert (response.status, b"not_ready" in response.content) == (503, True)
+        assert clock.now_ms() - began_ms >= START_WAIT_SHARE * 400.0
+        routes.table = table
+        assert (await running.call("/charge/2")).status == 200
+        routes.table = None
+        with anyio.fail_after(0.5 * START_WAIT_SHARE * 2.0):  # Its time limit is 2 s.
+            assert (await running.call("/charge/3")).status == 503
+        assert len(running.upstreams[0].exchanges) == 1
