Keep short prompts apart from long ones wherever streams have a gap bound

Engines were partitioned only where a stream allows gaps of under 45 ms a token, a step of the first deployments' engines.

Partitions now follow the work of long and short prompts alone, without a speed of engines. Where no stream is tight no engine is kept for such, and where short prompts are under a hundredth of the work none for them. Both new tests fail on the former code.

--- a/packages/core/src/goldcrestridge_core/demand.py
+++ b/packages/core/src/goldcrestridge_core/demand.py
@@ -48,8 +48,8 @@
 ) -> Demand:
     """Return the demand of a request for an engine.
 
-    ``tight`` tells whether the stream allows only short gaps; it is None if the service has no
-    such streams, so that its engines are not partitioned.
+    ``tight`` tells whether the stream allows only short gaps; it is None if no stream of the
+    service has a bound on its gaps, so that its engines are not partitioned.
     """
     prefix_id = prefix if shared_tokens >= MIN_PREFIX_TOKENS else ""
 
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -305,11 +305,7 @@
         meet their gap target more often than next to long prompts.
         """
         work = self._recent_work.get(service)
-        if (
-            work is None
-            or len(usable) < MIN_ENGINES_TO_PARTITION
-            or not work.long + work.peers.long
-        ):
+        if work is None or len(usable) < MIN_ENGINES_TO_PARTITION or not work.has_both_kinds:
             return [usable]
         order = sorted(usable, key=lambda item: self._partition_weights[item.instance])
         count = work.long_engines(
@@ -319,7 +315,7 @@
         long, short = order[:count], order[count:]
         if demand.long:
             return [long]
-        if len(short) < MIN_SHORT_ENGINES:
+        if len(short) < MIN_SHORT_ENGINES or not (demand.tight or work.has_tight):
             return [short, long]
         # Tight streams use the end of the order. It changes partitions last, so that they stay on
         # the same engines.
--- a/packages/core/src/goldcrestridge_core/recent_work.py
+++ b/packages/core/src/goldcrestridge_core/recent_work.py
@@ -15,6 +15,8 @@
 # differs from the current one by more than the hysteresis.
 WORK_TIME_CONSTANT_MS = 1_500.0
 PARTITION_HYSTERESIS = 0.65
+# With a smaller share of the work, no engine is kept for short prompts.
+MIN_SHORT_SHARE = 0.01
 
 
 @define
@@ -37,6 +39,17 @@
         self.tight *= factor
         self.updated_ms = now_ms
 
+    @property
+    def has_both_kinds(self) -> bool:
+        """Return whether there are long prompts, and short ones that need engines of their own."""
+        long, short = self.long + self.peers.long, self.short + self.peers.short
+        return bool(long) and short >= MIN_SHORT_SHARE * (long + short)
+
+    @property
+    def has_tight(self) -> bool:
+        """Return whether there are streams that allow only short gaps."""
+        return bool(self.tight + self.peers.tight)
+
     def long_engines(self, engines: int, min_short: int) -> int:
         """Return the number of engines for long prompts, leaving ``min_short`` for the others."""
         long = LONG_PROMPT_WEIGHT * (self.long + self.peers.long)
--- a/packages/core/src/goldcrestridge_core/routes.py
+++ b/packages/core/src/goldcrestridge_core/routes.py
@@ -122,17 +122,17 @@
     _hosts: dict[str, dict[str, Route]] = field(init=False, eq=False, repr=False)
     _keys: dict[str, RoutedWorkspace] = field(init=False, eq=False, repr=False)
 
-    _tight: frozenset[str] = field(init=False, eq=False, repr=False)
+    _gap_bounds: frozenset[str] = field(init=False, eq=False, repr=False)
     _least_urgent: dict[str, int] = field(init=False, eq=False, repr=False)
     _ranks: dict[tuple[int, int], int] = field(init=False, eq=False, repr=False)
 
-    @_tight.default
-    def _find_tight(self) -> frozenset[str]:
+    @_gap_bounds.default
+    def _find_gap_bounds(self) -> frozenset[str]:
         return frozenset(
             share.service
             for route in self.routes
             for share in route.services
-            if self.is_tight(route, share.service)
+            if route.streams and route.max_gap_ms
         )
 
     @_least_urgent.default
@@ -180,9 +180,9 @@
             return False
         return route.max_gap_ms <= engine.event_tokens * PREFILL_STEP_MS
 
-    def has_tight(self, service: str) -> bool:
-        """Return whether a service has streams that allow only short gaps between events."""
-        return service in self._tight
+    def has_gap_bounds(self, service: str) -> bool:
+        """Return whether a service has streams with a bound on the gaps between events."""
+        return service in self._gap_bounds
 
     def is_least_urgent(self, service: str, priority: int) -> bool:
         """Return whether no route to a service is less urgent than ``priority``."""
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -302,7 +302,7 @@
     engine = entry.engine if entry is not None else None
     demand = Demand()
     if engine is not None:
-        tight = table.is_tight(route, service) if table.has_tight(service) else None
+        tight = table.is_tight(route, service) if table.has_gap_bounds(service) else None
         prefix, prefix_tokens = (
             (head.shared_prefix_id, head.shared_tokens) if route.cached else ("", 0)
         )
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -305,3 +305,28 @@
     chosen = node.choose("s", Demand(), (), now_ms)
     assert chosen is not None
     return chosen.instance
+
+
+def test_short_prompts_are_kept_apart_from_long_ones_also_where_no_stream_is_tight() -> None:
+    # Traffic: long prompts that share large parts next to short ones whose streams allow gaps of
+    # four chunks. Guards against short prompts that wait behind long ones on every engine, and
+    # against an engine that is kept for tight streams although there are none.
+    nodes = [placement(engines(6), seed) for seed in range(20)]
+    work = ServiceWork("llm", 5e5, 5e5 / LONG_PROMPT_WEIGHT)
+    used: dict[bool, set[str]] = {True: set(), False: set()}
+    for node, long in itertools.product(nodes, (True, False)):
+        node.set_peer_workload(Workload((), (work,)))
+        for number in range(20):
+            demand = Demand(f"p{number}" if long else "", partitioned=True, long=long)
+            own = node.candidates("llm", demand, (), 0.0)[:2]
+            used[long].update(item.instance for item in own)
+    assert (len(used[True]), len(used[False])) == (3, 3)
+    assert not used[True] & used[False]
+
+
+def test_no_engine_is_kept_for_short_prompts_that_hardly_come() -> None:
+    # Guards against an engine that stands idle where almost all prompts are long.
+    node = placement(engines(4))
+    node.set_peer_workload(Workload((), (ServiceWork("llm", 5.0, 1e6),)))
+    demands = [Demand(str(number), partitioned=True, long=True) for number in range(60)]
+    assert len({node.choose("llm", demand, (), 0.0) for demand in demands}) == 4
