Let engines get shared parts of prompts from each other

On Mahoe a shared part of 13,300 tokens takes 243 ms to read, which stops the streams beside it, and 10 ms to get from another engine, at under a third of the price. The product never used that; the second engine that a prompt asked read all its parts again.

- The owner of an engine keeps a bounded model of the parts that it holds (engine_cache): forecasts count what will really be read, refusals tell what the refusing engine could hand over, and the grant tells whether a transfer is cheaper than reading, by the size of a token, the link in the settings and the rate of the engine.
A run that follows under the same name holds nothing.
- The entry names the source: the engine that said it holds the parts, or else the next usable one in the order of the prefix, of the same weights and not in backoff, leaving or at rest.
- The log of a request names each source and what was missing, and the longest gap of its stream.
- The admission to engines moves from the relay into a module of its own, request_engine.
- Ledgers of engines that got nothing for two minutes are dropped; they were kept for ever.

--- a/packages/core/src/goldcrestridge_core/demand.py
+++ b/packages/core/src/goldcrestridge_core/demand.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from goldcrestridge_core.engine_cache import PromptPart
 from goldcrestridge_core.stream_origins import StreamOrigin
 
 # The prefill of a longer prompt takes more than four engine steps with a full chunk, which exceeds
@@ -28,9 +29,10 @@
     whether the engines of the service are partitioned by kind of request, and ``long`` whether the
     request has a long prompt. ``tight`` tells whether its stream allows only short gaps between
     events. ``work`` is the engine time of the request in units of one prompt token of prefill,
-    ``uncached_work`` the same on an engine that holds no prefix of it. ``memory`` is in tokens,
-    without the shared prefix. A stream that has begun has an ``origin`` and goes on only at an
-    instance that fits it.
+    ``uncached_work`` the same on an engine that holds no prefix of it, and ``cached_work`` on one
+    that holds all of it. ``memory`` is in tokens, without the shared prefix. ``parts`` are the
+    shared parts of the prompt in order, which has ``prompt_tokens`` in all. A stream that has begun
+    has an ``origin`` and goes on only at an instance that fits it.
     """
 
     prefix: str = ""
@@ -41,10 +43,24 @@
     uncached_work: float = 0.0
     memory: float = 0.0
     origin: StreamOrigin | None = None
+    cached_work: float = 0.0
+    parts: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+
+
+def prefill_work(prompt_tokens: float, unread_tokens: float) -> float:
+    """Return the work to read the last ``unread_tokens`` of a prompt."""
+    context = prompt_tokens - unread_tokens / 2
+    return unread_tokens * (1.0 + ATTENTION_WORK_PER_TOKEN * context)
 
 
 def demand_of(
-    prefix: str, shared_tokens: int, prompt_tokens: int, output_tokens: int, tight: bool | None
+    prefix: str,
+    shared_tokens: int,
+    prompt_tokens: int,
+    output_tokens: int,
+    tight: bool | None,
+    parts: tuple[PromptPart, ...] = (),
 ) -> Demand:
     """Return the demand of a request for an engine.
 
@@ -53,12 +69,8 @@
     """
     prefix_id = prefix if shared_tokens >= MIN_PREFIX_TOKENS else ""
 
-    def work(uncached_tokens: float) -> float:
-        context = prompt_tokens - uncached_tokens / 2
-        return (
-            uncached_tokens * (1.0 + ATTENTION_WORK_PER_TOKEN * context)
-            + OUTPUT_TOKEN_WORK * output_tokens
-        )
+    def work(unread_tokens: float) -> float:
+        return prefill_work(prompt_tokens, unread_tokens) + OUTPUT_TOKEN_WORK * output_tokens
 
     return Demand(
         prefix=prefix_id,
@@ -68,4 +80,7 @@
         tight=bool(tight),
         uncached_work=work(prompt_tokens),
         memory=float(prompt_tokens - shared_tokens + output_tokens),
+        cached_work=work(prompt_tokens - shared_tokens),
+        parts=parts if prefix_id else (),
+        prompt_tokens=prompt_tokens,
     )
--- a/packages/core/src/goldcrestridge_core/engine_ledger.py
+++ b/packages/core/src/goldcrestridge_core/engine_ledger.py
@@ -15,6 +15,8 @@
 
 from attrs import define, field
 
+from goldcrestridge_core.demand import prefill_work
+from goldcrestridge_core.engine_cache import EngineCache, PromptPart
 from goldcrestridge_core.engine_types import EngineGrant, EngineRefusal, EngineRequest, WaitCause
 
 # Share of an engine's memory for running requests; the rest caches shared prefixes.
@@ -36,6 +38,13 @@
 EXPIRY_MS = 1_000.0
 # An overtaken request occupies its slot for this multiple of the mean run time at most.
 OVERTAKEN_RUN_FACTOR = 2.0
+# An owner knows what an engine holds once it has admitted the requests there for this time, or
+# since the start of the engine.
+CACHE_UNKNOWN_MS = 10_000.0
+# To get a part from another engine takes at least this long.
+FETCH_SETUP_MS = 10.0
+# The ledger of an engine that got no request for this time is dropped.
+IDLE_LEDGER_MS = 120_000.0
 # An engine that ended no prefill and got no request for this time gets one whatever the age of its
 # oldest prompt, since it may be idle and the answer of that prompt lost.
 PROBE_INTERVAL_MS = 1_000.0
@@ -51,37 +60,89 @@
     prefilling: bool = True  # The prefill has not ended; it may not have begun either.
     # A later prompt was prefilled first. Either the output of this one is lost, or its entry node.
     overtaken: bool = False
+    parts: tuple[PromptPart, ...] = ()
 
 
 @define
 class EngineLedger:
-    """Admissions to one engine, with estimates of its prefill rate and of its run time."""
+    """Admissions to one engine, with estimates of its prefill rate, its run time and its cache.
 
+    ``since_ms`` is the time of the first request; ``born`` names the run of the engine.
+    """
+
+    since_ms: float = -math.inf
+    born: int = 0
     tokens_per_ms: float = INITIAL_TOKENS_PER_MS
     run_ms: float = INITIAL_RUN_MS
     _admitted: dict[str, _Admission] = field(factory=dict)
     _last_prefill_end_ms: float = -math.inf
     _last_grant_ms: float = -math.inf
     _slots: int = 0
+    _cache: EngineCache = field(factory=EngineCache)
     # By priority: the time of the last refusal, and the longest wait that the request allowed.
     _refused: dict[int, tuple[float, float]] = field(factory=dict)
 
     def admit(self, request: EngineRequest, now_ms: float) -> EngineGrant | EngineRefusal:
         """Admit a request, or refuse it if the expected wait is too long."""
         self._expire(now_ms)
+        self._recognise_run(request.born, now_ms)
+        parts = request.prompt.parts if request.prompt is not None else ()
         wait_ms, cause = self._expected_wait(request, now_ms)
         if wait_ms > self._max_wait_ms(request, now_ms):
             self._refused[request.priority] = (now_ms, request.longest_ms)
-            return EngineRefusal(request.ticket, request.instance, wait_ms, cause)
+            held = self._cache.read_tokens(parts)
+            return EngineRefusal(request.ticket, request.instance, wait_ms, cause, held)
+        missing = sum(part.tokens for part in parts) - self._cache.held_tokens(parts)
+        fetch = self._is_fetch_cheaper(request, missing)
         self._admitted[request.ticket] = _Admission(
-            request.work,
+            self._work(request, missing, fetch, now_ms),
             request.memory,
             request.priority,
             now_ms,
             now_ms + request.limit_ms + EXPIRY_MS,
+            parts=parts,
         )
+        running = sum(item.memory for item in self._admitted.values())
+        self._cache.begin(request.ticket, parts, request.capacity - running)
         self._last_grant_ms, self._slots = now_ms, request.slots
-        return EngineGrant(request.ticket, request.instance, wait_ms, cause)
+        return EngineGrant(request.ticket, request.instance, wait_ms, cause, missing, fetch)
+
+    def is_idle(self, now_ms: float) -> bool:
+        """Tell whether the engine got no request for long."""
+        last_ms = max(self._last_grant_ms, self.since_ms)
+        expired = all(item.expires_ms <= now_ms for item in self._admitted.values())
+        return expired and now_ms - last_ms >= IDLE_LEDGER_MS
+
+    def _recognise_run(self, born: int, now_ms: float) -> None:
+        """Clear the cache if the engine has started again under its name."""
+        if born > self.born:
+            if self.born:
+                self._cache.clear()
+                self.since_ms = -math.inf
+            self.born = born
+
+    def _is_fetch_cheaper(self, request: EngineRequest, missing_tokens: int) -> bool:
+        """Tell whether missing tokens are had sooner from another engine than by reading them."""
+        prompt = request.prompt
+        if prompt is None or prompt.transfer_ms_per_token is None or not missing_tokens:
+            return False
+        transfer_ms = FETCH_SETUP_MS + missing_tokens * prompt.transfer_ms_per_token
+        return transfer_ms < missing_tokens / self.tokens_per_ms
+
+    def _work(
+        self, request: EngineRequest, missing_tokens: int, fetch: bool, now_ms: float
+    ) -> float:
+        """Return the work of a request that lacks some tokens of its shared parts."""
+        prompt = request.prompt
+        if prompt is None:
+            return request.work
+        if missing_tokens and now_ms - self.since_ms < CACHE_UNKNOWN_MS:
+            return request.work
+        fetched = min(missing_tokens, request.fetchable_tokens) if fetch else 0
+        own_tokens = prompt.prompt_tokens - prompt.shared_tokens
+        unread = own_tokens + missing_tokens - fetched
+        more = prefill_work(prompt.prompt_tokens, unread)
+        return prompt.cached_work + more - prefill_work(prompt.prompt_tokens, own_tokens)
 
     def record_prefill_end(self, ticket: str, now_ms: float) -> None:
         """Record the end of a prefill and update the rate estimate."""
@@ -89,6 +150,7 @@
         if item is None or not item.prefilling:
             return
         item.prefilling = False
+        self._cache.record_read(item.parts)
         self._mark_overtaken(item)
         took_ms = now_ms - max(item.granted_ms, self._last_prefill_end_ms)
         self._last_prefill_end_ms = now_ms
@@ -110,7 +172,11 @@
     def release(self, ticket: str, now_ms: float) -> None:
         """Remove a request that has ended and update the run time estimate."""
         item = self._admitted.pop(ticket, None)
-        if item is not None and not item.prefilling:
+        if item is None:
+            return
+        if item.prefilling:
+            self._cache.cancel(ticket, item.parts)
+        else:
             self.run_ms += (now_ms - item.granted_ms - self.run_ms) * RUN_EWMA_WEIGHT
 
     def _expected_wait(self, request: EngineRequest, now_ms: float) -> tuple[float, WaitCause]:
--- a/packages/core/src/goldcrestridge_core/engine_slots.py
+++ b/packages/core/src/goldcrestridge_core/engine_slots.py
@@ -54,6 +54,8 @@
     shortest_wait_cause: WaitCause = WaitCause.NONE
     best_index: int = 0  # Index of the candidate with the shortest wait.
     unanswered_index: int | None = None  # Index of the first candidate whose owner is silent.
+    # By engine that refused the request: the tokens of its shared parts that it has read.
+    held_tokens: dict[str, int] = field(factory=dict)
     final: bool = False  # The best candidate is asked again, with the fallback wait.
 
     @property
@@ -61,6 +63,13 @@
         """Return the engine that is currently asked."""
         return self.event.candidates[self.index]
 
+    @property
+    def holder(self) -> str:
+        """Return the engine that refused the request and holds most of it, or an empty text."""
+        others = {name: held for name, held in self.held_tokens.items() if held}
+        others.pop(self.candidate.instance, None)
+        return max(others, key=others.__getitem__, default="")
+
 
 @define
 class EngineAdmission:
@@ -114,9 +123,9 @@
             case EngineRequest():
                 self._send(sender, self._answer(message, now_ms), now_ms)
             case EngineStarted(ticket=ticket, instance=instance):
-                self._ledger(instance).record_prefill_end(ticket, now_ms)
+                self._ledger(instance, now_ms).record_prefill_end(ticket, now_ms)
             case EngineReleased(ticket=ticket, instance=instance):
-                self._ledger(instance).release(ticket, now_ms)
+                self._ledger(instance, now_ms).release(ticket, now_ms)
             case EngineGrant():
                 self._on_granted(sender, message, now_ms)
             case EngineRefusal():
@@ -152,6 +161,9 @@
             longest_ms,
             event.limit_ms,
             late=item.final and event.urgent,
+            prompt=event.prompt,
+            born=candidate.born,
+            fetchable_tokens=item.held_tokens.get(item.holder, 0),
         )
         self._send(item.owner, request, now_ms)
 
@@ -195,6 +207,8 @@
         if message.wait_ms < item.shortest_wait_ms:
             item.shortest_wait_ms, item.shortest_wait_cause = message.wait_ms, message.cause
             item.best_index = item.index
+        if item.event.prompt is not None:
+            item.held_tokens[message.instance] = message.held_tokens
         self._try_next(message.ticket, now_ms)
 
     def _on_granted(self, sender: NodeId, message: EngineGrant, now_ms: float) -> None:
@@ -206,7 +220,14 @@
         self._admitted[message.ticket] = self._searches.pop(message.ticket)
         self._effects.append(
             EngineFound(
-                message.ticket, message.instance, wait_ms=message.wait_ms, cause=message.cause
+                message.ticket,
+                message.instance,
+                wait_ms=message.wait_ms,
+                cause=message.cause,
+                missing_tokens=message.missing_tokens,
+                fetch=message.fetch,
+                holder=item.holder,
+                empty=tuple(name for name, held in item.held_tokens.items() if not held),
             )
         )
 
@@ -235,11 +256,21 @@
             self._owners[instance] = owner
         return owner
 
-    def _ledger(self, instance: str) -> EngineLedger:
-        return self._ledgers.setdefault(instance, EngineLedger())
+    def _ledger(self, instance: str, now_ms: float) -> EngineLedger:
+        ledger = self._ledgers.get(instance)
+        if ledger is None:
+            self._drop_idle_ledgers(now_ms)
+            ledger = self._ledgers[instance] = EngineLedger(since_ms=now_ms)
+        return ledger
+
+    def _drop_idle_ledgers(self, now_ms: float) -> None:
+        """Drop the ledgers of engines that got no request for long, most of which have left."""
+        idle = [name for name, item in self._ledgers.items() if item.is_idle(now_ms)]
+        for name in idle:
+            del self._ledgers[name]
 
     def _answer(self, request: EngineRequest, now_ms: float) -> EngineGrant | EngineRefusal:
-        return self._ledger(request.instance).admit(request, now_ms)
+        return self._ledger(request.instance, now_ms).admit(request, now_ms)
 
     def _send(self, node: NodeId, message: Any, now_ms: float) -> None:
         """Send a message; handle one to this node itself synchronously."""
--- a/packages/core/src/goldcrestridge_core/engine_types.py
+++ b/packages/core/src/goldcrestridge_core/engine_types.py
@@ -7,9 +7,30 @@
 from attrs import frozen
 
 from goldcrestridge_core.codec import message
+from goldcrestridge_core.engine_cache import PromptPart
 from goldcrestridge_core.types import NodeId
 
 
+@message
+@frozen
+class SharedPrompt:
+    """A prompt with parts that an engine may hold; ``cached_work`` is its work if it holds all.
+
+    ``transfer_ms_per_token`` is the time to get a token from another engine, or None if engines
+    can't hand parts to each other.
+    """
+
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    cached_work: float
+    transfer_ms_per_token: float | None = None
+
+    @property
+    def shared_tokens(self) -> int:
+        """Return the number of tokens in all shared parts."""
+        return sum(part.tokens for part in self.parts)
+
+
 @message
 @frozen
 class EngineRequest:
@@ -18,7 +39,9 @@
     ``work`` is in units of one prompt token of prefill, ``memory`` and ``capacity`` in tokens. The
     owner refuses if the expected wait for the prefill exceeds ``longest_ms``. The request ends
     within ``limit_ms``. ``priority`` 0 is the most urgent. A ``late`` request was refused by every
-    engine and no longer yields to more urgent ones.
+    engine and no longer yields to more urgent ones. ``work`` is that of an engine of which nothing
+    is known. ``prompt`` tells what the work is for one whose cache is known, and ``born`` names the
+    run of the engine. Of the shared parts, ``fetchable_tokens`` can be had from another engine.
     """
 
     ticket: str
@@ -31,6 +54,9 @@
     longest_ms: float
     limit_ms: float
     late: bool = False
+    prompt: SharedPrompt | None = None
+    born: int = 0
+    fetchable_tokens: int = 0
 
 
 class WaitCause(enum.Enum):
@@ -46,23 +72,33 @@
 @message
 @frozen
 class EngineGrant:
-    """Admit a request whose prefill is expected to begin after ``wait_ms``."""
+    """Admit a request whose prefill is expected to begin after ``wait_ms``.
+
+    The engine lacks ``missing_tokens`` of its shared parts. ``fetch`` tells whether to get them
+    from another engine is cheaper than to read them.
+    """
 
     ticket: str
     instance: str
     wait_ms: float = 0.0
     cause: WaitCause = WaitCause.NONE
+    missing_tokens: int = 0
+    fetch: bool = False
 
 
 @message
 @frozen
 class EngineRefusal:
-    """Refuse a request whose prefill would begin only after about ``wait_ms``."""
+    """Refuse a request whose prefill would begin only after about ``wait_ms``.
+
+    The engine has read ``held_tokens`` of its shared parts.
+    """
 
     ticket: str
     instance: str
     wait_ms: float
     cause: WaitCause = WaitCause.NONE
+    held_tokens: int = 0
 
 
 @message
@@ -95,6 +131,7 @@
     memory: float
     capacity: float
     slots: int
+    born: int = 0
 
 
 @frozen
@@ -112,6 +149,7 @@
     max_wait_ms: float
     fallback_wait_ms: float
     limit_ms: float
+    prompt: SharedPrompt | None = None
 
     @property
     def urgent(self) -> bool:
@@ -123,7 +161,9 @@
 class EngineFound:
     """Effect: the request may be sent; ``admitted`` is False if no engine owner answered.
 
-    ``wait_ms`` is the wait that the owner expected, with its cause.
+    ``wait_ms`` is the wait that the owner expected, with its cause. ``missing_tokens`` of the
+    shared parts are not held there; with ``fetch`` they are cheaper to get than to read. Of the
+    engines that were asked before, ``holder`` holds most of them, and those in ``empty`` none.
     """
 
     ticket: str
@@ -131,6 +171,10 @@
     admitted: bool = True
     wait_ms: float = 0.0
     cause: WaitCause = WaitCause.NONE
+    missing_tokens: int = 0
+    fetch: bool = False
+    holder: str = ""
+    empty: tuple[str, ...] = ()
 
 
 @frozen
--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -15,7 +15,7 @@
 
     ``version`` is that of its software, not of the weights of a model; it is empty if unknown.
     ``born`` is the Unix time of its start in milliseconds, or 0 if unknown; a later run can have
-    the same name.
+    the same name. ``weights`` names the weights of its models, or is empty if unknown.
     """
 
     instance: str
@@ -26,6 +26,7 @@
     leaving: bool
     version: str = ""
     born: int = 0
+    weights: str = ""
 
     @property
     def life(self) -> str:
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -28,6 +28,7 @@
 from attrs import define, field
 
 from goldcrestridge_core.demand import Demand
+from goldcrestridge_core.engine_types import EngineFound
 from goldcrestridge_core.follow_types import (
     InstanceLoad,
     ServiceWork,
@@ -406,6 +407,23 @@
         left = CANDIDATES_PER_PARTITION - len(chosen)
         return chosen + [by_name[name] for name in itertools.islice(names, left)]
 
+    def part_source(
+        self, service: str, prefix: str, target: UpstreamInstance, found: EngineFound, now_ms: float
+    ) -> UpstreamInstance | None:
+        """Return the engine that most probably holds a prefix which ``target`` lacks, or None.
+
+        It is the one that said so, or else the next one in the order of the prefix, which gets the
+        requests that the first one is too busy for.
+        """
+        usable = {
+            item.instance: item
+            for item in self._usable(service, {target.instance, *found.empty}, now_ms)
+            if item.weights == target.weights and self._health_of(item).backoff_until_ms <= now_ms
+        }
+        order = (name for name in self._prefix_order(service, prefix) if name in usable)
+        name = found.holder if found.holder in usable else next(order, None)
+        return None if name is None else usable[name]
+
     def _prefix_order(self, service: str, prefix: str) -> list[str]:
         """Return the listed instances of a service in the rendezvous order of a prefix."""
         order = self._orders.get((service, prefix))
--- a/packages/core/src/goldcrestridge_core/routes.py
+++ b/packages/core/src/goldcrestridge_core/routes.py
@@ -75,11 +75,24 @@
 
 @frozen
 class EngineLimits:
-    """Size of a model engine: concurrent requests, tokens in memory, and tokens per event."""
+    """Size of a model engine: concurrent requests, tokens in memory, and tokens per event.
+
+    ``token_bytes`` is the size of a token in memory, and ``link_mbps`` the rate in Mbit/s at which
+    engines hand parts of prompts to each other. They don't if one of the two is 0.
+    """
 
     slots: int
     memory_tokens: int
     event_tokens: int = 1
+    token_bytes: int = 0
+    link_mbps: float = 0.0
+
+    @property
+    def transfer_ms_per_token(self) -> float | None:
+        """Return the time to hand one token to another engine, or None if that is not possible."""
+        if self.token_bytes <= 0 or self.link_mbps <= 0:
+            return None
+        return self.token_bytes * 8 / (self.link_mbps * 1_000.0)
 
 
 @frozen
--- a/packages/lab/src/goldcrestridge_lab/chunked_engine.py
+++ b/packages/lab/src/goldcrestridge_lab/chunked_engine.py
@@ -2,12 +2,16 @@
 
 Prompts are prefilled in chunks between decode steps, in the order of admission. Running requests
 and cached segments of earlier prompts share one memory, from which the least recently used
-segments are evicted. More urgent requests are admitted first; running ones are not preempted.
+segments are evicted. More urgent requests are admitted first; running ones are not preempted. A
+request can name another engine, which hands over the segments that it has read; the time of the
+transfer is neglected.
 """
 
 from __future__ import annotations
 
+import itertools
 from collections import OrderedDict
+from collections.abc import Container
 
 from attrs import define, field, frozen
 
@@ -38,6 +42,7 @@
     segments: tuple[PromptSegment, ...]
     output_tokens: int
     priority: int
+    source: ChunkedEngine | None = None
     remaining_prefill: int = 0
     context_tokens: int = 0
     generated_tokens: int = 0
@@ -68,6 +73,7 @@
     event_tokens: int
     slow_factor: float = 1.0
     prefilled_tokens: int = 0
+    fetched_tokens: int = 0
     waiting: list[Run] = field(factory=list)
     running: list[Run] = field(factory=list)
     _cached: OrderedDict[str, int] = field(factory=OrderedDict)
@@ -134,18 +140,29 @@
             if self.running and self._referenced_tokens + needed_tokens > self.memory_tokens:
                 return
             self.running.append(self.waiting.pop(0))
-            run.context_tokens = self._cached_prefix_tokens(run)
+            run.context_tokens = _prefix_tokens(run, self._cached)
+            if run.source is not None:
+                offered_tokens = _prefix_tokens(run, run.source.read_segments())
+                fetched_tokens = max(0, offered_tokens - run.context_tokens)
+                self.fetched_tokens += fetched_tokens
+                run.context_tokens += fetched_tokens
             run.remaining_prefill = run.prompt_tokens - run.context_tokens
             self._cache_prompt(run)
 
-    def _cached_prefix_tokens(self, run: Run) -> int:
-        """Return the number of tokens in the longest prefix of cached segments."""
-        tokens = 0
-        for segment in run.segments:
-            if segment.name not in self._cached:
-                break
-            tokens += segment.tokens
-        return tokens
+    def read_segments(self) -> set[str]:
+        """Return the names of the cached segments that no request still has to read."""
+        unread = {
+            segment.name
+            for run in self.running
+            if run.remaining_prefill
+            for segment, end in zip(
+                run.segments,
+                itertools.accumulate(item.tokens for item in run.segments),
+                strict=True,
+            )
+            if end > run.context_tokens
+        }
+        return set(self._cached) - unread
 
     def _cache_prompt(self, run: Run) -> None:
         for segment in run.segments:
@@ -161,3 +178,11 @@
                 return
             if name not in self._reference_counts:
                 excess -= self._cached.pop(name)
+
+
+def _prefix_tokens(run: Run, names: Container[str]) -> int:
+    """Return the number of tokens in the leading segments of a request that are in ``names``."""
+    return sum(
+        segment.tokens
+        for segment in itertools.takewhile(lambda segment: segment.name in names, run.segments)
+    )
--- a/packages/node/src/goldcrestridge_node/dialect.py
+++ b/packages/node/src/goldcrestridge_node/dialect.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from goldcrestridge_core.engine_cache import PromptPart
 from goldcrestridge_core.types import Headers
 
 
@@ -17,8 +18,8 @@
     carries no API key. ``shared_prefix_id`` identifies the longest prompt prefix that other
     requests share, which has ``shared_tokens`` tokens; it is empty if there is none. A resumed
     stream continues after the event ``last_event_id``; ``resumed_request_id`` is the id of the
-    caller's attempt that brought its first event, or empty. ``prompt_parts`` identify the parts of
-    the prompt that other requests can share.
+    caller's attempt that brought its first event, or empty. ``prompt_parts`` are the parts of the
+    prompt that other requests can share, in order.
     """
 
     request_id: bytes
@@ -31,18 +32,23 @@
     output_tokens: int = 0
     last_event_id: int | None = None
     resumed_request_id: str = ""
-    prompt_parts: tuple[str, ...] = ()
+    prompt_parts: tuple[PromptPart, ...] = ()
 
 
 @frozen
 class UpstreamRequestHead:
-    """Values that the router sends with a request; ``priority`` 0 is the most urgent."""
+    """Values that the router sends with a request; ``priority`` 0 is the most urgent.
+
+    ``fetch_from`` is the address of an engine from which the upstream gets the parts of the prompt
+    that it does not hold itself; it is empty if there is none.
+    """
 
     instance: str
     time_left_ms: int
     workspace: str
     priority: int
     last_event_id: int | None = None
+    fetch_from: str = ""
 
 
 @frozen
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -158,7 +158,9 @@
         if isinstance(admitted, Refusal):
             await self.refuse(exchange, admitted, record)
             return
-        crashes = RequestCrashes(self, head.prompt_parts, record)
+        crashes = RequestCrashes(
+            self, tuple(dict.fromkeys(part.key for part in head.prompt_parts)), record
+        )
         blocked = crashes.refusal()
         if blocked is not None:
             await self.refuse(exchange, blocked, record)
@@ -180,8 +182,6 @@
         relay = Relay(self, exchange, request, admitted, forwarding, record, crashes)
         await relay.run()
 
-    def _admit(
-        self, scope: Scope, head: CallerHead, record: RequestRecord
     async def _admit_once_started(
         self, scope: Scope, head: CallerHead, record: RequestRecord
     ) -> AdmittedRequest | Refusal:
@@ -202,6 +202,8 @@
                 admitted = self._admit(scope, head, record)
         return admitted
 
+    def _admit(
+        self, scope: Scope, head: CallerHead, record: RequestRecord
     ) -> AdmittedRequest | Refusal:
         """Look up route and key.
 
@@ -234,9 +236,9 @@
             if workspace is None:
                 return UNKNOWN_KEY
             record.workspace = workspace.name
+        self._served_any = True
         service = route.pick_service(self.dependencies.placement.rng.random())
         admitted = _admitted_request(table, route, workspace, service, head)
-        self._served_any = True
         self.dependencies.placement.record_arrival(service, admitted.demand, now_ms)
         record.rank = admitted.rank
         record.prompt_tokens, record.output_tokens = head.prompt_tokens, head.output_tokens
@@ -306,7 +308,14 @@
         prefix, prefix_tokens = (
             (head.shared_prefix_id, head.shared_tokens) if route.cached else ("", 0)
         )
-        demand = demand_of(prefix, prefix_tokens, head.prompt_tokens, head.output_tokens, tight)
+        demand = demand_of(
+            prefix,
+            prefix_tokens,
+            head.prompt_tokens,
+            head.output_tokens,
+            tight,
+            head.prompt_parts,
+        )
     return AdmittedRequest(
         route,
         workspace,
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -9,13 +9,11 @@
 import anyio
 from attrs import define, evolve, field
 
-from goldcrestridge_core.admission import TimeBudget, fallback_wait_ms, max_wait_ms, retry_delay_ms
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.demand import Demand
-from goldcrestridge_core.engine_types import Candidate, EngineDenied, FindEngine
 from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.forwarding import AttemptOutcome, Decision, Forwarding, Step
-from goldcrestridge_core.routes import MAX_RANKS, EngineLimits
+from goldcrestridge_core.routes import MAX_RANKS
 from goldcrestridge_core.stream_origins import (
     FindOrigin,
     OriginFound,
@@ -36,6 +34,7 @@
 from goldcrestridge_node.headers import BodyFraming, may_be_event_stream
 from goldcrestridge_node.relay_refusals import CANNOT_RESUME, ORIGIN_NOT_FOUND, refusal_of
 from goldcrestridge_node.request_crashes import RequestCrashes
+from goldcrestridge_node.request_engine import RequestEngine
 from goldcrestridge_node.request_log import RequestRecord
 from goldcrestridge_node.request_permits import RequestPermits
 
@@ -64,17 +63,17 @@
     crashes: RequestCrashes
     _excluded: set[str] = field(factory=set)
     _error_response: tuple[UpstreamResponse, bytes] | None = None
-    _ticket: str | None = None
-    _prefilled: bool = False  # The completed prefill was reported to the engine admission.
     # Set once the caller holds events of the stream.
     _origin: StreamOrigin | None = None
     _splitter: EventSplitter = field(init=False)
     _permits: RequestPermits = field(init=False)
+    _engine: RequestEngine = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the splitter; for a resumed stream it drops the events that the caller has."""
         self._splitter = EventSplitter(self.request.caller_head.last_event_id)
         self._permits = RequestPermits(self.gateway, self.admitted, self.forwarding, self.record)
+        self._engine = RequestEngine(self.gateway, self.admitted, self.forwarding, self.record)
 
     @property
     def _now_ms(self) -> float:
@@ -85,7 +84,7 @@
         try:
             await self._run()
         finally:
-            self._end_ticket()
+            self._engine.end()
 
     async def _run(self) -> None:
         if self._takes_up_stream and not await self._find_origin():
@@ -144,7 +143,7 @@
         admitted = self.gateway.admit_to_service(self.admitted, origin.service, head)
         if admitted is None or not self.gateway.dependencies.placement.serves_version(origin):
             return False
-        self.admitted = self._permits.admitted = admitted
+        self.admitted = self._permits.admitted = self._engine.admitted = admitted
         return True
 
     def _begin_stream(self, instance: UpstreamInstance) -> None:
@@ -198,7 +197,7 @@
             if isinstance(instance, UpstreamInstance):
                 if await permits.has_permit(instance):
                     return instance
-                self._end_ticket()
+                self._engine.end()
             elif instance is not None:
                 return instance
             elif not permits.refused:
@@ -244,58 +243,12 @@
         )
         if not candidates:
             return None
-        event = self._find_engine_event(candidates, engine)
-        self._ticket, self._prefilled = event.ticket, False
-        result = await self.gateway.dependencies.engines.request_admission(event)
-        if isinstance(result, EngineDenied):
-            self._ticket = None
-            if self.forwarding.possible_runs:
-                # The caller cannot be told that the request has not run, so a denial would leave it
-                # without a response. The request is sent to a busy engine instead.
-                return candidates[0]
-            asked = " ".join(item.instance for item in candidates)
-            reason = (
-                f"none of {len(candidates)} engines can start in {event.max_wait_ms:.0f} ms, "
-                f"{result.cause.value}, asked {asked}"
-            )
-            self.record.add_attempt(candidates[0].instance, "denied", reason, result.wait_ms)
-            spread = self.gateway.dependencies.placement.rng.random()
-            return self.forwarding.after_denial(retry_delay_ms(result.wait_ms, spread))
-        self.record.add_admission(result)
-        return next(item for item in candidates if item.instance == result.instance)
-
-    def _find_engine_event(
-        self, instances: list[UpstreamInstance], engine: EngineLimits
-    ) -> FindEngine:
-        """Return the event that asks for admission to one of the engines."""
-        demand, now_ms = self.admitted.demand, self._now_ms
-        candidates = tuple(
-            Candidate(
-                item.instance,
-                demand.uncached_work if demand.prefix and number else demand.work,
-                demand.memory,
-                engine.memory_tokens,
-                engine.slots,
-            )
-            for number, item in enumerate(instances)
-        )
-        left_ms = self.forwarding.left_ms(now_ms)
-        time_budget = TimeBudget(
-            self.admitted.route.target_latency_ms,
-            self.forwarding.target_left_ms(now_ms),
-            left_ms,
+        return await self._engine.find(
+            candidates,
+            engine,
             # A stream that has begun must not fail in favour of other requests.
             least_urgent=self.admitted.least_urgent and self._origin is None,
         )
-        return FindEngine(
-            self.gateway.next_ticket(),
-            candidates,
-            # The priority of the route alone, so that workspaces of one route share its engines.
-            self.admitted.route.priority,
-            max_wait_ms(time_budget),
-            fallback_wait_ms(time_budget),
-            left_ms,
-        )
 
     async def _attempt(self, instance: UpstreamInstance) -> Decision:
         """Make one attempt and return the decision on the next step."""
@@ -307,7 +260,7 @@
             result = await self._send(instance)
         finally:
             placement.record_end(instance)
-            self._end_ticket()
+            self._engine.end()
         outcome = result.outcome if isinstance(result, FailedAttempt) else AttemptOutcome.ANSWERED
         reason = result.reason if isinstance(result, FailedAttempt) else ""
         now_ms = self._now_ms
@@ -368,12 +321,6 @@
             has_retry_budget = deps.retry_budget.spend(self.admitted.service, live_entries, now_ms)
         return self.forwarding.after_attempt(outcome, now_ms, has_retry_budget)
 
-    def _end_ticket(self) -> None:
-        """Release the admission to the engine, if there is one."""
-        if self._ticket is not None:
-            self.gateway.dependencies.engines.report_request_ended(self._ticket)
-            self._ticket = None
-
     def _build_request_head(self, instance: UpstreamInstance) -> UpstreamRequestHead:
         workspace = self.admitted.workspace
         return UpstreamRequestHead(
@@ -382,6 +329,7 @@
             workspace.name if workspace is not None else "",
             self.admitted.rank,
             self._splitter.last_id,
+            self._engine.fetch_from(instance),
         )
 
     def _timeout_ms(self) -> float:
@@ -535,13 +483,11 @@
     async def _write_events(self, response: UpstreamResponse, events: bytes) -> None:
         self.crashes.record_event()
         if not self.exchange.started:
-            self.record.first_event_ms = self._now_ms - self.record.started_ms
             self._begin_stream(response.instance)
             await self._start_response(response)
-        if not self._prefilled and self._ticket is not None:
-            self._prefilled = True
-            self.gateway.dependencies.engines.report_prefill_completed(self._ticket)
+        self._engine.report_prefilled()
         self.forwarding.streaming = True
+        self.record.add_event(self._now_ms)
         await self.exchange.write(events, more=True)
 
     async def _start_response(self, response: UpstreamResponse) -> None:
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -27,6 +27,8 @@
     takes up. ``versions`` holds the software version of the upstream of each attempt that was sent.
     ``avoided`` holds the upstreams that were passed over because they leave or rest. ``body_ends``
     holds the framing of each response that was read, with the bytes after its last event.
+    ``fetches`` holds the engine from which each attempt got shared parts, with their tokens.
+    ``longest_gap_ms`` is the longest time between events that were passed on.
     """
 
     request_id: str
@@ -48,6 +50,17 @@
     versions: list[str] = field(factory=list)
     avoided: list[str] = field(factory=list)
     body_ends: list[str] = field(factory=list)
+    fetches: list[str] = field(factory=list)
+    longest_gap_ms: float = 0.0
+    _last_event_ms: float | None = None
+
+    def add_event(self, now_ms: float) -> None:
+        """Record that events of the stream were passed on."""
+        if self._last_event_ms is None:
+            self.first_event_ms = now_ms - self.started_ms
+        else:
+            self.longest_gap_ms = max(self.longest_gap_ms, now_ms - self._last_event_ms)
+        self._last_event_ms = now_ms
 
     def add_attempt(self, instance: str, outcome: str, reason: str, took_ms: float) -> None:
         """Add an attempt to the log line."""
@@ -63,10 +76,16 @@
         """Add the admission to an engine, with the wait that its owner expected."""
         if found.admitted:
             entry = f"{found.instance} {found.wait_ms:.0f}ms {found.cause.value}"
+            if found.missing_tokens:
+                entry += f" {found.missing_tokens} tokens missing"
         else:
             entry = f"{found.instance} without its owner"
         self.admissions.append(entry)
 
+    def add_fetch(self, source: str, tokens: int) -> None:
+        """Add the engine that hands over shared parts of the prompt."""
+        self.fetches.append(f"{source} {tokens} tokens")
+
     def set_avoided(self, avoided: list[Avoidance]) -> None:
         """Name the upstreams that are passed over, at most MAX_AVOIDED of them."""
         self.avoided = [str(item) for item in avoided[:MAX_AVOIDED]]
@@ -127,5 +146,7 @@
             versions=record.versions,
             avoided=record.avoided,
             body_ends=record.body_ends,
+            fetches=record.fetches,
+            longest_gap_ms=round(record.longest_gap_ms, 1),
             resumed_request_id=record.resumed_request_id,
         )
--- a/tests/core/engine_fleet.py
+++ b/tests/core/engine_fleet.py
@@ -19,6 +19,7 @@
     retry_delay_ms,
 )
 from goldcrestridge_core.demand import Demand, demand_of
+from goldcrestridge_core.engine_cache import PromptPart
 from goldcrestridge_core.engine_slots import EngineAdmission
 from goldcrestridge_core.engine_types import (
     Candidate,
@@ -28,6 +29,7 @@
     FindEngine,
     PrefillCompleted,
     RequestEnded,
+    SharedPrompt,
 )
 from goldcrestridge_core.follow_types import InstanceLoad, ServiceWork, UpstreamInstance, Workload
 from goldcrestridge_core.follower import poll_interval_ms
@@ -84,6 +86,7 @@
     admission: bool = True
     lost_answers: float = 0.0  # Share of the requests whose answer never arrives.
     killed: tuple[float, int] = (math.inf, 0)  # Time in ms, number of entry nodes.
+    transfer_ms_per_token: float | None = None  # Engines hand parts to each other at this rate.
 
 
 @define(eq=False)
@@ -264,7 +267,7 @@
         self._attempts[ticket] = attempt
         self._schedule(deadline_ms, self._time_out, attempt)
         self._schedule(self.now_ms + call.kind.patience_ms, self._leave_if_silent, attempt)
-        demand = self._demand(call)
+        demand, fleet = self._demand(call), self.fleet
         placement = self._placements[entry]
         placement.record_arrival(SERVICE, demand, self.now_ms)
         if not self.fleet.admission:
@@ -277,8 +280,8 @@
                 item.instance,
                 demand.uncached_work if demand.prefix and number else demand.work,
                 demand.memory,
-                self.fleet.memory_tokens,
-                self.fleet.slots,
+                fleet.memory_tokens,
+                fleet.slots,
             )
             for number, item in enumerate(placement.candidates(SERVICE, demand, (), self.now_ms))
         )
@@ -290,8 +293,17 @@
             call.kind.priority == max(kind.priority for kind in self.fleet.kinds),
         )
         wait_ms, fallback_ms = max_wait_ms(time_budget), fallback_wait_ms(time_budget)
+        prompt = SharedPrompt(
+            demand.parts, demand.prompt_tokens, demand.cached_work, fleet.transfer_ms_per_token
+        )
         search = FindEngine(
-            ticket, candidates, call.kind.priority, wait_ms, fallback_ms, deadline_ms - self.now_ms
+            ticket,
+            candidates,
+            call.kind.priority,
+            wait_ms,
+            fallback_ms,
+            deadline_ms - self.now_ms,
+            prompt if demand.prefix else None,
         )
         self._post(entry, search)
 
@@ -300,7 +312,8 @@
         total = shared + call.parts[-1].tokens
         tight = call.kind.gap_ms <= self.fleet.event_tokens * 45.0
         expected_tokens = max(1, round(call.output_tokens * self._rng.uniform(0.5, 1.5)))
-        return demand_of(call.parts[-2].name, shared, total, expected_tokens, tight)
+        parts = tuple(PromptPart(part.name, part.tokens) for part in call.parts[:-1])
+        return demand_of(call.parts[-2].name, shared, total, expected_tokens, tight, parts)
 
     def _post(self, entry: NodeId, event: Any) -> None:
         if entry in self._killed:
@@ -314,16 +327,22 @@
                 case Send(to=to, message=message):
                     hop_ms = HOP_MS * self._rng.uniform(0.5, 1.5)
                     self._schedule(self.now_ms + hop_ms, self._post, to, Receive(entry, message))
-                case EngineFound(ticket=ticket, instance=instance):
-                    self._on_found(self._attempts[ticket], instance)
+                case EngineFound():
+                    self._on_found(self._attempts[effect.ticket], effect)
                 case EngineDenied(ticket=ticket, wait_ms=wait_ms):
                     self._on_denied(self._attempts[ticket], wait_ms)
 
-    def _on_found(self, attempt: Attempt, instance: str) -> None:
+    def _on_found(self, attempt: Attempt, found: EngineFound) -> None:
         if attempt.ended:
             return
-        slots = self.fleet.slots
-        self._send(attempt, UpstreamInstance(instance, SERVICE, "", "dc", slots, False))
+        target = UpstreamInstance(found.instance, SERVICE, "", "dc", self.fleet.slots, False)
+        if found.fetch:
+            prefix = attempt.call.parts[-2].name
+            source = self._placements[attempt.entry].part_source(
+                SERVICE, prefix, target, found, self.now_ms
+            )
+            attempt.run.source = None if source is None else self.engines[source.instance]
+        self._send(attempt, target)
 
     def _on_denied(self, attempt: Attempt, wait_ms: float) -> None:
         """Let the caller retry once, after at most a third of its remaining time limit."""
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -61,6 +61,20 @@
     assert b"forged" not in [value for _, value in sent]
 
 
+def test_an_engine_is_told_where_to_fetch_missing_parts() -> None:
+    # Guards against a header without a source, which engines would reject.
+    head = UpstreamRequestHead("i-1", 1, "", 5, fetch_from="10.0.0.1:80")
+    assert dict(write_upstream(read_caller(CALLER), head))[b"kv-fetch"] == b"10.0.0.1:80"
+    assert b"kv-fetch" not in dict(write_upstream(read_caller(CALLER), REQUEST_HEAD))
+
+
+def test_the_shared_parts_of_a_prompt_are_decoded_in_order_with_their_sizes() -> None:
+    # Guards against a model of an engine's cache that misses or mixes up parts.
+    parts = read_caller(CALLER).prompt_parts
+    assert [(part.key, part.tokens) for part in parts] == [("5c1e07a2", 800), ("91bd3f06", 410)]
+    assert read_caller(((b"x-goldcrestridge-prompt-prefix", b"ab:3"),)).prompt_parts == ()
+
+
 def test_connection_specific_headers_are_not_forwarded() -> None:
     # Guards against forwarding framing or hop-by-hop headers in either direction.
     listed = (
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -122,3 +122,19 @@
     # Guards against rejecting a valid document because of a repeated key.
     tenants = [{"name": "t1", "api_keys": ["k", "k"]}]
     assert isinstance(read_manifest(encode_manifest(tenants=tenants)), Success)
+
+
+def test_the_cost_of_a_transfer_between_engines_is_read_from_the_settings() -> None:
+    # Guards against transfers at a service whose engines don't offer them.
+    engine = {"slots": 64, "kv_capacity": 600_000, "kv_token_bytes": 18_432, "link_mbps": 370_000.0}
+    services = [{**MANIFEST["services"][0], "engine": engine}, *MANIFEST["services"][1:]]
+    for changes, expected_ms in (
+        ({}, 0.0004),
+        ({"link_mbps": 0}, None),
+        ({"kv_token_bytes": 0}, None),
+    ):
+        services[0]["engine"] = {**engine, **changes}
+        limits = read_manifest(encode_manifest(services=services)).unwrap().services
+        read = limits[services[0]["name"]].engine
+        assert read is not None
+        assert read.transfer_ms_per_token == pytest.approx(expected_ms, abs=1e-5)
--- a/tests/platform/test_platform_servers.py
+++ b/tests/platform/test_platform_servers.py
@@ -76,3 +76,11 @@
     lives = [read_page(page(entry)).unwrap()[0][0].life for entry in (first, again, VALID)]
     assert len(set(lives)) == 3
     assert read_page(page({**VALID, "born": "soon"})).unwrap()[0] == []
+
+
+def test_the_weights_of_an_instance_are_told_apart_by_model_and_version() -> None:
+    # Guards against engines of different weights that hand parts of prompts to each other.
+    models = [{"name": "m", "version": 7, "adapters": []}, {"name": "a", "version": 1}]
+    page_of_two = page({**VALID, "models": models}, {**VALID, "id": "i-2"})
+    instances, _ = read_page(page_of_two).unwrap()
+    assert [item.weights for item in instances] == ["a:1,m:7", ""]
