--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -225,6 +225,7 @@
         if route is None:
             return NO_ROUTE if current else NOT_READY
         record.route = route.name
+        record.target_ms, record.max_gap_ms = route.target_latency_ms, route.max_gap_ms
         if route.streams and scope["http_version"] != "1.1":
             # HTTP/1.0 cannot show that a response of unknown length is cut.
             return UNSUPPORTED_HTTP_VERSION
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -28,7 +28,8 @@
     ``avoided`` holds the upstreams that were passed over because they leave or rest. ``body_ends``
     holds the framing of each response that was read, with the bytes after its last event.
     ``fetches`` holds the engine from which each attempt got shared parts, with their tokens.
-    ``longest_gap_ms`` is the longest time between events that were passed on.
+    ``longest_gap_ms`` is the longest time between events that were passed on. ``target_ms`` and
+    ``max_gap_ms`` are the bounds of the route on the first event and on the gaps.
     """
 
     request_id: str
@@ -52,6 +53,8 @@
     body_ends: list[str] = field(factory=list)
     fetches: list[str] = field(factory=list)
     longest_gap_ms: float = 0.0
+    target_ms: float = 0.0
+    max_gap_ms: float = 0.0
     _last_event_ms: float | None = None
 
     def add_event(self, now_ms: float) -> None:
@@ -148,5 +151,7 @@
             body_ends=record.body_ends,
             fetches=record.fetches,
             longest_gap_ms=round(record.longest_gap_ms, 1),
+            target_ms=round(record.target_ms),
+            max_gap_ms=round(record.max_gap_ms),
             resumed_request_id=record.resumed_request_id,
         )
