Report from the logs of entry nodes what became of the requests of each route

goldcrestridge requests LOG... lists by route, and with --by-second by second, how many requests were on time, late for their first event or for a gap, refused, failed or left by their caller; why they were refused (for engines whether the forecast was over the longest wait at all), how many were sent again or got parts from another engine, and which upstreams answered late.

--- a/packages/cli/src/goldcrestridge_cli/cmdline.py
+++ b/packages/cli/src/goldcrestridge_cli/cmdline.py
@@ -10,9 +10,12 @@
                           [--limit=N] [--node=URL] [--key-file=FILE] [--json]
   goldcrestridge drain [--deadline=SECONDS] [--node=URL] [--key-file=FILE] [--json]
   goldcrestridge hash-key [--json]
+  goldcrestridge requests [--by-second] [--json] LOG...
   goldcrestridge --help
 
 FOLDER holds base.toml and the overlays in sites/. hash-key reads a key from standard input.
+requests summarises the logs of entry nodes: for each route how many requests were on time, late,
+refused or failed, and why. LOG is a file of log lines, or - for standard input.
 
 Options:
   --node=URL            Operator address of a node [default: http://127.0.0.1:9000].
@@ -29,6 +32,7 @@
   --upstream=NAME       Show the events of one upstream.
   --change=ID           Show the events of one configuration change.
   --limit=N             Show at most the last N events [default: 1000].
+  --by-second           Show each second of each route.
   --deadline=SECONDS    Cancel requests that are still in flight after this time.
 
 Exit codes: 0 done, 1 invalid configuration or a difference, 2 usage error, 3 conflict,
@@ -83,6 +87,8 @@
         return commands.check(folder)
     if options["hash-key"]:
         return commands.hash_key(sys.stdin.readline().strip())
+    if options["requests"]:
+        return commands.requests(options["LOG"], options["--by-second"])
     client = _make_client(options)
     if options["diff"]:
         return commands.diff(client, folder)
--- a/packages/cli/src/goldcrestridge_cli/commands.py
+++ b/packages/cli/src/goldcrestridge_cli/commands.py
@@ -21,7 +21,8 @@
     EXIT_UNREACHABLE,
     CommandError,
 )
-from goldcrestridge_cli.files import check_folder, read_folder
+from goldcrestridge_cli.files import check_folder, read_folder, read_lines
+from goldcrestridge_cli.request_report import as_data, read_requests, table
 
 POLL_S = 0.1
 LIVE_STATES = ("alive", "suspect", "leaving")
@@ -51,6 +52,17 @@
     return Report((f"{cfg.name} is valid: {counts}.",), data)
 
 
+def requests(logs: list[str], by_second: bool) -> Report:
+    """Summarise the requests in log files; raise CommandError if one can't be read."""
+    summaries, unreadable = read_requests(read_lines(logs))
+    if not summaries:
+        raise CommandError("The logs hold no requests.", EXIT_INVALID)
+    lines = table(summaries, by_second)
+    if unreadable:
+        lines.append(f"{unreadable} lines are no log lines and were skipped.")
+    return Report(tuple(lines), {"routes": as_data(summaries), "skipped_lines": unreadable})
+
+
 def diff(client: Client, folder: Path) -> Report:
     """Compare a folder with the current configuration; exit with code 1 if they differ."""
     document = read_folder(folder)
--- a/packages/cli/src/goldcrestridge_cli/files.py
+++ b/packages/cli/src/goldcrestridge_cli/files.py
@@ -1,7 +1,9 @@
-"""Read configuration folders, which hold one base file and an overlay file for each site."""
+"""Read configuration folders, which hold a base file and an overlay for each site, and logs."""
 
 from __future__ import annotations
 
+import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 from returns.result import Failure
@@ -43,3 +45,16 @@
         lines.append(f"{len(errors)} mistake(s); nothing was sent.")
         raise CommandError("\n".join(lines), EXIT_INVALID)
     return parsed.unwrap(), validated.unwrap()
+
+
+def read_lines(names: list[str]) -> Iterator[str]:
+    """Yield the lines of files, - for standard input; raise CommandError for an unreadable one."""
+    for name in names:
+        if name == "-":
+            yield from sys.stdin
+            continue
+        try:
+            with Path(name).open(encoding="utf-8", errors="replace") as file:
+                yield from file
+        except OSError as exc:
+            raise CommandError(f"The log can't be read: {exc}.", EXIT_USAGE) from exc
