--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -188,3 +188,33 @@
     # No engine pays for it with the work of the others.
     busiest = max(engine.prefilled_tokens for engine in done.engines.values())
     assert busiest < 1.5 * read / len(done.engines)
+
+
+# The same customer at its first size: six engines, and a burst of 2.2 times the long prompts.
+SHARING_SMALL = (
+    evolve(SHARING[0], rate=15.0, shared=((13_300, 70),), bursts=((500.0, 9_500.0, 2.2),)),
+    evolve(SHARING[1], rate=11.0, shared=((2_520, 4), (3_780, 115))),
+    evolve(SHARING[2], rate=15.0, shared=((210, 8), (140, 72))),
+)
+
+
+def read_again(transfer_ms_per_token: float | None) -> tuple[float, int, int]:
+    """Return the share of tokens read again, the tokens fetched, and the long prompts on time."""
+    calls = draw_calls(SHARING_SMALL, 14.0, seed=1)
+    fleet = Fleet(6, 64, 601_475, 3, 11, SHARING_SMALL, transfer_ms_per_token=transfer_ms_per_token)
+    done = Replay(fleet, calls).run()
+    read = sum(engine.prefilled_tokens for engine in done.engines.values())
+    fetched = sum(engine.fetched_tokens for engine in done.engines.values())
+    began = [call for call in calls if call.began_ms is not None]
+    once = sum({part.name: part.tokens for call in began for part in call.parts}.values())
+    return (read - once) / read, fetched, done.outcomes("permit")["on time"]
+
+
+def test_shared_parts_are_read_by_few_engines_and_fetched_by_the_others() -> None:
+    # Load: bursts of long prompts that share large parts, more than the engine that holds the parts
+    # can take. Guards against a second engine that reads them again, and lacks that time for others.
+    share_before, fetched_before, on_time_before = read_again(None)
+    share, fetched, on_time = read_again(0.0004)
+    assert (fetched_before, fetched > 0) == (0, True)
+    assert share < share_before / 2.0
+    assert on_time >= on_time_before
