Bound the sizes of prompts that callers state

A size of over 64 bits can't be encoded in the question to the owner of an engine, one of 309 digits is no float, and one of 4,300 is no number to Python: the request failed with 500, or an error in the entry's core. The test fails with the former reading of numbers.

--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -191,7 +191,7 @@
         """
         wait_until_ms = self._started_ms + STARTING_MS
         if head.time_limit_ms is not None:
-            share_ms = START_WAIT_SHARE * head.time_limit_ms
+            share_ms = START_WAIT_SHARE * min(head.time_limit_ms, 2.0 * STARTING_MS)
             wait_until_ms = min(wait_until_ms, record.started_ms + share_ms)
         admitted: AdmittedRequest | Refusal = NOT_READY
         with anyio.move_on_after(
--- a/packages/node/src/goldcrestridge_node/request_engine.py
+++ b/packages/node/src/goldcrestridge_node/request_engine.py
@@ -23,6 +23,9 @@
 if TYPE_CHECKING:
     from goldcrestridge_node.gateway import Gateway
 
+# Bounds the questions to engine owners where a prompt names very many parts.
+MAX_SHARED_PARTS = 32
+
 
 @define(eq=False)
 class RequestEngine:
@@ -101,7 +104,10 @@
         if not demand.prefix:
             return None
         return SharedPrompt(
-            demand.parts, demand.prompt_tokens, demand.cached_work, engine.transfer_ms_per_token
+            demand.parts[:MAX_SHARED_PARTS],
+            demand.prompt_tokens,
+            demand.cached_work,
+            engine.transfer_ms_per_token,
         )
 
     def fetch_from(self, instance: UpstreamInstance) -> str:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -212,7 +212,7 @@
 
 def test_shared_parts_are_read_by_few_engines_and_fetched_by_the_others() -> None:
     # Load: bursts of long prompts that share large parts, more than the engine that holds the parts
-    # can take. Guards against a second engine that reads them again, and lacks that time for others.
+    # can take. Guards against a second engine that reads them again, and lacks that time.
     share_before, fetched_before, on_time_before = read_again(None)
     share, fetched, on_time = read_again(0.0004)
     assert (fetched_before, fetched > 0) == (0, True)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from goldcrestridge_core.codec import encode
+from goldcrestridge_core.demand import demand_of
+from goldcrestridge_core.engine_types import EngineRequest, SharedPrompt
 from goldcrestridge_node.dialect import UpstreamRequestHead
-from goldcrestridge_platform.headers import read_caller, read_upstream, write_upstream
+from goldcrestridge_platform.headers import MAX_TOKENS, read_caller, read_upstream, write_upstream
 
 CALLER = (
     (b"host", b"h.example"),
@@ -75,6 +78,28 @@
     assert read_caller(((b"x-goldcrestridge-prompt-prefix", b"ab:3"),)).prompt_parts == ()
 
 
+def test_absurd_sizes_of_a_prompt_are_bounded() -> None:
+    # Guards against a caller whose numbers no message between nodes can hold, nor a float.
+    for digits in (12, 25, 400, 6_000):
+        huge = b"9" * digits
+        head = read_caller(
+            (
+                (b"x-goldcrestridge-token-count", huge + b"," + huge),
+                (b"x-goldcrestridge-length-hint", huge),
+                (b"x-goldcrestridge-prompt-prefix", b"ab:" + huge + b",cd:1"),
+                (b"x-goldcrestridge-deadline-ms", huge),
+            )
+        )
+        assert (head.prompt_tokens, head.output_tokens) == (MAX_TOKENS, MAX_TOKENS)
+        assert [part.tokens for part in head.prompt_parts] == [MAX_TOKENS]
+        assert (head.time_limit_ms is None) == (digits > 1_000)
+        demand = demand_of(
+            "ab", head.shared_tokens, head.prompt_tokens, 1, False, head.prompt_parts
+        )
+        prompt = SharedPrompt(demand.parts, demand.prompt_tokens, demand.cached_work)
+        encode(EngineRequest("t", "i", demand.work, 1.0, 1.0, 1, 0, 1.0, 1.0, prompt=prompt))
+
+
 def test_connection_specific_headers_are_not_forwarded() -> None:
     # Guards against forwarding framing or hop-by-hop headers in either direction.
     listed = (
