--- a/packages/core/src/goldcrestridge_core/engine_ledger.py
+++ b/packages/core/src/goldcrestridge_core/engine_ledger.py
@@ -30,8 +30,8 @@
 # measured time. The mean covers about 20 requests, as many as an engine has slots.
 INITIAL_RUN_MS = 500.0
 RUN_EWMA_WEIGHT = 0.05
-# For YIELD_MS after a refusal of a request that has no further engine to ask, less urgent ones may
-# wait only YIELD_SHARE of its longest wait, so that the engine's queue becomes short enough for it.
+# For YIELD_MS after a refusal, less urgent requests may wait only YIELD_SHARE of the longest wait
+# of the refused one, so that the engine's queue becomes short enough for its priority.
 YIELD_MS = 250.0
 YIELD_SHARE = 0.5
 # An admission that was not released is dropped this long after the time limit of its request.
@@ -89,8 +89,7 @@
         parts = request.prompt.parts if request.prompt is not None else ()
         wait_ms, cause = self._expected_wait(request, now_ms)
         if wait_ms > self._max_wait_ms(request, now_ms):
-            if request.last:
-                self._refused[request.priority] = (now_ms, request.longest_ms)
+            self._refused[request.priority] = (now_ms, request.longest_ms)
             held = self._cache.read_tokens(parts)
             return EngineRefusal(request.ticket, request.instance, wait_ms, cause, held)
         missing = sum(part.tokens for part in parts) - self._cache.held_tokens(parts)
--- a/packages/core/src/goldcrestridge_core/engine_slots.py
+++ b/packages/core/src/goldcrestridge_core/engine_slots.py
@@ -164,7 +164,6 @@
             prompt=event.prompt,
             born=candidate.born,
             fetchable_tokens=item.held_tokens.get(item.holder, 0),
-            last=item.final or item.index + 1 == len(event.candidates),
         )
         self._send(item.owner, request, now_ms)
 
--- a/packages/core/src/goldcrestridge_core/engine_types.py
+++ b/packages/core/src/goldcrestridge_core/engine_types.py
@@ -42,7 +42,6 @@
     engine and no longer yields to more urgent ones. ``work`` is that of an engine of which nothing
     is known. ``prompt`` tells what the work is for one whose cache is known, and ``born`` names the
     run of the engine. Of the shared parts, ``fetchable_tokens`` can be had from another engine.
-    ``last`` tells whether no further engine is asked if this one refuses.
     """
 
     ticket: str
@@ -58,7 +57,6 @@
     prompt: SharedPrompt | None = None
     born: int = 0
     fetchable_tokens: int = 0
-    last: bool = True
 
 
 class WaitCause(enum.Enum):
--- a/tests/core/test_engine_cache.py
+++ b/tests/core/test_engine_cache.py
@@ -13,7 +13,6 @@
 from goldcrestridge_core.engine_ledger import (
     CACHE_UNKNOWN_MS,
     IDLE_LEDGER_MS,
-    YIELD_MS,
     EngineLedger,
 )
 from goldcrestridge_core.engine_slots import EngineAdmission
@@ -179,19 +178,6 @@
     assert refusal.held_tokens == 6_000
 
 
-def test_only_a_request_without_a_further_engine_makes_less_urgent_ones_yield() -> None:
-    # Load: urgent requests ask a busy engine and are admitted at the next one. Guards against less
-    # urgent requests that are refused at the busy one meanwhile, though nothing waits for them.
-    for last, expected in ((False, EngineGrant), (True, EngineRefusal)):
-        ledger = known_ledger()
-        for number in range(3):
-            grant(ledger, request(f"r{number}", priority=2))
-        urgent = request("urgent", longest_ms=10.0, priority=0, last=last)
-        assert isinstance(ledger.admit(urgent, KNOWN_MS), EngineRefusal)
-        less_urgent = request("less urgent", longest_ms=2_000.0, priority=2)
-        assert isinstance(ledger.admit(less_urgent, KNOWN_MS + YIELD_MS - 1.0), expected)
-
-
 # The exchange between nodes.
 
 
@@ -219,10 +205,9 @@
     sent = node.handle(Receive(owner, EngineRefusal("t", "i1", 900.0, held_tokens=6_000)), 2.0)
     asked = sent[0].message
     assert isinstance(asked, EngineRequest)
-    assert (asked.instance, asked.fetchable_tokens, asked.last, asked.born) == (
+    assert (asked.instance, asked.fetchable_tokens, asked.born) == (
         "i2",
         6_000,
-        True,
         3,
     )
     granted = EngineGrant("t", "i2", missing_tokens=6_000, fetch=True)
