Work out the time to the target from the time limit again

The fault that it mended stays: callers that allow less time than their route are taken for late returns.

--- a/packages/core/src/goldcrestridge_core/forwarding.py
+++ b/packages/core/src/goldcrestridge_core/forwarding.py
@@ -57,15 +57,12 @@
 class Forwarding:
     """State of one forwarded request; times are monotonic milliseconds.
 
-    It reached this node at ``arrived_ms``. Its time limit does not tell when its caller began:
-    callers allow less time than the route does, each another.
     ``possible_runs`` counts the attempts that may have run the request, ``failed_attempts`` all
     that did not end with a valid answer, including those that were not sent.
     """
 
     route: Route
     deadline_ms: float
-    arrived_ms: float = 0.0
     possible_runs: int = 0
     failed_attempts: int = 0
     streaming: bool = False  # The caller has received events.
@@ -76,8 +73,9 @@
         return self.deadline_ms - now_ms
 
     def target_left_ms(self, now_ms: float) -> float:
-        """Return the time left until the latency target, counted from the arrival here."""
-        return self.arrived_ms + self.route.target_latency_ms - now_ms
+        """Return the time left until the latency target, counted from the start of the request."""
+        used_ms = self.route.timeout_ms - self.left_ms(now_ms)
+        return self.route.target_latency_ms - used_ms
 
     def before_send(self, now_ms: float, has_upstream: bool) -> Decision:
         """Decide whether to send the request; ``has_upstream`` tells if an upstream is usable."""
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -169,7 +169,7 @@
         limit_ms = admitted.route.timeout_ms
         if head.time_limit_ms is not None:
             limit_ms = min(limit_ms, head.time_limit_ms)
-        forwarding = Forwarding(admitted.route, started_ms + limit_ms, started_ms)
+        forwarding = Forwarding(admitted.route, started_ms + limit_ms)
         request = OutgoingRequest(
             exchange.scope["method"],
             _request_target(exchange.scope),
