Log the state of the retry budget, and count what it covers and denies

The request log did not tell a denied retry from other ends, and no counter told how many retries an entry sent to a service. The number of live entries moves from the placement into the budget; what may be spent is unchanged.

--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -76,14 +76,12 @@
 class Placement:
     """Choose an instance for each request from the health and load of all instances.
 
-    ``live_entries`` is the number of live entry nodes. ``listed`` tells whether the list of
-    instances has been received. ``limits`` holds the request rates that instances name, ``notices``
-    what they say of their leaving and of rests.
+    ``listed`` tells whether the list of instances has been received. ``limits`` holds the request
+    rates that instances name, ``notices`` what they say of their leaving and of rests.
     """
 
     data_centre: str
     rng: random.Random
-    live_entries: int = 1
     listed: bool = False
     limits: RateLimits = field(factory=RateLimits)
     notices: UpstreamNotices = field(init=False)
--- a/packages/core/src/goldcrestridge_core/retries.py
+++ b/packages/core/src/goldcrestridge_core/retries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 
 from attrs import define, field
 
@@ -45,40 +44,3 @@
         balance = self.balance(class_name, now_ms)
         self._balances[class_name] = (max(0.0, balance - 1.0), now_ms)
         return True
-
-
-@define
-class WindowBudget:
-    """Bound on retries to a service in any sliding window: a share of its requests plus ``extra``.
-
-    Every send of a request after the first that reaches an upstream counts, even if the upstream
-    rejects it. The extra retries are split evenly over the live entry nodes, so that all of them
-    together stay within the bound without coordination.
-    """
-
-    share: float
-    extra: float
-    window_ms: float
-    _requests: dict[str, deque[float]] = field(factory=dict)
-    _retries: dict[str, deque[float]] = field(factory=dict)
-
-    def record_request(self, service: str, now_ms: float) -> None:
-        """Count one request to a service."""
-        self._recent(self._requests, service, now_ms).append(now_ms)
-
-    def spend(self, service: str, live_entries: int, now_ms: float) -> bool:
-        """Spend one retry; return False if the window has none left for this entry node."""
-        retries = self._recent(self._retries, service, now_ms)
-        requests = self._recent(self._requests, service, now_ms)
-        allowed = self.share * len(requests) + self.extra / max(1, live_entries)
-        if len(retries) + 1 > allowed:
-            return False
-        retries.append(now_ms)
-        return True
-
-    def _recent(self, times: dict[str, deque[float]], service: str, now_ms: float) -> deque[float]:
-        """Drop the times before the window and return the others."""
-        recent = times.setdefault(service, deque())
-        while recent and recent[0] <= now_ms - self.window_ms:
-            recent.popleft()
-        return recent
--- a/packages/node/src/goldcrestridge_node/gateway_parts.py
+++ b/packages/node/src/goldcrestridge_node/gateway_parts.py
@@ -10,8 +10,8 @@
 from goldcrestridge_core.demand import Demand
 from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.prompt_crashes import PromptCrashes
-from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import EngineLimits, Route, RoutedWorkspace, RouteTable
+from goldcrestridge_core.window_budget import WindowBudget
 from goldcrestridge_node.dialect import Dialect
 from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.engines import EngineAdmissionClient
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -34,13 +34,13 @@
 from goldcrestridge_core.permits import PermitDecided, Permits
 from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.prompt_crashes import PromptCrashes
-from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import RouteTable
 from goldcrestridge_core.stream_origins import OriginFound, StreamOrigins
 from goldcrestridge_core.types import Count, Emit, Send
 from goldcrestridge_core.upstream_notices import NoticeChange
 from goldcrestridge_core.usage_counter import UsageCounter
 from goldcrestridge_core.usage_types import UsageReport
+from goldcrestridge_core.window_budget import WindowBudget
 from goldcrestridge_node.dialect import Dialect, UpstreamResponseHead
 from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.engines import EngineAdmissionClient
@@ -110,6 +110,7 @@
     entries: tuple[EntryStatus, ...] = ()
     draining: bool = False
     _dispatcher: Dispatcher = field(init=False)
+    _retry_budget: WindowBudget = field(init=False)
     _engines: EngineAdmissionClient = field(init=False)
     _permits: PendingRequests = field(init=False)
     _origins: PendingRequests = field(init=False)
@@ -147,13 +148,13 @@
         self._engines = EngineAdmissionClient(lambda event: self.driver.post(event))
         self._permits = PendingRequests(lambda event: self.driver.post(event))
         self._origins = PendingRequests(lambda event: self.driver.post(event))
-        budget = WindowBudget(cfg.retry_share, cfg.retry_extra, cfg.retry_window_ms)
+        self._retry_budget = WindowBudget(cfg.retry_share, cfg.retry_extra, cfg.retry_window_ms)
         dependencies = GatewayDependencies(
             self.hooks.dialect,
             self.clock,
             self.placement,
             self._dispatcher,
-            budget,
+            self._retry_budget,
             self.routes,
             RequestLog(self._log, self.metrics.record),
             self._engines,
@@ -300,7 +301,7 @@
                 self._merge_workload(workload)
             case EntriesReceived(entries=entries):
                 self.entries = entries
-                self.placement.live_entries = max(1, len(entries))
+                self._retry_budget.set_entries(len(entries), self.clock.now_ms())
 
     def _set_routes(self, received: RoutesReceived) -> None:
         table = self.hooks.read_routes(received.document)
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -328,7 +328,6 @@
     def _decide_next(
         self, outcome: AttemptOutcome, instance: UpstreamInstance, now_ms: float
     ) -> Decision:
-        deps = self.gateway.dependencies
         self._excluded.add(instance.instance)
         if outcome is AttemptOutcome.UNKNOWN and self.crashes.bars_retry():
             self.forwarding.after_attempt(outcome, now_ms, has_retry_budget=False)
@@ -337,10 +336,17 @@
         if outcome is not AttemptOutcome.ERROR and self.forwarding.needs_retry_budget(
             outcome, now_ms
         ):
-            live_entries = deps.placement.live_entries
-            has_retry_budget = deps.retry_budget.spend(self.admitted.service, live_entries, now_ms)
+            has_retry_budget = self._spend_retry(now_ms)
         return self.forwarding.after_attempt(outcome, now_ms, has_retry_budget)
 
+    def _spend_retry(self, now_ms: float) -> bool:
+        """Charge a retry to the budget of the service; return False if none is left."""
+        deps, service = self.gateway.dependencies, self.admitted.service
+        state = deps.retry_budget.state(service, now_ms)
+        spent = deps.retry_budget.spend(service, now_ms)
+        deps.log.count_retry(self.record, service, spent, state)
+        return spent
+
     def _build_request_head(self, instance: UpstreamInstance) -> UpstreamRequestHead:
         workspace = self.admitted.workspace
         return UpstreamRequestHead(
@@ -472,7 +478,7 @@
                 self.admitted.service, Demand(origin=self._origin), tried, now_ms
             )
             is not None
-            and deps.retry_budget.spend(self.admitted.service, deps.placement.live_entries, now_ms)
+            and self._spend_retry(now_ms)
         )
 
     async def _forward_stream(self, response: UpstreamResponse) -> UpstreamResponse | FailedAttempt:
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -10,6 +10,7 @@
 from goldcrestridge_core.engine_types import EngineFound
 from goldcrestridge_core.types import Count
 from goldcrestridge_core.upstream_notices import Avoidance
+from goldcrestridge_core.window_budget import BudgetState
 from goldcrestridge_node.headers import BodyFraming
 
 # Bounds the length of a log line during the release of a large service.
@@ -29,7 +30,8 @@
     holds the framing of each response that was read, with the bytes after its last event.
     ``fetches`` holds the engine from which each attempt got shared parts, with their tokens.
     ``longest_gap_ms`` is the longest time between events that were passed on. ``target_ms`` and
-    ``max_gap_ms`` are the bounds of the route on the first event and on the gaps.
+    ``max_gap_ms`` are the bounds of the route on the first event and on the gaps. ``retry_budget``
+    is the state of the retry budget when it denied a retry.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     longest_gap_ms: float = 0.0
     target_ms: float = 0.0
     max_gap_ms: float = 0.0
+    retry_budget: str = ""
     _last_event_ms: float | None = None
 
     def add_event(self, now_ms: float) -> None:
@@ -117,6 +120,15 @@
             parts=list(parts[:MAX_LOGGED_PARTS]),
         )
 
+    def count_retry(
+        self, record: RequestRecord, service: str, spent: bool, state: BudgetState
+    ) -> None:
+        """Count a retry that the budget of a service covered or denied in this state."""
+        result = "spent" if spent else "denied"
+        self.count(Count("retries", 1, (("service", service), ("result", result))))
+        if not spent:
+            record.retry_budget = f"{service}: {state}"
+
     def write(self, record: RequestRecord, now_ms: float) -> None:
         """Write the record of a request that has ended."""
         labels = (("route", record.route), ("outcome", record.outcome))
@@ -154,4 +166,5 @@
             target_ms=round(record.target_ms),
             max_gap_ms=round(record.max_gap_ms),
             resumed_request_id=record.resumed_request_id,
+            retry_budget=record.retry_budget,
         )
--- a/tests/core/engine_fleet.py
+++ b/tests/core/engine_fleet.py
@@ -201,7 +201,7 @@
         }
         names = tuple(NodeId(f"e{n}") for n in range(fleet.entries))
         for number, name in enumerate(names):
-            self._placements[name] = Placement("dc", random.Random(number), len(names))
+            self._placements[name] = Placement("dc", random.Random(number))
             self._placements[name].set_instances(listed)
             self._admission[name] = EngineAdmission(name)
             self._admission[name].handle(EntriesChanged(names), 0.0)
--- a/tests/core/test_forwarding.py
+++ b/tests/core/test_forwarding.py
@@ -7,8 +7,8 @@
 import pytest
 
 from goldcrestridge_core.forwarding import MAX_ATTEMPTS, AttemptOutcome, Forwarding, Step
-from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import Route, RouteKind, WeightedService
+from goldcrestridge_core.window_budget import WindowBudget
 
 
 def forwarding(kind: RouteKind, attempts: int = 2, resumable: bool = False) -> Forwarding:
@@ -105,7 +105,7 @@
     # Guards against a retry budget that every node spends in full, or that a burst spends twice
     # within one sliding window. Traffic: a service fails for 30 s while clients keep sending.
     share, extra, window_ms, nodes = 0.2, 60.0, 10_000.0, 12
-    budgets = [WindowBudget(share, extra, window_ms) for _ in range(nodes)]
+    budgets = [WindowBudget(share, extra, window_ms, nodes) for _ in range(nodes)]
     retries: list[float] = []
     requests: list[float] = []
     for step in range(3_000):
@@ -113,7 +113,7 @@
         budget = budgets[step % nodes]
         budget.record_request("s", now_ms)
         requests.append(now_ms)
-        retries += [now_ms for _ in range(3) if budget.spend("s", nodes, now_ms)]
+        retries += [now_ms for _ in range(3) if budget.spend("s", now_ms)]
     assert retries
     for start_ms in range(0, 20_000, 500):
         inside = sum(start_ms <= time < start_ms + window_ms for time in retries)
--- a/tests/node/gateway_helpers.py
+++ b/tests/node/gateway_helpers.py
@@ -24,7 +24,6 @@
 from goldcrestridge_core.permits import PermitDecided, Permits
 from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.rate_limits import RateLimits
-from goldcrestridge_core.retries import WindowBudget
 from goldcrestridge_core.routes import (
     CallerLimits,
     EngineLimits,
@@ -37,6 +36,7 @@
 )
 from goldcrestridge_core.stream_origins import FindOrigin, OriginFound, StreamOrigins
 from goldcrestridge_core.types import NodeId
+from goldcrestridge_core.window_budget import WindowBudget
 from goldcrestridge_lab.soak_net import abort, read_head
 from goldcrestridge_node.dialect import UpstreamResponseHead
 from goldcrestridge_node.dispatch import Dispatcher
