--- a/tests/core/test_window_budget.py
+++ b/tests/core/test_window_budget.py
@@ -5,7 +5,7 @@
 import itertools
 
 import pytest
-from budget_fleet import EXTRA, SHARE, WINDOW_MS, BudgetFleet, excess
+from tests.core.budget_fleet import EXTRA, SHARE, WINDOW_MS, BudgetFleet, excess
 
 from goldcrestridge_core.types import NodeId
 from goldcrestridge_core.window_budget import WindowBudget
