Let the retry windows of all entry nodes add up

Callers saw nothing of this by itself: services were sent more retries than their budget. Each entry node compared its retries with its own requests over the window that ended at its last retry. These windows end at different times, so the sum of what they allow can exceed the bound over any one window; a single node exceeds it too, since a burst that has left a window still counted.

Each node now checks, for every window that holds the present, its retries against the mean of its requests in that window, in the one before and in the one half a window before. The bound counts the largest of these sums, and the means of all nodes add up to at most that, wherever a burst lies. In steady traffic the mean is the full share; at the start and at the edges of a burst up to two thirds of the share are given up.

--- a/packages/core/src/goldcrestridge_core/window_budget.py
+++ b/packages/core/src/goldcrestridge_core/window_budget.py
@@ -2,22 +2,44 @@
 
 from __future__ import annotations
 
-from collections import deque
+import itertools
+from collections import Counter
 
 from attrs import define, field, frozen
 
+# Resolution of the windows. Requests of the slots at their ends are left out.
+SLOTS_PER_WINDOW = 100
+# The requests of a window are those of it, of the one before, or of the one half a window before,
+# whichever has most. Nodes that don't know which one that is use the mean, since the means of all
+# nodes add up to the mean of the sums, which the largest sum is never below.
+WINDOW_CHOICES = 3
+
 
 @frozen
 class BudgetState:
-    """What one service has left in the window: retries and requests counted, retries allowed."""
+    """Retries and requests counted in the window, and how many more retries are allowed."""
 
     retries: int
     requests: int
-    allowed: float
+    left: float
 
     def __str__(self) -> str:
         """Return the state as the request log shows it."""
-        return f"{self.retries} of {self.allowed:.1f} retries, {self.requests} requests"
+        return f"{self.retries} retries for {self.requests} requests, {self.left:.1f} left"
+
+
+@define
+class _ServiceCounts:
+    """Requests and retries of one service by slot."""
+
+    requests: Counter[int] = field(factory=Counter)
+    retries: Counter[int] = field(factory=Counter)
+
+    def forget(self, oldest: int) -> None:
+        """Forget what lies before a slot; slots are added in the order of their times."""
+        for counts in (self.requests, self.retries):
+            while counts and (first := next(iter(counts))) < oldest:
+                del counts[first]
 
 
 @define
@@ -33,8 +55,7 @@
     extra: float
     window_ms: float
     live_entries: int = 1
-    _requests: dict[str, deque[float]] = field(factory=dict)
-    _retries: dict[str, deque[float]] = field(factory=dict)
+    _services: dict[str, _ServiceCounts] = field(factory=dict)
 
     def set_entries(self, count: int, _now_ms: float) -> None:
         """Apply the list of live entry nodes."""
@@ -42,27 +63,64 @@
 
     def record_request(self, service: str, now_ms: float) -> None:
         """Count one request to a service."""
-        self._recent(self._requests, service, now_ms).append(now_ms)
+        slot = self._slot(now_ms)
+        self._counts(service, slot).requests[slot] += 1
 
     def state(self, service: str, now_ms: float) -> BudgetState:
         """Return what a service has left."""
-        retries = len(self._recent(self._retries, service, now_ms))
-        requests = len(self._recent(self._requests, service, now_ms))
+        slot = self._slot(now_ms)
+        counts = self._counts(service, slot)
+        recent = range(slot - SLOTS_PER_WINDOW, slot + 1)
         return BudgetState(
-            retries, requests, self.share * requests + self.extra / self.live_entries
+            sum(counts.retries[number] for number in recent),
+            sum(counts.requests[number] for number in recent),
+            self._left(counts, slot),
         )
 
     def spend(self, service: str, now_ms: float) -> bool:
         """Spend one retry; return False if the window has none left for this entry node."""
-        state = self.state(service, now_ms)
-        if state.retries + 1 > state.allowed:
+        slot = self._slot(now_ms)
+        counts = self._counts(service, slot)
+        if self._left(counts, slot) < 1.0:
             return False
-        self._retries[service].append(now_ms)
+        counts.retries[slot] += 1
         return True
 
-    def _recent(self, times: dict[str, deque[float]], service: str, now_ms: float) -> deque[float]:
-        """Drop the times before the window and return the others."""
-        recent = times.setdefault(service, deque())
-        while recent and recent[0] <= now_ms - self.window_ms:
-            recent.popleft()
-        return recent
+    def _slot(self, now_ms: float) -> int:
+        return int(now_ms * SLOTS_PER_WINDOW // self.window_ms)
+
+    def _counts(self, service: str, slot: int) -> _ServiceCounts:
+        counts = self._services.setdefault(service, _ServiceCounts())
+        counts.forget(slot - 2 * SLOTS_PER_WINDOW)
+        return counts
+
+    def _left(self, counts: _ServiceCounts, slot: int) -> float:
+        """Return how many retries fit now into every window that holds the present.
+
+        Such a window began in one of the last slots. The requests that will come in it are unknown.
+        """
+        size, half = SLOTS_PER_WINDOW, SLOTS_PER_WINDOW // 2
+        first = slot - 2 * size
+        before = list(
+            itertools.accumulate(
+                (counts.requests.get(number, 0) for number in range(first, slot + 1)), initial=0
+            )
+        )
+
+        def requests(begin: int, end: int) -> int:
+            """Return the requests in the slots from ``begin`` up to ``end``, exclusive."""
+            end = min(end, slot + 1)
+            return before[end - first] - before[begin - first] if end > begin else 0
+
+        left = float("inf")
+        retries = 0
+        for start in range(slot, slot - size - 1, -1):
+            retries += counts.retries.get(start, 0)
+            known = (
+                requests(start + 1, slot + 1)
+                + requests(start - half + 1, start + half)
+                + requests(max(first, start - size + 1), start)
+            )
+            allowed = self.share * known / WINDOW_CHOICES + self.extra / self.live_entries
+            left = min(left, allowed - retries)
+        return left
