Lease the fixed part of the retry budget to entry nodes

A service got more retries than its budget when entry nodes were lost, cut off or replaced. The fixed part was divided by the entry nodes in the list of the moment: a node that is cut off kept its old list, those that remained divided by fewer, a restarted process began with an empty window, and a node without a list yet took all of it.

A node now uses its part only within 5 s of an answer of the leader that lists it, and after a start or a gap only once the others count it and a window has passed. Its part grows only after the lease of a node that left the list, and a window, have passed. No message or field is added: the polls of the follower carry the lease. A node without a part still retries by the share of its own requests, so nothing is lost but fixed retries: those of a node for 15.5 s after its start or return.

--- a/packages/core/src/goldcrestridge_core/window_budget.py
+++ b/packages/core/src/goldcrestridge_core/window_budget.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import Counter
+from collections.abc import Callable
 
 from attrs import define, field, frozen
 
@@ -42,25 +44,25 @@
                 del counts[first]
 
 
+def _whole(_now_ms: float, /) -> float:
+    return 1.0
+
+
 @define
 class WindowBudget:
     """Bound on retries to a service in any sliding window: a share of its requests plus ``extra``.
 
     Every send of a request after the first that reaches an upstream counts, even if the upstream
-    rejects it. The extra retries are split evenly over the live entry nodes, so that all of them
-    together stay within the bound without coordination.
+    rejects it. ``part`` returns this node's part of the extra retries at a monotonic time in
+    milliseconds, as a share; the parts of all entry nodes within one window are at most 1 together.
     """
 
     share: float
     extra: float
     window_ms: float
-    live_entries: int = 1
+    part: Callable[[float], float] = _whole
     _services: dict[str, _ServiceCounts] = field(factory=dict)
 
-    def set_entries(self, count: int, _now_ms: float) -> None:
-        """Apply the list of live entry nodes."""
-        self.live_entries = max(1, count)
-
     def record_request(self, service: str, now_ms: float) -> None:
         """Count one request to a service."""
         slot = self._slot(now_ms)
@@ -74,14 +76,14 @@
         return BudgetState(
             sum(counts.retries[number] for number in recent),
             sum(counts.requests[number] for number in recent),
-            self._left(counts, slot),
+            self._left(counts, slot, now_ms),
         )
 
     def spend(self, service: str, now_ms: float) -> bool:
         """Spend one retry; return False if the window has none left for this entry node."""
         slot = self._slot(now_ms)
         counts = self._counts(service, slot)
-        if self._left(counts, slot) < 1.0:
+        if self._left(counts, slot, now_ms) < 1.0:
             return False
         counts.retries[slot] += 1
         return True
@@ -94,33 +96,33 @@
         counts.forget(slot - 2 * SLOTS_PER_WINDOW)
         return counts
 
-    def _left(self, counts: _ServiceCounts, slot: int) -> float:
+    def _left(self, counts: _ServiceCounts, slot: int, now_ms: float) -> float:
         """Return how many retries fit now into every window that holds the present.
 
         Such a window began in one of the last slots. The requests that will come in it are unknown.
         """
         size, half = SLOTS_PER_WINDOW, SLOTS_PER_WINDOW // 2
         first = slot - 2 * size
+        # Requests in the slots before each slot; the last item is the sum of all.
         before = list(
             itertools.accumulate(
                 (counts.requests.get(number, 0) for number in range(first, slot + 1)), initial=0
             )
         )
-
-        def requests(begin: int, end: int) -> int:
-            """Return the requests in the slots from ``begin`` up to ``end``, exclusive."""
-            end = min(end, slot + 1)
-            return before[end - first] - before[begin - first] if end > begin else 0
-
-        left = float("inf")
+        extra = self.extra * self.part(now_ms)
+        share = self.share / WINDOW_CHOICES
+        left = math.inf
         retries = 0
-        for start in range(slot, slot - size - 1, -1):
-            retries += counts.retries.get(start, 0)
+        for start in range(2 * size, size - 1, -1):
+            retries += counts.retries.get(first + start, 0)
+            # The window of ``start``, the one half a window before, and the one before.
             known = (
-                requests(start + 1, slot + 1)
-                + requests(start - half + 1, start + half)
-                + requests(max(first, start - size + 1), start)
+                before[-1]
+                - before[start + 1]
+                + before[min(start + half, 2 * size + 1)]
+                - before[start - half + 1]
+                + before[start]
+                - before[start - size + 1]
             )
-            allowed = self.share * known / WINDOW_CHOICES + self.extra / self.live_entries
-            left = min(left, allowed - retries)
+            left = min(left, share * known + extra - retries)
         return left
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -17,6 +17,7 @@
 from goldcrestridge_core.engine_slots import EngineAdmission
 from goldcrestridge_core.engine_types import EngineDenied, EngineFound
 from goldcrestridge_core.entry import EntryNode
+from goldcrestridge_core.even_part import EvenPart
 from goldcrestridge_core.follow_types import (
     ControlAddresses,
     EntriesReceived,
@@ -110,7 +111,7 @@
     entries: tuple[EntryStatus, ...] = ()
     draining: bool = False
     _dispatcher: Dispatcher = field(init=False)
-    _retry_budget: WindowBudget = field(init=False)
+    _retry_part: EvenPart = field(init=False)
     _engines: EngineAdmissionClient = field(init=False)
     _permits: PendingRequests = field(init=False)
     _origins: PendingRequests = field(init=False)
@@ -148,13 +149,16 @@
         self._engines = EngineAdmissionClient(lambda event: self.driver.post(event))
         self._permits = PendingRequests(lambda event: self.driver.post(event))
         self._origins = PendingRequests(lambda event: self.driver.post(event))
-        self._retry_budget = WindowBudget(cfg.retry_share, cfg.retry_extra, cfg.retry_window_ms)
+        self._retry_part = EvenPart(cfg.retry_window_ms)
+        budget = WindowBudget(
+            cfg.retry_share, cfg.retry_extra, cfg.retry_window_ms, self._retry_part.share
+        )
         dependencies = GatewayDependencies(
             self.hooks.dialect,
             self.clock,
             self.placement,
             self._dispatcher,
-            self._retry_budget,
+            budget,
             self.routes,
             RequestLog(self._log, self.metrics.record),
             self._engines,
@@ -298,10 +302,12 @@
                 if self._usage is not None:
                     self._usage.apply(reply, asked_ms, self.clock.now_ms())
             case WorkloadReceived(workload=workload):
+                self._retry_part.confirm(self.follower.confirmed_ms, self.clock.now_ms())
                 self._merge_workload(workload)
             case EntriesReceived(entries=entries):
                 self.entries = entries
-                self._retry_budget.set_entries(len(entries), self.clock.now_ms())
+                listed = any(entry.node == self.settings.node for entry in entries)
+                self._retry_part.set_entries(len(entries), listed, self.clock.now_ms())
 
     def _set_routes(self, received: RoutesReceived) -> None:
         table = self.hooks.read_routes(received.document)
--- a/tests/core/budget_fleet.py
+++ b/tests/core/budget_fleet.py
@@ -16,6 +16,7 @@
 
 from attrs import define, field
 
+from goldcrestridge_core.even_part import EvenPart
 from goldcrestridge_core.follow_types import (
     EntriesReceived,
     EntryStatus,
@@ -71,6 +72,7 @@
 
     node: NodeId
     follower: Follower
+    part: EvenPart
     budget: WindowBudget
     ends_ms: float = float("inf")
 
@@ -124,8 +126,9 @@
         """Start a node, or start it again without what it knew."""
         status = EntryStatus(node, f"{node}:80", "dc", accepting=True)
         follower = Follower(status, LEADERS, random.Random(self.rng.getrandbits(32)))
-        budget = WindowBudget(SHARE, EXTRA, WINDOW_MS)
-        entry = self.entries[node] = Entry(node, follower, budget)
+        part = EvenPart(WINDOW_MS)
+        budget = WindowBudget(SHARE, EXTRA, WINDOW_MS, part.share)
+        entry = self.entries[node] = Entry(node, follower, part, budget)
         self.at(self.rng.uniform(0.0, 200.0), lambda: self._post(entry, Tick()))
         self._schedule_request(entry)
 
@@ -220,8 +223,10 @@
 
 def apply_entries(entry: Entry, effect: EntriesReceived, now_ms: float) -> None:
     """Hand the list of entry nodes to the budget of one of them."""
-    entry.budget.set_entries(len(effect.entries), now_ms)
+    listed = any(status.node == entry.node for status in effect.entries)
+    entry.part.set_entries(len(effect.entries), listed, now_ms)
 
 
-def apply_reply(_entry: Entry, _now_ms: float) -> None:
+def apply_reply(entry: Entry, now_ms: float) -> None:
     """Tell the budget of an entry node that the leader has answered."""
+    entry.part.confirm(entry.follower.confirmed_ms, now_ms)
--- a/tests/core/test_forwarding.py
+++ b/tests/core/test_forwarding.py
@@ -105,7 +105,9 @@
     # Guards against a retry budget that every node spends in full, or that a burst spends twice
     # within one sliding window. Traffic: a service fails for 30 s while clients keep sending.
     share, extra, window_ms, nodes = 0.2, 60.0, 10_000.0, 12
-    budgets = [WindowBudget(share, extra, window_ms, nodes) for _ in range(nodes)]
+    budgets = [
+        WindowBudget(share, extra, window_ms, lambda _now_ms: 1.0 / nodes) for _ in range(nodes)
+    ]
     retries: list[float] = []
     requests: list[float] = []
     for step in range(3_000):
--- a/tests/core/test_window_budget.py
+++ b/tests/core/test_window_budget.py
@@ -30,9 +30,7 @@
     extra = 4.0
     for spend_steps in itertools.product(range(2, 13), repeat=2):
         for length, shift in itertools.product((1, 2, 4), (0, 2)):
-            budgets = [WindowBudget(SHARE, extra, WINDOW_MS, 2) for _ in range(2)]
-            for budget in budgets:
-                budget.set_entries(2, -100_000.0)
+            budgets = [WindowBudget(SHARE, extra, WINDOW_MS, lambda _now_ms: 0.5) for _ in range(2)]
             requests: list[float] = []
             retries: list[float] = []
             for number in range(int(13 * step_ms / 100.0)):
