Charge a retry to the budget when it is sent, for as long as it may arrive

A retry was charged when it was decided. It could wait for a connection, a permit or an admission and arrive in a later window than the one that it was counted in, and one that was never sent cost as much as one that was.

An attempt is now charged right before it is sent if an earlier one was, counts in all windows from then until its answer or failure has shown that it has arrived, and is given back if no byte was sent. The decision to retry only looks at what is left.

With the former way put back in, the two new tests of the budget fail.

--- a/packages/core/src/goldcrestridge_core/window_budget.py
+++ b/packages/core/src/goldcrestridge_core/window_budget.py
@@ -32,10 +32,11 @@
 
 @define
 class _ServiceCounts:
-    """Requests and retries of one service by slot."""
+    """Requests and retries of one service by slot, and the retries under way."""
 
     requests: Counter[int] = field(factory=Counter)
     retries: Counter[int] = field(factory=Counter)
+    under_way: int = 0
 
     def forget(self, oldest: int) -> None:
         """Forget what lies before a slot; slots are added in the order of their times."""
@@ -53,8 +54,10 @@
     """Bound on retries to a service in any sliding window: a share of its requests plus ``extra``.
 
     Every send of a request after the first that reaches an upstream counts, even if the upstream
-    rejects it. ``part`` returns this node's part of the extra retries at a monotonic time in
-    milliseconds, as a share; the parts of all entry nodes within one window are at most 1 together.
+    rejects it. It arrives at some time between ``spend`` and ``settle``, so it counts in all
+    windows that hold a part of that time. ``part`` returns this node's part of the extra retries
+    at a monotonic time in milliseconds, as a share; the parts of all entry nodes within one
+    window are at most 1 together.
     """
 
     share: float
@@ -74,20 +77,28 @@
         counts = self._counts(service, slot)
         recent = range(slot - SLOTS_PER_WINDOW, slot + 1)
         return BudgetState(
-            sum(counts.retries[number] for number in recent),
-            sum(counts.requests[number] for number in recent),
+            counts.under_way + sum(counts.retries.get(number, 0) for number in recent),
+            sum(counts.requests.get(number, 0) for number in recent),
             self._left(counts, slot, now_ms),
         )
 
     def spend(self, service: str, now_ms: float) -> bool:
-        """Spend one retry; return False if the window has none left for this entry node."""
+        """Spend one retry that is sent now; return False if this entry node has none left."""
         slot = self._slot(now_ms)
         counts = self._counts(service, slot)
         if self._left(counts, slot, now_ms) < 1.0:
             return False
-        counts.retries[slot] += 1
+        counts.under_way += 1
         return True
 
+    def settle(self, service: str, arrived: bool, now_ms: float) -> None:
+        """Record that a retry has arrived by now, or that it was not sent and costs nothing."""
+        slot = self._slot(now_ms)
+        counts = self._counts(service, slot)
+        counts.under_way -= 1
+        if arrived:
+            counts.retries[slot] += 1
+
     def _slot(self, now_ms: float) -> int:
         return int(now_ms * SLOTS_PER_WINDOW // self.window_ms)
 
@@ -112,7 +123,7 @@
         extra = self.extra * self.part(now_ms)
         share = self.share / WINDOW_CHOICES
         left = math.inf
-        retries = 0
+        retries = counts.under_way
         for start in range(2 * size, size - 1, -1):
             retries += counts.retries.get(first + start, 0)
             # The window of ``start``, the one half a window before, and the one before.
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -68,6 +68,7 @@
     # Set once the caller holds events of the stream.
     _origin: StreamOrigin | None = None
     _began: bool = False  # The current attempt brought an event.
+    _arrived: bool = False  # An attempt was sent, so that each further one is a retry.
     _splitter: EventSplitter = field(init=False)
     _permits: RequestPermits = field(init=False)
     _engine: RequestEngine = field(init=False)
@@ -261,6 +262,8 @@
 
     async def _attempt(self, instance: UpstreamInstance) -> Decision:
         """Make one attempt and return the decision on the next step."""
+        if not self._spend_retry():
+            return self.forwarding.give_up("the retry budget of the service is spent")
         placement = self.gateway.dependencies.placement
         started_ms = self._now_ms
         placement.record_start(instance)
@@ -298,13 +301,21 @@
             upstream_fault=False,
         )
         with self.crashes.attempt():
-            result = await self.gateway.dependencies.dispatcher.send(
-                self.request,
-                instance,
-                self._build_request_head(instance),
-                self._timeout_ms(),
-                self._denied,
-            )
+            sent = True  # An attempt that is cancelled may have been.
+            try:
+                result = await self.gateway.dependencies.dispatcher.send(
+                    self.request,
+                    instance,
+                    self._build_request_head(instance),
+                    self._timeout_ms(),
+                    self._denied,
+                )
+                sent = (
+                    isinstance(result, UpstreamResponse)
+                    or result.outcome is not AttemptOutcome.NOT_SENT
+                )
+            finally:
+                self._settle_retry(sent)
             if isinstance(result, UpstreamResponse):
                 result = await self._forward(result)
         return result
@@ -336,16 +347,34 @@
         if outcome is not AttemptOutcome.ERROR and self.forwarding.needs_retry_budget(
             outcome, now_ms
         ):
-            has_retry_budget = self._spend_retry(now_ms)
+            has_retry_budget = self._may_spend_retry(now_ms)
         return self.forwarding.after_attempt(outcome, now_ms, has_retry_budget)
 
-    def _spend_retry(self, now_ms: float) -> bool:
-        """Charge a retry to the budget of the service; return False if none is left."""
+    def _may_spend_retry(self, now_ms: float) -> bool:
+        """Tell whether the budget of the service covers a retry; it is charged once it is sent."""
         deps, service = self.gateway.dependencies, self.admitted.service
         state = deps.retry_budget.state(service, now_ms)
-        spent = deps.retry_budget.spend(service, now_ms)
-        deps.log.count_retry(self.record, service, spent, state)
-        return spent
+        if state.left < 1.0:
+            deps.log.count_denied_retry(self.record, service, state)
+        return state.left >= 1.0
+
+    def _spend_retry(self) -> bool:
+        """Charge an attempt unless it is the first one that may reach an upstream."""
+        if not self._arrived:
+            return True
+        now_ms = self._now_ms
+        if not self._may_spend_retry(now_ms):
+            return False
+        return self.gateway.dependencies.retry_budget.spend(self.admitted.service, now_ms)
+
+    def _settle_retry(self, sent: bool) -> None:
+        """Record that an attempt has arrived by now, or that it was not sent."""
+        if self._arrived:
+            deps, service = self.gateway.dependencies, self.admitted.service
+            deps.retry_budget.settle(service, sent, self._now_ms)
+            if sent:
+                deps.log.count_retry(service)
+        self._arrived = self._arrived or sent
 
     def _build_request_head(self, instance: UpstreamInstance) -> UpstreamRequestHead:
         workspace = self.admitted.workspace
@@ -478,7 +507,7 @@
                 self.admitted.service, Demand(origin=self._origin), tried, now_ms
             )
             is not None
-            and self._spend_retry(now_ms)
+            and self._may_spend_retry(now_ms)
         )
 
     async def _forward_stream(self, response: UpstreamResponse) -> UpstreamResponse | FailedAttempt:
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -120,14 +120,14 @@
             parts=list(parts[:MAX_LOGGED_PARTS]),
         )
 
-    def count_retry(
-        self, record: RequestRecord, service: str, spent: bool, state: BudgetState
-    ) -> None:
-        """Count a retry that the budget of a service covered or denied in this state."""
-        result = "spent" if spent else "denied"
-        self.count(Count("retries", 1, (("service", service), ("result", result))))
-        if not spent:
-            record.retry_budget = f"{service}: {state}"
+    def count_retry(self, service: str) -> None:
+        """Count a retry that was sent to a service."""
+        self.count(Count("retries", 1, (("service", service), ("result", "spent"))))
+
+    def count_denied_retry(self, record: RequestRecord, service: str, state: BudgetState) -> None:
+        """Count a retry that the budget of a service denied in this state."""
+        self.count(Count("retries", 1, (("service", service), ("result", "denied"))))
+        record.retry_budget = f"{service}: {state}"
 
     def write(self, record: RequestRecord, now_ms: float) -> None:
         """Write the record of a request that has ended."""
--- a/tests/core/budget_fleet.py
+++ b/tests/core/budget_fleet.py
@@ -207,18 +207,26 @@
         if self.rng.random() < self.eagerness:
             for _ in range(3):
                 if entry.budget.spend(SERVICE, self.now_ms):
-                    self.retries.append(self.now_ms)
+                    delay_ms = self.rng.choice([0.0, 1.0, 50.0, 400.0])
+                    self.at(delay_ms * self.rng.random(), self._arrive)
+                    # The node learns of the arrival when the upstream answers.
+                    self.at(delay_ms + self.rng.random(), partial(self._settle, entry))
         self._schedule_request(entry)
 
+    def _arrive(self) -> None:
+        self.retries.append(self.now_ms)
+
+    def _settle(self, entry: Entry) -> None:
+        entry.budget.settle(SERVICE, True, self.now_ms)
+
     def excess(self) -> float:
         """Return by how much all nodes together exceeded the bound in the worst window."""
         return excess(self.requests, self.retries, SHARE, EXTRA, WINDOW_MS)
 
     def largest_window(self) -> int:
         """Return the most retries in any window."""
-        return max(
-            (within(self.retries, at_ms - WINDOW_MS, at_ms) for at_ms in self.retries), default=0
-        )
+        times = sorted(self.retries)
+        return max((within(times, at_ms - WINDOW_MS, at_ms) for at_ms in times), default=0)
 
 
 def apply_entries(entry: Entry, effect: EntriesReceived, now_ms: float) -> None:
--- a/tests/core/test_forwarding.py
+++ b/tests/core/test_forwarding.py
@@ -115,7 +115,10 @@
         budget = budgets[step % nodes]
         budget.record_request("s", now_ms)
         requests.append(now_ms)
-        retries += [now_ms for _ in range(3) if budget.spend("s", now_ms)]
+        for _ in range(3):
+            if budget.spend("s", now_ms):
+                budget.settle("s", True, now_ms)
+                retries.append(now_ms)
     assert retries
     for start_ms in range(0, 20_000, 500):
         inside = sum(start_ms <= time < start_ms + window_ms for time in retries)
--- a/tests/core/test_window_budget.py
+++ b/tests/core/test_window_budget.py
@@ -41,11 +41,33 @@
                         requests.append(now_ms)
                     if now_ms // step_ms == spend_steps[node] - 1 and now_ms % step_ms > 2_400.0:
                         while budget.spend("s", now_ms):
+                            budget.settle("s", True, now_ms)
                             retries.append(now_ms)
             found = excess(requests, retries, SHARE, extra, WINDOW_MS)
             assert found <= 1e-9, (spend_steps, length, shift)
 
 
+def test_a_retry_that_waits_for_its_upstream_counts_in_the_window_in_which_it_arrives() -> None:
+    # Guards against a retry that is counted when it is decided and arrives in a later window.
+    budget = WindowBudget(SHARE, 4.0, WINDOW_MS)
+    assert all(budget.spend("s", 0.0) for _ in range(4))
+    budget.settle("s", True, 9_000.0)
+    assert not budget.spend("s", 11_000.0)
+    for _ in range(3):
+        budget.settle("s", True, 12_000.0)
+    assert budget.spend("s", 9_000.0 + WINDOW_MS + 200.0)
+    assert not budget.spend("s", 9_000.0 + WINDOW_MS + 200.0)
+
+
+def test_a_retry_that_was_not_sent_costs_nothing() -> None:
+    # Guards against retries that are owed and denied, since others found no connection.
+    budget = WindowBudget(SHARE, 1.0, WINDOW_MS)
+    for _ in range(10):
+        assert budget.spend("s", 0.0)
+        budget.settle("s", False, 10.0)
+    assert budget.spend("s", 10.0)
+
+
 def test_two_entry_nodes_that_are_cut_off_do_not_keep_parts_that_others_use() -> None:
     # Guards against a node that is cut off and spends its part, while those that remain divide
     # the fixed amount among fewer nodes.
