--- a/tests/node/test_gateway_retry_budget.py
+++ b/tests/node/test_gateway_retry_budget.py
@@ -28,7 +28,7 @@
 
 
 EXTRA = 3
-ENGINE = EngineLimits(96, 200_000, 262_144, 260_000.0)
+ENGINE = EngineLimits(96, 200_000, 262_144, 4)
 
 
 async def close(exchange: UpstreamExchange) -> None:
