--- a/tests/node/test_gateway_crashes.py
+++ b/tests/node/test_gateway_crashes.py
@@ -2,22 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import itertools
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Callable
 
 import anyio
 import pytest
-from attrs import define, field
-from tests.node.gateway_helpers import (
-    RunningGateway,
-    ScriptedUpstream,
-    UpstreamExchange,
-    event,
-    running_gateway,
-    scripted,
-)
+from tests.node.crashing_pool import RESTART_MS, CrashingPool
+from tests.node.gateway_helpers import UpstreamExchange, running_gateway
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.routes import EngineLimits
@@ -27,7 +18,6 @@
 # Of requests with a part under which five upstreams have crashed, this many may still reach one.
 MAX_CRASHES = 5
 ALLOWED_AFTER = 3
-RESTART_MS = 250.0
 ENGINE = EngineLimits(24, 100_000)
 
 
@@ -36,72 +26,11 @@
     return "asyncio"
 
 
-@define
-class CrashingPool:
-    """Upstreams that crash when they begin to answer a prompt with the part ``crashing``.
-
-    A crash ends all connections and the listener. ``with_head`` sends the head of the answer first.
-    Each upstream is back after RESTART_MS as a new instance at another port.
-    """
-
-    crashing: str
-    with_head: bool = True
-    work_ms: float = 5.0
-    running: RunningGateway | None = None
-    crashes: int = 0
-    late_arrivals: int = 0
-    sound_begun: set[str] = field(factory=set)
-    _names: Iterator[int] = field(factory=itertools.count)
-    _upstreams: dict[str, ScriptedUpstream] = field(factory=dict)
-    _servers: dict[str, Any] = field(factory=dict)
-    _writers: dict[str, set[Any]] = field(factory=dict)
-
-    def upstream(self) -> ScriptedUpstream:
-        """Return the next upstream of the pool."""
-        name = f"i{next(self._names)}"
-        upstream = scripted(name, lambda exchange: self._serve(name, exchange))
-        self._upstreams[name] = upstream
-        return upstream
-
-    async def _serve(self, name: str, exchange: UpstreamExchange) -> None:
-        parts = [part.split(":")[0] for part in exchange.headers["prompt"].split(",")]
-        self._writers.setdefault(name, set()).add(exchange.writer)
-        if self.crashing in parts[:-1]:
-            self.late_arrivals += self.crashes >= MAX_CRASHES
-            await anyio.sleep(self.work_ms / MS_PER_SECOND)
-            if self.with_head:
-                await exchange.write(
-                    exchange.head(
-                        200, content_type="text/event-stream", transfer_encoding="chunked"
-                    )
-                )
-            self._crash(name)
-            return
-        await anyio.sleep(self.work_ms / MS_PER_SECOND)
-        self.sound_begun.add(exchange.headers["x-goldcrestridge-request-id"])
-        if exchange.target.startswith(("/stream", "/resume")):
-            await exchange.stream(*[event(number) for number in range(1, 5)])
-        else:
-            await exchange.respond(200, b"sound")
-
-    def _crash(self, name: str) -> None:
-        if self._upstreams.pop(name, None) is None:
-            return
-        assert self.running is not None
-        self.crashes += 1
-        server = self.running.servers[name]
-        server.close()
-        for writer in self._writers.pop(name, ()):
-            writer.transport.abort()
-        asyncio.get_running_loop().call_later(
-            RESTART_MS / MS_PER_SECOND, lambda: asyncio.ensure_future(self._restart())
-        )
-
-    async def _restart(self) -> None:
-        assert self.running is not None
-        upstream = self.upstream()
-        await self.running.start_upstream(upstream)
-        self.running.list_upstreams(list(self._upstreams.values()))
+def holds_part(crashing: str) -> Callable[[UpstreamExchange], bool]:
+    """Return a function that tells whether a prompt holds a part before its own one."""
+    return lambda exchange: (
+        crashing in [part.split(":")[0] for part in exchange.headers["prompt"].split(",")][:-1]
+    )
 
 
 async def send_all(
@@ -166,7 +95,7 @@
 ) -> None:
     # Guards against requests with one part in their prompts that crash one upstream after the
     # other, and against refusing the sound ones that share all their other parts.
-    pool = CrashingPool(crashing)
+    pool = CrashingPool(holds_part(crashing), MAX_CRASHES)
     upstreams = [pool.upstream() for _ in range(4)]
     async with running_gateway(*upstreams, engine=ENGINE) as running:
         pool.running = running
@@ -180,7 +109,7 @@
     None
 ):
     # Guards against counting only crashes that follow the head of an answer.
-    pool = CrashingPool("bad", with_head=False)
+    pool = CrashingPool(holds_part("bad"), MAX_CRASHES, with_head=False)
     upstreams = [pool.upstream() for _ in range(4)]
     async with running_gateway(*upstreams, engine=ENGINE) as running:
         pool.running = running
--- /dev/null
+++ b/tests/node/test_gateway_request_crashes.py
@@ -0,0 +1,83 @@
+"""Tests of requests that crash each upstream that begins to run them."""
+
+from __future__ import annotations
+
+import itertools
+
+import anyio
+import pytest
+from tests.node.crashing_pool import RESTART_MS, CrashingPool
+from tests.node.gateway_helpers import UpstreamExchange, running_gateway
+
+from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.routes import EngineLimits
+
+pytestmark = pytest.mark.anyio
+
+# Of requests that have crashed three upstreams, this many may still reach one.
+MAX_CRASHES = 3
+ALLOWED_AFTER = 3
+ENGINE = EngineLimits(24, 100_000)
+POISON = b"poison"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+def is_poison(exchange: UpstreamExchange) -> bool:
+    return exchange.body == POISON
+
+
+async def send_poison(pool: CrashingPool, path: str, rounds: int, **headers: str) -> None:
+    """Send the request that crashes upstreams again and again, with sound ones beside it."""
+    running = pool.running
+    assert running is not None
+    numbers = itertools.count()
+
+    async def call(body: bytes, request_id: str) -> None:
+        await running.call(path, body=body, x_goldcrestridge_request_id=request_id, **headers)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(rounds):
+            tasks.start_soon(call, POISON, f"bad{number}")
+            tasks.start_soon(call, b"%d" % next(numbers), f"sound{number}")
+            await anyio.sleep(0.06)
+    await anyio.sleep(2 * RESTART_MS / MS_PER_SECOND)
+
+
+@pytest.mark.parametrize("with_head", [False, True])
+@pytest.mark.parametrize("path", ["/read/x", "/charge/x", "/stream/x", "/resume/x"])
+async def test_a_request_that_crashes_upstreams_is_sent_no_more(path: str, with_head: bool) -> None:
+    # Guards against a request to a plain service that crashes one upstream after the other.
+    pool = CrashingPool(is_poison, MAX_CRASHES, with_head)
+    upstreams = [pool.upstream() for _ in range(4)]
+    async with running_gateway(*upstreams) as running:
+        pool.running = running
+        await send_poison(pool, path, rounds=20)
+        answers = [await running.call(path, body=b"s%d" % number) for number in range(6)]
+    assert pool.late_arrivals <= ALLOWED_AFTER
+    assert pool.crashes <= MAX_CRASHES + ALLOWED_AFTER
+    assert all(answer.status == 200 for answer in answers)
+
+
+@pytest.mark.parametrize("prompt", ["", "aa:400"], ids=["without parts", "with sound parts"])
+@pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
+async def test_a_prompt_that_crashes_engines_by_its_own_text_is_sent_no_more(
+    path: str, prompt: str
+) -> None:
+    # Guards against counting only the shared parts of prompts.
+    headers = {"x_goldcrestridge_token_count": "900,40"}
+    if prompt:
+        headers |= {"x_goldcrestridge_prompt_prefix": f"{prompt},own:5"}
+    pool = CrashingPool(is_poison, MAX_CRASHES)
+    upstreams = [pool.upstream() for _ in range(4)]
+    async with running_gateway(*upstreams, engine=ENGINE) as running:
+        pool.running = running
+        for number in range(4):
+            await running.call(path, body=b"first%d" % number, **headers)
+        await send_poison(pool, path, rounds=20, **headers)
+        answers = [await running.call(path, body=b"s%d" % number) for number in range(6)]
+    assert pool.late_arrivals <= ALLOWED_AFTER
+    assert all(answer.status == 200 for answer in answers)
