Log upstreams that crash under any request, and which requests are the same

The log did not tell a request that comes again from other requests, and named no crash under a request without parts of a prompt. Nothing is decided by it yet.

--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -12,6 +12,7 @@
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.demand import Demand, demand_of
 from goldcrestridge_core.forwarding import Forwarding
+from goldcrestridge_core.request_keys import request_key
 from goldcrestridge_core.routes import Route, RoutedWorkspace, RouteTable
 from goldcrestridge_core.types import Headers, Outcome, RequestId
 from goldcrestridge_node.dialect import CallerHead
@@ -158,9 +159,18 @@
         if isinstance(admitted, Refusal):
             await self.refuse(exchange, admitted, record)
             return
-        crashes = RequestCrashes(
-            self, tuple(dict.fromkeys(part.key for part in head.prompt_parts)), record
+        request = OutgoingRequest(
+            exchange.scope["method"],
+            _request_target(exchange.scope),
+            b"".join(header_values(exchange.headers, b"host")[:1]),
+            head,
+            body,
+            reuse=admitted.route.repeatable,
         )
+        caller = admitted.workspace.name if admitted.workspace is not None else ""
+        key = request_key(caller, request.method, request.host, request.target, body)
+        parts = tuple(dict.fromkeys(part.key for part in head.prompt_parts))
+        crashes = RequestCrashes(self, parts, record, key)
         blocked = crashes.refusal()
         if blocked is not None:
             await self.refuse(exchange, blocked, record)
@@ -170,14 +180,6 @@
         if head.time_limit_ms is not None:
             limit_ms = min(limit_ms, head.time_limit_ms)
         forwarding = Forwarding(admitted.route, started_ms + limit_ms)
-        request = OutgoingRequest(
-            exchange.scope["method"],
-            _request_target(exchange.scope),
-            b"".join(header_values(exchange.headers, b"host")[:1]),
-            head,
-            body,
-            reuse=admitted.route.repeatable,
-        )
         self.dependencies.retry_budget.record_request(admitted.service, started_ms)
         relay = Relay(self, exchange, request, admitted, forwarding, record, crashes)
         await relay.run()
--- a/packages/node/src/goldcrestridge_node/request_crashes.py
+++ b/packages/node/src/goldcrestridge_node/request_crashes.py
@@ -27,6 +27,7 @@
     gateway: Gateway
     parts: tuple[str, ...]
     record: RequestRecord
+    key: str  # Names the request; the same request of the same caller has the same name.
     _began_ms: float = math.inf  # When the current attempt brought its first event.
     _proved: bool = False
     _crashed: bool = False  # The upstream of the last attempt ended before it had answered.
@@ -88,14 +89,16 @@
 
     async def record_failure(self, instance: UpstreamInstance, failed: FailedAttempt) -> None:
         """Record a crash if the connection ended and nothing listens at the upstream any more."""
-        if not self.parts or self._proved or not failed.disconnected:
+        if self._proved or not failed.disconnected:
             return
         deps = self.gateway.dependencies
         if not await deps.dispatcher.refuses_connections(instance):
             return
+        deps.log.write_crash(self.record, instance.life, (self.key, *self.parts))
+        if not self.parts:
+            return
         self._crashed = True
         deps.crashes.record_crash(instance.life, self.parts, self._now_ms)
-        deps.log.write_crash(self.record, instance.life, self.parts)
         deps.report_crash()
 
     def bars_retry(self) -> bool:
