Refuse a request that has crashed three upstreams

Callers of a plain service were failed since one request of one caller, sent again and again, ended upstream after upstream.

The name of the request, a digest of caller, method, host, target and body, is now one more part in the same evidence, sums, blocks and refusals. It explains crashes only where no part of the prompt does, needs runs of which each began after the crash before, so that copies that end in a loss of power count once, and five crashes where it was answered before or shares all its crashes with another request.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -125,13 +125,15 @@
 class PromptCrash:
     """A run of an upstream ended before it answered a prompt with ``parts``.
 
-    ``known`` are those of them that the reporting node had seen answered before.
+    ``known`` are those of them that the reporting node had seen answered before. The request had
+    been sent ``took_ms`` before; former builds don't say so.
     """
 
     run: str
     parts: tuple[str, ...]
     known: tuple[str, ...]
     age_ms: float
+    took_ms: float = 0.0
 
 
 @message
--- a/packages/core/src/goldcrestridge_core/prompt_crashes.py
+++ b/packages/core/src/goldcrestridge_core/prompt_crashes.py
@@ -1,4 +1,4 @@
-"""Parts of prompts under which upstreams crash.
+"""Requests, and parts of prompts, under which upstreams crash.
 
 Load pattern: requests that share one part of their prompts arrive at any entry node, and each
 crashes the upstream that begins to answer it, with everything else that runs there. Other requests
@@ -11,6 +11,10 @@
 need evidence of their own. Parts that always came together are blocked together only: a request
 with one of them passes, and shows which one it is.
 
+The name of a request is one more part: that of the whole, which can crash an upstream by its own
+text. It is blocked where no part of the prompt explains the crashes. Its crashes count if each run
+began after the crash before, since copies of a sound request end together when power is lost.
+
 Each entry node decides by its own evidence, and the control leader by that of all nodes.
 """
 
@@ -18,12 +22,13 @@
 
 import hashlib
 import math
-from collections import OrderedDict
 from collections.abc import Collection, Iterable
 
 from attrs import define, evolve, field
 
+from goldcrestridge_core.answered_parts import AnsweredParts
 from goldcrestridge_core.follow_types import AnsweredPart, BlockedParts, PromptCrash, Workload
+from goldcrestridge_core.request_keys import is_request_key
 
 # Crashes that block a part which was never answered. With fewer, ordinary crashes would do it.
 MIN_CRASHES = 3
@@ -32,6 +37,10 @@
 # The loss of many upstreams at once is one event for parts that all of them hold.
 MIN_MOMENTS_KNOWN = 3
 MOMENT_MS = 500.0
+# Crashes that block requests which all ran at the same upstreams, of which one may be to blame.
+MIN_CRASHES_TOGETHER = 5
+# Error of the times that other nodes report, which is that of a message on its way.
+CLOCK_TOLERANCE_MS = 5.0
 # Crashes that keep a request with a part which was never answered from being tried again.
 MIN_CRASHES_SUSPECT = 2
 EVIDENCE_MS = 120_000.0
@@ -44,7 +53,6 @@
 MAX_CRASHES = 128
 MAX_SHARED_CRASHES = 32
 MAX_PARTS = 64
-MAX_ANSWERED = 4_096
 MAX_BLOCKED = 64
 MAX_SUSPECTS = 128
 # A longer id is replaced by a digest.
@@ -71,6 +79,7 @@
     parts: Parts
     known: frozenset[str]
     at_ms: float
+    began_ms: float  # When the request was sent.
     suspects: set[str] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -87,7 +96,7 @@
     """
 
     _crashes: dict[tuple[str, Parts], _Crash] = field(factory=dict)
-    _answered_ms: OrderedDict[str, float] = field(factory=OrderedDict)
+    _answered: AnsweredParts = field(factory=AnsweredParts)
     _blocked: dict[frozenset[str], float] = field(factory=dict)
     _fleet_blocked: dict[frozenset[str], float] = field(factory=dict)
     _fleet_suspects: frozenset[str] = frozenset()
@@ -96,26 +105,30 @@
 
     # Evidence.
 
-    def record_crash(self, run: str, parts: Iterable[str], now_ms: float) -> None:
-        """Record that a run of an upstream ended before it answered a prompt with these parts."""
+    def record_crash(
+        self, run: str, parts: Iterable[str], now_ms: float, began_ms: float | None = None
+    ) -> None:
+        """Record that a run of an upstream ended before it answered a prompt with these parts.
+
+        The request was sent at ``began_ms``, by default now.
+        """
         all_parts = list(dict.fromkeys(parts))
-        known = frozenset(part for part in all_parts if part in self._answered_ms)
-        # Parts that were never answered are the likely ones.
-        kept = tuple(sorted(all_parts, key=lambda part: part in known)[:MAX_PARTS])
-        self._add(_Crash(run, kept, known & set(kept), now_ms))
+        known = frozenset(part for part in all_parts if part in self._answered)
+        # The request itself, and parts that were never answered, are the likely ones.
+        all_parts.sort(key=lambda part: (not is_request_key(part), part in known))
+        kept = tuple(all_parts[:MAX_PARTS])
+        sent_ms = now_ms if began_ms is None else began_ms
+        self._add(_Crash(run, kept, known & set(kept), now_ms, sent_ms))
         self._block(now_ms)
 
     def record_answer(self, parts: Collection[str], began_ms: float) -> None:
         """Record that an upstream answered a prompt with these parts, from ``began_ms`` on."""
         for part in parts:
-            self._answered_ms[part] = max(began_ms, self._answered_ms.get(part, -math.inf))
-            self._answered_ms.move_to_end(part)
+            self._answered.record(part, began_ms)
         # The answers of a part can be forgotten, what they cleared must not come back.
         for crash in self._crashes.values():
             if crash.at_ms < began_ms:
                 crash.suspects.difference_update(parts)
-        while len(self._answered_ms) > MAX_ANSWERED:
-            self._answered_ms.popitem(last=False)
         if self._blocked:
             self._blocked = self._cleared(self._blocked)
         if self._fleet_blocked:
@@ -135,9 +148,7 @@
         """Return sets of blocked parts without the parts that were answered since."""
         left: dict[frozenset[str], float] = {}
         for parts, at_ms in blocked.items():
-            rest = frozenset(
-                part for part in parts if self._answered_ms.get(part, -math.inf) <= at_ms
-            )
+            rest = frozenset(part for part in parts if self._answered.last_ms(part) <= at_ms)
             if rest:
                 left[rest] = max(at_ms, left.get(rest, -math.inf))
         return left
@@ -168,7 +179,7 @@
 
     def may_retry(self, parts: Parts, now_ms: float) -> bool:
         """Return whether a request under which an upstream crashed may be tried once more."""
-        fresh = [part for part in parts if part not in self._answered_ms]
+        fresh = [part for part in parts if part not in self._answered]
         if not fresh:
             return True
         runs = self._runs(now_ms)
@@ -189,7 +200,7 @@
         runs: dict[str, dict[str, float]] = {}
         for crash in self._recent(now_ms):
             for part in crash.suspects:
-                if crash.at_ms > self._answered_ms.get(part, -math.inf):
+                if crash.at_ms > self._answered.last_ms(part):
                     runs.setdefault(part, {}).setdefault(crash.run, crash.at_ms)
         return runs
 
@@ -200,7 +211,7 @@
             part
             for crash in self._crashes.values()
             for part in crash.parts
-            if part in self._answered_ms
+            if part in self._answered
         }
 
     def _block(self, now_ms: float) -> None:
@@ -212,7 +223,7 @@
             enough = {
                 part: found
                 for part, found in left.items()
-                if _suffices(found, runs[part], part in known)
+                if self._suffices(part, found, runs[part], part in known)
             }
             if not enough:
                 return
@@ -220,13 +231,29 @@
             first = min(part for part, found in enough.items() if len(found) == most)
             explained = enough[first]
             tied = {part for part, found in enough.items() if found == explained}
+            # A part of the prompts explains the crashes of all requests with it.
+            tied = {part for part in tied if not is_request_key(part)} or tied
             last_ms = max(runs[first][run] for run in explained)
-            for parts in self._sets_of(tied):
+            sets = self._sets_of(tied)
+            if len(sets) > 1 and is_request_key(first) and len(explained) < MIN_CRASHES_TOGETHER:
+                sets = []
+            for parts in sets:
                 self._blocked[parts] = max(last_ms, self._blocked.get(parts, -math.inf))
             while len(self._blocked) > MAX_BLOCKED:
                 del self._blocked[min(self._blocked, key=lambda key: self._blocked[key])]
             left = {part: found - explained for part, found in left.items()}
 
+    def _suffices(self, part: str, found: set[str], times: dict[str, float], known: bool) -> bool:
+        """Return whether the crashes of some runs are enough to block a part."""
+        if not is_request_key(part):
+            return _suffices(found, times, known)
+        spans = [
+            (crash.at_ms, crash.began_ms)
+            for crash in self._crashes.values()
+            if crash.run in found and part in crash.suspects
+        ]
+        return _count_successive(spans) >= (MIN_CRASHES_KNOWN if known else MIN_CRASHES)
+
     def _sets_of(self, tied: set[str]) -> list[frozenset[str]]:
         """Return, for parts with the same crashes, those that came together in all requests.
 
@@ -253,7 +280,13 @@
         return evolve(
             workload,
             crashes=tuple(
-                PromptCrash(item.run, item.parts, tuple(sorted(item.known)), now_ms - item.at_ms)
+                PromptCrash(
+                    item.run,
+                    item.parts,
+                    tuple(sorted(item.known)),
+                    now_ms - item.at_ms,
+                    item.at_ms - item.began_ms,
+                )
                 for item in crashes
             ),
             answers=self._shared_answers(now_ms),
@@ -276,9 +309,9 @@
 
     def _shared_answers(self, now_ms: float) -> tuple[AnsweredPart, ...]:
         return tuple(
-            AnsweredPart(part, now_ms - self._answered_ms[part])
+            AnsweredPart(part, now_ms - self._answered.last_ms(part))
             for part in self.suspects(now_ms)
-            if part in self._answered_ms
+            if part in self._answered
         )
 
     def suspects(self, now_ms: float) -> Parts:
@@ -301,14 +334,22 @@
         """Apply the report of an entry node at the control leader."""
         self._merge_answers(workload, now_ms)
         added = [
-            self._add(_Crash(crash.run, crash.parts, frozenset(crash.known), now_ms - crash.age_ms))
+            self._add(
+                _Crash(
+                    crash.run,
+                    crash.parts,
+                    frozenset(crash.known),
+                    now_ms - crash.age_ms,
+                    now_ms - crash.age_ms - crash.took_ms,
+                )
+            )
             for crash in workload.crashes
         ]
         if any(added):
             self._block(now_ms)
         for item in workload.blocked:
             # What a former leader blocked holds on, unless this one knows of an answer.
-            if not any(part in self._answered_ms for part in item.parts):
+            if not any(part in self._answered for part in item.parts):
                 self._blocked.setdefault(frozenset(item.parts), now_ms - item.age_ms)
 
     def merge_reply(self, workload: Workload, now_ms: float) -> None:
@@ -320,7 +361,7 @@
 
     def _merge_answers(self, workload: Workload, now_ms: float) -> None:
         """Apply what other nodes saw answered, also before the crashes."""
-        heard = {item.part for item in workload.answers if item.part not in self._answered_ms}
+        heard = {item.part for item in workload.answers if item.part not in self._answered}
         for item in workload.answers:
             self.record_answer((item.part,), now_ms - item.age_ms)
         doubtful = [parts for parts in self._blocked if heard & parts]
@@ -346,7 +387,7 @@
 
 
 def _suffices(found: set[str], times: dict[str, float], known: bool) -> bool:
-    """Return whether the crashes of some runs are enough to block a part."""
+    """Return whether the crashes of some runs are enough to block a part of prompts."""
     if not known:
         return len(found) >= MIN_CRASHES
     if len(found) < MIN_CRASHES_KNOWN:
@@ -356,3 +397,15 @@
         if at_ms - last_ms >= MOMENT_MS:
             moments, last_ms = moments + 1, at_ms
     return moments >= MIN_MOMENTS_KNOWN
+
+
+def _count_successive(spans: list[tuple[float, float]]) -> int:
+    """Return the most runs, as (end, begin), of which each began after the end of the one before.
+
+    Times of other nodes are off by the age of a message.
+    """
+    count, last_ms = 0, -math.inf
+    for end_ms, begin_ms in sorted(spans):
+        if begin_ms >= last_ms - CLOCK_TOLERANCE_MS:
+            count, last_ms = count + 1, end_ms
+    return count
--- a/packages/lab/src/goldcrestridge_lab/soak_callers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_callers.py
@@ -86,6 +86,10 @@
     """Raised when a caller drops its connection in the middle of a stream."""
 
 
+# Codes of the refusals of what upstreams crashed under.
+BLOCKED_CODES = (b"prompt_blocked", b"request_blocked")
+
+
 @define(eq=False)
 class Stream:
     """A stream over all attempts of its caller.
@@ -140,7 +144,7 @@
     takes_up: bool = False  # The stream began in an earlier attempt.
     received: int = 0  # Events that this attempt brought.
     crashing_part: str = ""  # The part of its prompt that crashes upstreams.
-    blocked: bool = False  # It was refused for a part of its prompt.
+    blocked: bool = False  # It was refused, since upstreams crashed under it or under its prompt.
 
     @property
     def resumable(self) -> bool:
@@ -251,7 +255,7 @@
             await self._read_stream(call, call.stream, reader)
         else:
             content = await reader.readexactly(int(answer.headers.get("content-length", "0")))
-            call.blocked = b"prompt_blocked" in content
+            call.blocked = any(code in content for code in BLOCKED_CODES)
             if status == 200:
                 self._check_body(call, content == expected_body(call.request_id, target, body))
         call.status = status
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -169,8 +169,8 @@
         )
         caller = admitted.workspace.name if admitted.workspace is not None else ""
         key = request_key(caller, request.method, request.host, request.target, body)
-        parts = tuple(dict.fromkeys(part.key for part in head.prompt_parts))
-        crashes = RequestCrashes(self, parts, record, key)
+        parts = dict.fromkeys(part.key for part in head.prompt_parts)
+        crashes = RequestCrashes(self, (key, *parts), record)
         blocked = crashes.refusal()
         if blocked is not None:
             await self.refuse(exchange, blocked, record)
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -342,7 +342,7 @@
         self._excluded.add(instance.instance)
         if outcome is AttemptOutcome.UNKNOWN and self.crashes.bars_retry():
             self.forwarding.after_attempt(outcome, now_ms, has_retry_budget=False)
-            return self.forwarding.give_up("upstreams crashed under parts of its prompt")
+            return self.forwarding.give_up("upstreams crashed under the request")
         has_retry_budget = True
         if outcome is not AttemptOutcome.ERROR and self.forwarding.needs_retry_budget(
             outcome, now_ms
--- a/packages/node/src/goldcrestridge_node/request_crashes.py
+++ b/packages/node/src/goldcrestridge_node/request_crashes.py
@@ -1,4 +1,4 @@
-"""Evidence that one forwarded request gives on the parts of its prompt."""
+"""Evidence that one forwarded request gives on itself and on the parts of its prompt."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 
 from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.prompt_crashes import PROOF_MS
+from goldcrestridge_core.request_keys import is_request_key
 from goldcrestridge_node.dispatch import FailedAttempt
 from goldcrestridge_node.refusals import Refusal
 from goldcrestridge_node.request_log import RequestRecord
@@ -22,12 +23,16 @@
 
 @define(eq=False)
 class RequestCrashes:
-    """Report crashes under a request, and its answers; ``parts`` are those of its prompt."""
+    """Report crashes under a request, and its answers.
+
+    ``parts`` are the name of the request, which is that of all requests with the same content of
+    the same caller, and the parts of its prompt.
+    """
 
     gateway: Gateway
     parts: tuple[str, ...]
     record: RequestRecord
-    key: str  # Names the request; the same request of the same caller has the same name.
+    _sent_ms: float = 0.0  # When the current attempt began.
     _began_ms: float = math.inf  # When the current attempt brought its first event.
     _proved: bool = False
     _crashed: bool = False  # The upstream of the last attempt ended before it had answered.
@@ -39,17 +44,18 @@
 
     def refusal(self) -> Refusal | None:
         """Return the response to a request whose prompt is blocked, or None."""
-        if not self.parts:
-            return None
         crashes = self.gateway.dependencies.crashes
         blocked = crashes.blocked_by(self.parts, self._now_ms)
         if blocked is None:
             return None
-        names = " ".join(sorted(blocked))
+        names = " ".join(sorted(part for part in blocked if not is_request_key(part)))
+        code, cause = "request_blocked", "under the same request before"
+        if names:
+            code, cause = "prompt_blocked", f"under the parts of its prompt {names}"
         return Refusal(
             503,
-            "prompt_blocked",
-            f"The request has not run: upstreams crashed under the parts of its prompt {names}.",
+            code,
+            f"The request has not run: upstreams crashed {cause}.",
             retry_after_ms=crashes.left_ms(blocked, self._now_ms),
         )
 
@@ -57,10 +63,10 @@
     def attempt(self) -> Iterator[anyio.CancelScope]:
         """Watch one attempt; it is cancelled if its prompt is blocked before the answer begins."""
         self._began_ms, self._proved, self._crashed = math.inf, False, False
+        self._sent_ms = self._now_ms
         with anyio.CancelScope() as scope:
             self._scope = scope
-            if self.parts:
-                self.gateway.unanswered.add(self)
+            self.gateway.unanswered.add(self)
             try:
                 yield scope
             finally:
@@ -82,7 +88,7 @@
 
     def record_answer(self) -> None:
         """Record that an upstream answers the prompt."""
-        if self.parts and not self._proved:
+        if not self._proved:
             self._proved = True
             began_ms = min(self._began_ms, self._now_ms)
             self.gateway.dependencies.crashes.record_answer(self.parts, began_ms)
@@ -91,14 +97,12 @@
         """Record a crash if the connection ended and nothing listens at the upstream any more."""
         if self._proved or not failed.disconnected:
             return
-        deps = self.gateway.dependencies
+        deps, failed_ms = self.gateway.dependencies, self._now_ms
         if not await deps.dispatcher.refuses_connections(instance):
             return
-        deps.log.write_crash(self.record, instance.life, (self.key, *self.parts))
-        if not self.parts:
-            return
         self._crashed = True
-        deps.crashes.record_crash(instance.life, self.parts, self._now_ms)
+        deps.crashes.record_crash(instance.life, self.parts, failed_ms, self._sent_ms)
+        deps.log.write_crash(self.record, instance.life, self.parts)
         deps.report_crash()
 
     def bars_retry(self) -> bool:
--- a/tests/core/crash_fleet.py
+++ b/tests/core/crash_fleet.py
@@ -34,7 +34,7 @@
     """One run of an upstream with the requests that wait or run on it."""
 
     run: str
-    waiting: list[tuple[Entry, tuple[str, ...], bool]] = field(factory=list)
+    waiting: list[tuple[Entry, tuple[str, ...], bool, float]] = field(factory=list)
     down: bool = False
 
 
@@ -57,6 +57,7 @@
     seed: int
     size: int
     contact_ms: float = 3_000.0
+    max_crashes: int = MAX_CRASHES
     upstream_count: int = 5
     restart_ms: float = 3_000.0
     now_ms: float = 0.0
@@ -171,18 +172,18 @@
         upstream = self.rng.choice(up)
         if crashing and self._is_late() and entry.node not in self.excused:
             self.late_arrivals += 1
-        item = (entry, parts, crashing)
+        item = (entry, parts, crashing, self.now_ms)
         upstream.waiting.append(item)
         # The request waits and is read, then its answer begins.
         self.at(self.rng.choice([10.0, 60.0, 200.0]), lambda: self._begin(upstream, item, attempts))
 
     def _is_late(self) -> bool:
-        if len(self.crash_times) < MAX_CRASHES:
+        if len(self.crash_times) < self.max_crashes:
             return False
-        return self.now_ms > self.crash_times[MAX_CRASHES - 1] + self.contact_ms
+        return self.now_ms > self.crash_times[self.max_crashes - 1] + self.contact_ms
 
     def _begin(self, upstream: Upstream, item: Any, attempts: int) -> None:
-        entry, parts, crashing = item
+        entry, parts, crashing, _ = item
         if upstream.down or item not in upstream.waiting:
             return
         if entry.crashes.blocked_by(parts, self.now_ms) is not None:
@@ -200,10 +201,10 @@
     def crash(self, upstream: Upstream, attempts: int = 1) -> None:
         """End a run; the nodes see it, and the upstream comes back as another run."""
         upstream.down = True
-        for entry, parts, crashing in upstream.waiting:
+        for entry, parts, crashing, began_ms in upstream.waiting:
             if self.entries[entry.node] is not entry:
                 continue
-            entry.crashes.record_crash(upstream.run, parts, self.now_ms)
+            entry.crashes.record_crash(upstream.run, parts, self.now_ms, began_ms)
             self._post(entry, ReportDue())
             if attempts > 1 and entry.crashes.may_retry(parts, self.now_ms):
                 self._try(entry, parts, crashing, attempts - 1)
--- a/tests/core/test_prompt_crashes.py
+++ b/tests/core/test_prompt_crashes.py
@@ -8,10 +8,10 @@
 from tests.core.crash_fleet import ALLOWED_AFTER, CrashFleet
 
 from goldcrestridge_core import codec
+from goldcrestridge_core.answered_parts import MAX_ANSWERED_PARTS
 from goldcrestridge_core.follow_types import Workload
 from goldcrestridge_core.prompt_crashes import (
     BLOCK_MS,
-    MAX_ANSWERED,
     MAX_BLOCKED,
     MAX_CRASHES,
     MAX_PARTS,
@@ -194,7 +194,7 @@
 def test_invented_parts_fill_neither_the_memory_nor_a_message() -> None:
     # Guards against a caller whose prompts have ever new parts.
     state = PromptCrashes()
-    for number in range(2 * MAX_ANSWERED):
+    for number in range(2 * MAX_ANSWERED_PARTS):
         state.record_answer((f"p{number}",), float(number))
     many = tuple(f"x{number}" for number in range(1_000))
     for number in range(2 * MAX_CRASHES):
@@ -262,7 +262,7 @@
     for number in range(6):
         state.record_crash(f"run{number}", ("rare",), number * 1_000.0)
         state.record_answer(("rare",), number * 1_000.0 + 500.0)
-    state.record_answer([f"p{number}" for number in range(MAX_ANSWERED)], 7_000.0)
+    state.record_answer([f"p{number}" for number in range(MAX_ANSWERED_PARTS)], 7_000.0)
     state.record_crash("other", ("x",), 8_000.0)
     assert state.blocked_by(("rare",), 8_000.0) is None
 
