Ask an upstream anew whether it listens when a request has lost its connection

A crash was not counted if another request had lost its connection to the same upstream in the last 100 ms and had found it listening: that answer was kept, though the upstream ended after it. An upstream that closes connections, or two requests a moment apart, hid the crashes of a request.

An answer now counts only if it was asked for after the loss, or if it was a refusal. Requests that lose their connections at once share the next one. The new test failed before (0 of 2 crashes logged) and passes.

--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -145,6 +145,7 @@
     _pools: dict[str, ConnectionPool] = field(init=False, factory=dict)
     # By address: when an upstream was last asked for a connection, and whether it refused.
     _refusals: dict[str, tuple[float, bool]] = field(init=False, factory=dict)
+    _asking: dict[str, anyio.Lock] = field(init=False, factory=dict)
     _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=NetworkBackend)
 
     async def send(
@@ -236,13 +237,23 @@
         return pool
 
     async def refuses_connections(self, instance: UpstreamInstance) -> bool:
-        """Tell whether nothing listens at the address of an instance.
+        """Tell whether nothing listens at the address of an instance after this call.
 
-        The result holds for REFUSAL_VALID_MS, since many requests lose their connections at once.
+        A refusal holds for REFUSAL_VALID_MS. Requests that lose their connections at once share the
+        next answer; one from before the call does not show that the upstream is still there.
         """
-        checked_ms, refused = self._refusals.get(instance.address, (-math.inf, False))
-        if self.clock.now_ms() - checked_ms < REFUSAL_VALID_MS:
+        lost_ms = self.clock.now_ms()
+        async with self._asking.setdefault(instance.address, anyio.Lock()):
+            asked_ms, refused = self._refusals.get(instance.address, (-math.inf, False))
+            if asked_ms >= lost_ms or (refused and lost_ms - asked_ms < REFUSAL_VALID_MS):
+                return refused
+            asked_ms = self.clock.now_ms()
+            refused = await self._ask_for_connection(instance)
+            self._refusals[instance.address] = asked_ms, refused
             return refused
+
+    async def _ask_for_connection(self, instance: UpstreamInstance) -> bool:
+        """Open a connection to an instance; return whether it was refused."""
         pool, refused = self._pool(instance), False
         try:
             conn = await pool.acquire(reuse=False, timeout_ms=REFUSAL_TIMEOUT_MS)
@@ -250,7 +261,6 @@
             refused = exc.refused
         else:
             await _release(pool, conn)
-        self._refusals[instance.address] = self.clock.now_ms(), refused
         return refused
 
     async def close_idle(self) -> None:
--- a/tests/node/crashing_pool.py
+++ b/tests/node/crashing_pool.py
@@ -20,6 +20,8 @@
 from goldcrestridge_core.clock import MS_PER_SECOND
 
 RESTART_MS = 250.0
+# Body of a request whose connection an upstream closes without an answer.
+CLOSE = b"close"
 
 
 @define
@@ -58,6 +60,9 @@
 
     async def _serve(self, name: str, exchange: UpstreamExchange) -> None:
         self._writers.setdefault(name, set()).add(exchange.writer)
+        if exchange.body == CLOSE:
+            exchange.close()
+            return
         if self.crashing(exchange):
             self.late_arrivals += self.crashes >= self.max_crashes
             await anyio.sleep(self.work_ms / MS_PER_SECOND)
--- a/tests/node/test_gateway_request_crashes.py
+++ b/tests/node/test_gateway_request_crashes.py
@@ -6,7 +6,7 @@
 
 import anyio
 import pytest
-from tests.node.crashing_pool import RESTART_MS, CrashingPool
+from tests.node.crashing_pool import CLOSE, RESTART_MS, CrashingPool
 from tests.node.gateway_helpers import UpstreamExchange, running_gateway
 
 from goldcrestridge_core.clock import MS_PER_SECOND
@@ -81,3 +81,20 @@
         answers = [await running.call(path, body=b"s%d" % number) for number in range(6)]
     assert pool.late_arrivals <= ALLOWED_AFTER
     assert all(answer.status == 200 for answer in answers)
+
+
+async def test_a_connection_that_was_lost_just_before_does_not_hide_a_crash() -> None:
+    # Guards against a crash that is not counted, since the upstream was found listening when
+    # another request had lost its connection there a moment before.
+    pool = CrashingPool(is_poison, MAX_CRASHES)
+    upstreams = [pool.upstream() for _ in range(4)]
+    async with running_gateway(*upstreams) as running:
+        pool.running = running
+        async with anyio.create_task_group() as tasks:
+            for _ in range(16):
+                tasks.start_soon(lambda: running.call("/charge/x", body=CLOSE))
+        assert all(upstream.exchanges for upstream in upstreams)
+        await running.call("/read/x", body=POISON)
+        await anyio.sleep(2 * RESTART_MS / MS_PER_SECOND)
+    found = [line for line in running.log_lines if line["event"] == "upstream_crashed"]
+    assert len(found) == pool.crashes == 2
