Block again at the first crash after a block has ended

A block ends after ten minutes, since the upstream may have been mended. Its evidence was gone by then, so the same request or part of prompts could crash three or five more upstreams each time.

The new test failed with that rule taken out.

--- a/packages/core/src/goldcrestridge_core/prompt_crashes.py
+++ b/packages/core/src/goldcrestridge_core/prompt_crashes.py
@@ -44,8 +44,9 @@
 # Crashes that keep a request with a part which was never answered from being tried again.
 MIN_CRASHES_SUSPECT = 2
 EVIDENCE_MS = 120_000.0
-# A blocked part is let through again this long after its last crash.
+# A blocked part is let through again this long after its last crash. The next crash blocks it.
 BLOCK_MS = 600_000.0
+REMEMBER_MS = 86_400_000.0
 # An answer that goes on for this long shows that the upstream does not crash as it begins.
 PROOF_MS = 500.0
 SUSPECTS_INTERVAL_MS = 50.0
@@ -140,6 +141,10 @@
         if key in self._crashes or not crash.parts:
             return False
         self._crashes[key] = crash
+        for table in (self._blocked, self._fleet_blocked):
+            for parts, at_ms in table.items():
+                if parts <= crash.suspects:
+                    table[parts] = max(at_ms, crash.at_ms)
         while len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
         return True
@@ -166,10 +171,9 @@
                     return blocked
         return None
 
-    @property
-    def fleet_blocked(self) -> frozenset[frozenset[str]]:
+    def fleet_blocked(self, now_ms: float) -> frozenset[frozenset[str]]:
         """Return the sets of parts that the control leader names as blocked."""
-        return frozenset(self._fleet_blocked)
+        return _in_force(self._fleet_blocked, now_ms)
 
     def left_ms(self, blocked: frozenset[str], now_ms: float) -> float:
         """Return for how long parts stay blocked if there is no further crash."""
@@ -303,9 +307,10 @@
             suspects=self.suspects(now_ms),
         )
 
-    def digest(self) -> str:
+    def digest(self, now_ms: float) -> str:
         """Return a text that differs if other parts are blocked."""
-        return ", ".join(sorted(" ".join(sorted(parts)) for parts in self._blocked))
+        blocked = _in_force(self._blocked, now_ms)
+        return ", ".join(sorted(" ".join(sorted(parts)) for parts in blocked))
 
     def _shared_answers(self, now_ms: float) -> tuple[AnsweredPart, ...]:
         return tuple(
@@ -373,10 +378,14 @@
 
     def _expire(self, now_ms: float) -> None:
         for table in (self._blocked, self._fleet_blocked):
-            for parts in [key for key, at_ms in table.items() if now_ms - at_ms >= BLOCK_MS]:
+            for parts in [key for key, at_ms in table.items() if now_ms - at_ms >= REMEMBER_MS]:
                 del table[parts]
 
 
+def _in_force(blocked: dict[frozenset[str], float], now_ms: float) -> frozenset[frozenset[str]]:
+    return frozenset(parts for parts, at_ms in blocked.items() if now_ms - at_ms < BLOCK_MS)
+
+
 def _shared_blocked(
     blocked: dict[frozenset[str], float], now_ms: float
 ) -> tuple[BlockedParts, ...]:
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -202,7 +202,7 @@
             "version": newest.version,
             "instances_digest": self._instances_digest,
             "entries_digest": self._entries_digest,
-            "blocked_digest": self._workloads.crashes.digest(),
+            "blocked_digest": self._workloads.crashes.digest(now_ms),
             "replicas": current.replicas,
             "version_age_ms": max(0.0, now_ms - self._version_since_ms)
             if newest.version == self._last_hint[0]
@@ -232,7 +232,7 @@
             current.document.version,
             self._instances_digest,
             self._entries_digest,
-            self._workloads.crashes.digest(),
+            self._workloads.crashes.digest(now_ms),
         )
         if state == self._last_hint:
             return []
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -255,9 +255,9 @@
 
     def _merge_crashes(self, workload: Workload, now_ms: float) -> None:
         """Apply what the control leader knows of prompts that crash upstreams."""
-        before = self.crashes.fleet_blocked
+        before = self.crashes.fleet_blocked(now_ms)
         self.crashes.merge_reply(workload, now_ms)
-        blocked = self.crashes.fleet_blocked
+        blocked = self.crashes.fleet_blocked(now_ms)
         if blocked != before:
             self._log.info("prompt_parts_in_force", blocked=[sorted(parts) for parts in blocked])
             self.gateway.cancel_blocked()
--- a/tests/core/test_request_keys.py
+++ b/tests/core/test_request_keys.py
@@ -12,6 +12,7 @@
 from goldcrestridge_core.answered_parts import MAX_ANSWERED_REQUESTS
 from goldcrestridge_core.follow_types import Workload
 from goldcrestridge_core.prompt_crashes import (
+    BLOCK_MS,
     MIN_CRASHES,
     MIN_CRASHES_TOGETHER,
     PromptCrashes,
@@ -154,3 +155,35 @@
         at_ms = 1_000.0 * (number + 1)
         state.record_crash(f"run{number}", ("part",), at_ms + 50.0, at_ms)
     assert state.blocked_by(("part",), 5_000.0) is None
+
+
+def test_after_a_block_the_first_crash_blocks_the_request_again_at_all_nodes() -> None:
+    # Guards against a request that crashes three more upstreams each time that its block has ended.
+    leader, first, second = PromptCrashes(), PromptCrashes(), PromptCrashes()
+    for number in range(MAX_CRASHES):
+        at_ms = 1_000.0 * number
+        first.record_crash(f"run{number}", (BAD,), at_ms + 50.0, at_ms)
+    leader.merge_report(first.add_report(Workload(), 3_000.0), 3_000.0)
+    for node in (first, second):
+        node.merge_reply(leader.add_reply(Workload(), 3_000.0), 3_000.0)
+    later_ms = 3_000.0 + BLOCK_MS
+    for node in (leader, first, second):
+        assert node.blocked_by((BAD,), later_ms) is None
+    second.record_crash("run9", (BAD,), later_ms + 50.0, later_ms)
+    assert second.blocked_by((BAD,), later_ms + 60.0) == frozenset({BAD})
+    leader.merge_report(second.add_report(Workload(), later_ms + 60.0), later_ms + 60.0)
+    first.merge_reply(leader.add_reply(Workload(), later_ms + 60.0), later_ms + 60.0)
+    assert first.blocked_by((BAD,), later_ms + 60.0) == frozenset({BAD})
+    assert first.left_ms(frozenset({BAD}), later_ms + 60.0) > 0.9 * BLOCK_MS
+
+
+def test_an_answer_after_a_block_ends_the_suspicion() -> None:
+    # Guards against a request that is blocked by an ordinary crash after its upstreams were mended.
+    state = PromptCrashes()
+    for number in range(MAX_CRASHES):
+        at_ms = 1_000.0 * number
+        state.record_crash(f"run{number}", (BAD,), at_ms + 50.0, at_ms)
+    later_ms = 3_000.0 + BLOCK_MS
+    state.record_answer((BAD,), later_ms)
+    state.record_crash("run9", (BAD,), later_ms + 550.0, later_ms + 500.0)
+    assert state.blocked_by((BAD,), later_ms + 600.0) is None
