Let the soak send requests that crash upstreams, and check the retry budget of each service

The soak crashed upstreams only by parts of prompts, and compared the retries to all services with the sum of their budgets. Some calls of one kind are now one request with a fixed path and body that crashes its upstream, with the users' bound; the retries to each service are checked as well as those to all.

--- a/packages/lab/src/goldcrestridge_lab/soak_callers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_callers.py
@@ -20,7 +20,7 @@
     read_head,
 )
 from goldcrestridge_lab.soak_nodes import DIRECTORY_PORT, OPERATOR_PORT
-from goldcrestridge_lab.soak_prompts import Prompts, crashing_part
+from goldcrestridge_lab.soak_prompts import CRASHING_BODY, Prompts, crashing_name
 from goldcrestridge_lab.soak_servers import (
     HEADER_PREFIX,
     STREAM_EVENTS,
@@ -143,7 +143,7 @@
     stream: Stream | None = None
     takes_up: bool = False  # The stream began in an earlier attempt.
     received: int = 0  # Events that this attempt brought.
-    crashing_part: str = ""  # The part of its prompt that crashes upstreams.
+    crashing_part: str = ""  # Its name or the part of its prompt, if that crashes upstreams.
     blocked: bool = False  # It was refused, since upstreams crashed under it or under its prompt.
 
     @property
@@ -225,9 +225,12 @@
     ) -> bool:
         """Send a request and read the response; return whether the connection can be reused."""
         prompt = self.prompts.make(call.kind, call.request_id, self.rng)
-        call.crashing_part = crashing_part(prompt)
         body = b"b" * self.rng.choice((0, 10, 3_000))
         target = f"/{call.kind}/{self.rng.randrange(100)}?q={call.request_id}"
+        crashing_request = self.prompts.crashing_request_of(call.kind, self.rng)
+        if crashing_request:
+            target, body = f"/{call.kind}/{crashing_request}", CRASHING_BODY
+        call.crashing_part = crashing_name(target, prompt)
         resume_headers: tuple[tuple[str, str], ...] = ()
         if call.stream is not None:
             target = call.stream.target
--- a/packages/lab/src/goldcrestridge_lab/soak_checks.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_checks.py
@@ -9,7 +9,7 @@
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_lab.soak_callers import REFUSALS, REVOCABLE_KEY, Call, Operators
 from goldcrestridge_lab.soak_nodes import BOUNDS
-from goldcrestridge_lab.soak_prompts import PromptCrash
+from goldcrestridge_lab.soak_prompts import CRASHING_REQUEST, PromptCrash
 from goldcrestridge_lab.soak_servers import Arrival
 
 # The platform's bounds: connected nodes stop using a leaving upstream within DRAIN_MS, and nodes
@@ -37,12 +37,15 @@
 ALLOWED_IN_REST = 2
 REST_GRACE_MS = 500.0
 # The platform allows this many requests with a part that crashes upstreams, from CONTACT_MS after
-# the fifth crash on.
+# the fifth crash on, and this many of a request that does so by itself, after the third.
 MAX_PROMPT_CRASHES = 5
+MAX_REQUEST_CRASHES = 3
 ALLOWED_AFTER_CRASHES = 3
 # Of at least MIN_SOUND sound calls of a kind, less than this share may be refused for their prompt.
 MIN_SOUND = 20
 MAX_SOUND_BLOCKED = 0.5
+# Services to which the routes of each kind of calls may lead.
+SERVICES_BY_KIND = {"once": "a", "read": "ab", "stream": "a", "single": "b"}
 AT_MOST_ONCE_KINDS = ("once", "single")  # Kinds of calls that run at most once.
 
 Spans = dict[str, list[tuple[float, float]]]
@@ -160,25 +163,42 @@
 
 
 def _check_retry_budget(observations: Observations) -> Iterator[str]:
-    """Check that the retries to all services together stay within the budget in every window."""
-    window_ms = BOUNDS["retry_window_s"] * MS_PER_SECOND
+    """Check that the retries to each service, and to all, stay within the budget in every window.
+
+    A call counts as a request to each service to which its route may lead.
+    """
     seen_ids: set[str] = set()
-    retries_ms = []
+    retries_ms: dict[str, list[float]] = {}
     for arrival in sorted(observations.arrivals, key=lambda item: item.at_ms):
         if arrival.request_id in seen_ids:
-            retries_ms.append(arrival.at_ms)
+            retries_ms.setdefault(arrival.service, []).append(arrival.at_ms)
         seen_ids.add(arrival.request_id)
+    for service, times in sorted(retries_ms.items()):
+        sent_ms = [
+            call.sent_ms for call in observations.calls if service in SERVICES_BY_KIND[call.kind]
+        ]
+        yield from _check_retries(service, times, sent_ms, BOUNDS["retry_extra"])
+    all_ms = sorted(at_ms for times in retries_ms.values() for at_ms in times)
     services = len({arrival.service for arrival in observations.arrivals})
     sent_ms = [call.sent_ms for call in observations.calls]
+    yield from _check_retries("all services", all_ms, sent_ms, BOUNDS["retry_extra"] * services)
+
+
+def _check_retries(
+    service: str, retries_ms: list[float], sent_ms: list[float], extra: float
+) -> Iterator[str]:
+    """Check retries against the requests that may have been for the same service."""
+    window_ms = BOUNDS["retry_window_s"] * MS_PER_SECOND
     for begin_ms in retries_ms:
         count = sum(begin_ms <= at_ms < begin_ms + window_ms for at_ms in retries_ms)
         requests = max(
             sum(begin_ms - shift_ms <= at_ms < begin_ms - shift_ms + window_ms for at_ms in sent_ms)
             for shift_ms in (0.0, window_ms / 2.0, window_ms)
         )
-        allowed = BOUNDS["retry_ratio"] * requests + BOUNDS["retry_extra"] * services
+        allowed = BOUNDS["retry_ratio"] * requests + extra
         if count > allowed:
-            yield f"{count} retries in the window from {begin_ms:.0f} ms, {allowed:.0f} allowed"
+            window = f"in the window from {begin_ms:.0f} ms"
+            yield f"{count} retries to {service} {window}, {allowed:.0f} allowed"
             return
 
 
@@ -316,13 +336,15 @@
 
 
 def _check_crashing_prompts(observations: Observations) -> Iterator[str]:
-    """Check that a part of prompts that crashes upstreams is sent to no further ones."""
+    """Check that a request or a part of prompts that crashes upstreams is sent to no further."""
     entries = {call.request_id: call.entry.rpartition(":")[0] for call in observations.calls}
     for part in sorted({crash.part for crash in observations.prompt_crashes}):
         times = sorted(item.at_ms for item in observations.prompt_crashes if item.part == part)
-        if len(times) < MAX_PROMPT_CRASHES:
+        by_request = part.startswith(CRASHING_REQUEST)
+        most = MAX_REQUEST_CRASHES if by_request else MAX_PROMPT_CRASHES
+        if len(times) < most:
             continue
-        begin_ms = times[MAX_PROMPT_CRASHES - 1] + CONTACT_MS
+        begin_ms = times[most - 1] + CONTACT_MS
         late = [
             item.request_id
             for item in observations.arrivals
--- a/packages/lab/src/goldcrestridge_lab/soak_prompts.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_prompts.py
@@ -1,4 +1,4 @@
-"""Prompts of the fault soak: some have a part that crashes the upstream that answers them."""
+"""Prompts and requests of the fault soak: some crash the upstream that answers them."""
 
 from __future__ import annotations
 
@@ -16,6 +16,10 @@
     from goldcrestridge_lab.soak_servers import Upstream
 
 CRASHING_PREFIX = "bad"
+# Last segment of the path of a request that crashes upstreams by itself, with this body.
+CRASHING_REQUEST = "poison"
+CRASHING_BODY = b"poison"
+CRASHING_KIND = "read"
 CRASHING_SHARE = 0.05
 SOUND_PARTS = 4
 CRASHING_MS = 6_000.0
@@ -27,7 +31,7 @@
 
 @frozen
 class PromptCrash:
-    """An upstream crashed under a prompt with a part."""
+    """An upstream crashed under a prompt with a part, or under a request with that name."""
 
     part: str
     at_ms: float
@@ -37,10 +41,12 @@
 class Prompts:
     """Make the prompts of callers; while ``crashing`` is set, some of them have that part.
 
-    ``crashes`` holds the crashes of upstreams under crashing parts.
+    While ``crashing_request`` is set, some requests are the one with that name. ``crashes`` holds
+    the crashes of upstreams under both.
     """
 
     crashing: str = ""
+    crashing_request: str = ""
     crashes: list[PromptCrash] = field(factory=list)
 
     def make(self, kind: str, request_id: str, rng: random.Random) -> str:
@@ -50,6 +56,18 @@
             parts.insert(rng.randrange(3), self.crashing)
         return ",".join(f"{part}:10" for part in (*parts, request_id))
 
+    def crashing_request_of(self, kind: str, rng: random.Random) -> str:
+        """Return the name of the request that crashes upstreams, if this one is to be it."""
+        if kind != CRASHING_KIND or not self.crashing_request or rng.random() >= CRASHING_SHARE:
+            return ""
+        return self.crashing_request
+
+
+def crashing_name(target: str, prompt: str) -> str:
+    """Return what of a request crashes upstreams: its name or a part of its prompt, or nothing."""
+    name = target.partition("?")[0].rpartition("/")[2]
+    return name if name.startswith(CRASHING_REQUEST) else crashing_part(prompt)
+
 
 def crashing_part(prompt: str) -> str:
     """Return the part of a prompt that crashes upstreams, or an empty text."""
@@ -58,16 +76,21 @@
 
 
 async def send_crashing_prompts(soak: Soak, until_ms: float, end_ms: float) -> None:
-    """Let one part after the other crash upstreams, the last one while no other fault is active."""
+    """Let one part and request after the other crash upstreams.
+
+    The last ones do so while no other fault is active.
+    """
     for number in itertools.count():
         await asyncio.sleep(PAUSE_MS / MS_PER_SECOND)
         if soak.now_ms() + CRASHING_MS > until_ms:
             break
         soak.prompts.crashing = f"{CRASHING_PREFIX}{number}"
+        soak.prompts.crashing_request = f"{CRASHING_REQUEST}{number}"
         await asyncio.sleep(CRASHING_MS / MS_PER_SECOND)
-        soak.prompts.crashing = ""
+        soak.prompts.crashing = soak.prompts.crashing_request = ""
     await asyncio.sleep(max(0.0, until_ms + QUIET_MS - soak.now_ms()) / MS_PER_SECOND)
     soak.prompts.crashing = f"{CRASHING_PREFIX}last"
+    soak.prompts.crashing_request = f"{CRASHING_REQUEST}last"
     await asyncio.sleep(max(0.0, end_ms - soak.now_ms()) / MS_PER_SECOND)
 
 
--- a/packages/lab/src/goldcrestridge_lab/soak_servers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_servers.py
@@ -19,7 +19,7 @@
     read_chunk,
     read_head,
 )
-from goldcrestridge_lab.soak_prompts import crashing_part
+from goldcrestridge_lab.soak_prompts import crashing_name
 
 HEADER_PREFIX = "x-goldcrestridge-"
 REQUEST_ID = HEADER_PREFIX + "request-id"
@@ -57,7 +57,7 @@
     ran: bool
     leaving: bool = False
     rest_s: float = 0.0
-    crashing_part: str = ""  # The part of its prompt that crashes upstreams.
+    crashing_part: str = ""  # Its name or the part of its prompt, if that crashes upstreams.
 
 
 @define(eq=False)
@@ -71,7 +71,7 @@
     end). ``version`` is that of its software. While ``limit_per_second`` is set, all its responses
     name that limit. While ``rest_s`` is set, it rejects requests and asks for a rest of that
     length. ``born`` numbers its starts. ``crash_by_prompt`` is called when it crashes as it begins
-    to answer a prompt, with the crashing part.
+    to answer a prompt, with the crashing part or the name of the request.
     """
 
     service: str
@@ -148,7 +148,9 @@
             ran=status == 200,
             leaving=self.leaving_since_ms is not None and status != 421,
             rest_s=self.rest_s if status == 503 else 0.0,
-            crashing_part=crashing_part(headers.get(HEADER_PREFIX + "prompt-prefix", "")),
+            crashing_part=crashing_name(
+                request.start_line[1], headers.get(HEADER_PREFIX + "prompt-prefix", "")
+            ),
         )
         self.record(arrival)
         if status != 200:
--- a/tests/lab/test_soak_checks.py
+++ b/tests/lab/test_soak_checks.py
@@ -107,8 +107,23 @@
     arrivals = [arrival(number) for number in range(50)]
     arrivals += [arrival(number) for number in range(allowed)]
     assert violations(observations(calls, arrivals)) == []
-    (violation,) = violations(observations(calls, [*arrivals, arrival(0)]))
-    assert f"{allowed + 1} retries" in violation
+    found = violations(observations(calls, [*arrivals, arrival(0)]))
+    assert [text.partition(" in the ")[0] for text in found] == [
+        f"{allowed + 1} retries to a",
+        f"{allowed + 1} retries to all services",
+    ]
+
+
+def test_retries_beyond_the_budget_of_one_of_two_services_are_reported() -> None:
+    calls = [call(number, kind="once") for number in range(50)]
+    calls += [call(number, kind="single") for number in range(50, 100)]
+    allowed = int(BOUNDS["retry_extra"] + BOUNDS["retry_ratio"] * 50)
+    arrivals = [evolve(arrival(number), ran=False) for number in range(50)]
+    arrivals += [evolve(arrival(number), ran=False) for number in range(allowed)]
+    arrivals += [evolve(arrival(number), service="b") for number in range(50, 100)]
+    assert violations(observations(calls, arrivals)) == []
+    (violation,) = violations(observations(calls, [*arrivals, evolve(arrival(0), ran=False)]))
+    assert f"{allowed + 1} retries to a " in violation
 
 
 LIMITS = {"i-1": [(40_000.0, 60_000.0, 1.0)]}
@@ -214,6 +229,16 @@
     assert violations(disturbed) == []
 
 
+def test_a_request_that_goes_on_to_crash_upstreams_is_reported() -> None:
+    crashes = [PromptCrash("poison0", 50_000.0 + number) for number in range(3)]
+    calls = [call(number) for number in range(4)]
+    late = [evolve(arrival(number, at_ms=53_100.0), crashing_part="poison0") for number in range(4)]
+    observed = observations(calls, late, prompt_crashes=crashes)
+    assert any("with the part poison0" in line for line in violations(observed))
+    assert violations(observations(calls, late[:3], prompt_crashes=crashes)) == []
+    assert violations(observations(calls, late, prompt_crashes=crashes[:2])) == []
+
+
 def test_sound_prompts_that_are_refused_are_reported() -> None:
     calls = [call(number, status=503) for number in range(20)]
     for item in calls[:10]:
