Measure at the upstream for how long leaving upstreams are used

The test bounded the time at which the caller had its answer; it failed once beside load (962 ms of 600). The bound is one on requests that reach an upstream.

--- a/tests/node/test_gateway_notices.py
+++ b/tests/node/test_gateway_notices.py
@@ -96,17 +96,21 @@
 async def test_leaving_upstreams_serve_for_a_while_if_no_other_is_left() -> None:
     # Guards against a release of a whole service that refuses calls which would still be served,
     # and against one that goes on sending until the upstreams are gone.
-    upstreams = scripted("a", leaving), scripted("b", leaving)
-    async with running_gateway(*upstreams) as running:
+    arrivals_ms: list[float] = []
+
+    async def leave(exchange: UpstreamExchange) -> None:
+        arrivals_ms.append(clock.now_ms())
+        await leaving(exchange)
+
+    async with running_gateway(scripted("a", leave), scripted("b", leave)) as running:
         notices = running.gateway.dependencies.placement.notices
         notices.drain_ms = 600.0
         clock = running.gateway.dependencies.clock
         started_ms = clock.now_ms()
-        last_ms, served = started_ms, 0
         while (response := await running.call("/charge/x")).status == 200:
-            last_ms, served = clock.now_ms(), served + 1
-        assert served > 2
-        assert last_ms - started_ms < 600.0
+            pass
+        assert len(arrivals_ms) > 2
+        assert arrivals_ms[-1] - started_ms < 600.0
         assert (response.status, outcome(response)) == (503, b"not_run")
 
 
