--- a/tests/core/crash_fleet.py
+++ b/tests/core/crash_fleet.py
@@ -2,29 +2,23 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
 from collections.abc import Callable
-from functools import partial
 from typing import Any
 
 from attrs import define, field
+from tests.core.follow_fleet import LEADERS, FollowFleet
 
 from goldcrestridge_core.follow_types import (
     EntryStatus,
-    FollowReply,
     ReportDue,
     Workload,
     WorkloadReceived,
 )
 from goldcrestridge_core.follower import Follower
 from goldcrestridge_core.prompt_crashes import PromptCrashes
-from goldcrestridge_core.publisher import Leadership, Publisher
-from goldcrestridge_core.types import NodeId, Receive, Send, Tick
-from goldcrestridge_core.versions import VersionedDocument
+from goldcrestridge_core.types import NodeId, Tick
 
-LEADERS = (NodeId("leader0"), NodeId("leader1"))
 MAX_CRASHES = 5
 ALLOWED_AFTER = 3
 
@@ -60,46 +54,47 @@
     max_crashes: int = MAX_CRASHES
     upstream_count: int = 5
     restart_ms: float = 3_000.0
-    now_ms: float = 0.0
     crash_times: list[float] = field(factory=list)
     late_arrivals: int = 0
     refused: list[tuple[float, tuple[str, ...]]] = field(factory=list)
     begun: list[tuple[float, tuple[str, ...]]] = field(factory=list)
-    cut: set[NodeId] = field(factory=set)
     excused: set[NodeId] = field(factory=set)
     entries: dict[NodeId, Entry] = field(factory=dict)
-    leader: int = 0
-    publisher: Publisher = field(init=False)
+    net: FollowFleet = field(init=False)
     upstreams: list[Upstream] = field(factory=list)
     rng: random.Random = field(init=False)
-    _queue: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
-    _numbers: Any = field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self.publisher = self._new_publisher()
+        self.net = FollowFleet(self.rng, self.entries.get, self._is_current, self._apply)
         for number in range(self.size):
             self.restart(NodeId(f"e{number}"))
         self.upstreams = [self._new_upstream() for _ in range(self.upstream_count)]
 
-    def _new_publisher(self) -> Publisher:
-        document = VersionedDocument(1, b"1")
-        return Publisher(lambda _: Leadership(True, LEADERS[self.leader], LEADERS, document))
-
     def _new_upstream(self) -> Upstream:
-        return Upstream(f"run{next(self._numbers)}")
+        return Upstream(f"run{self.net.next_number()}")
+
+    @property
+    def now_ms(self) -> float:
+        """Return the time of the simulation."""
+        return self.net.now_ms
+
+    @property
+    def cut(self) -> set[NodeId]:
+        """Return the nodes that have lost contact with the control nodes."""
+        return self.net.cut
 
     def at(self, delay_ms: float, action: Callable[[], None]) -> None:
         """Call a function after a time."""
-        heapq.heappush(self._queue, (self.now_ms + delay_ms, next(self._numbers), action))
+        self.net.at(delay_ms, action)
 
     def run(self, duration_ms: float) -> None:
         """Advance the time."""
-        end_ms = self.now_ms + duration_ms
-        while self._queue and self._queue[0][0] <= end_ms:
-            self.now_ms, _, action = heapq.heappop(self._queue)
-            action()
-        self.now_ms = end_ms
+        self.net.run(duration_ms)
+
+    def change_leader(self) -> None:
+        """Let another control node lead, which knows nothing yet."""
+        self.net.change_leader()
 
     # Nodes.
 
@@ -114,47 +109,14 @@
             lambda now_ms: crashes.add_report(Workload(), now_ms),
         )
         entry = self.entries[node] = Entry(node, follower, crashes)
-        self.at(self.rng.uniform(0.0, 500.0), lambda: self._post(entry, Tick()))
-
-    def change_leader(self) -> None:
-        """Let another control node lead, which knows nothing yet."""
-        self.leader = 1 - self.leader
-        self.publisher = self._new_publisher()
-
-    def _post(self, entry: Entry, event: Any) -> None:
-        if self.entries[entry.node] is not entry:
-            return
-        for effect in entry.follower.handle(event, self.now_ms):
-            if isinstance(effect, Send):
-                self.at(self.rng.uniform(0.5, 2.0), partial(self._ask, entry, effect))
-            elif isinstance(effect, WorkloadReceived):
-                entry.crashes.merge_reply(effect.workload, self.now_ms)
-        due_ms = entry.follower.next_deadline_ms()
-        if due_ms is not None:
-            self.at(max(0.0, due_ms - self.now_ms), lambda: self._tick(entry, due_ms))
-
-    def _tick(self, entry: Entry, due_ms: float) -> None:
-        if entry.follower.next_deadline_ms() == due_ms:
-            self._post(entry, Tick())
-
-    def _ask(self, entry: Entry, effect: Send) -> None:
-        if entry.node in self.cut or self.entries[entry.node] is not entry:
-            return
-        if effect.to != LEADERS[self.leader]:
-            reply = FollowReply(effect.message.sequence, False, LEADERS[self.leader])
-            self.at(1.0, lambda: self._post(entry, Receive(effect.to, reply)))
-            return
-        received = Receive(entry.node, effect.message)
-        for answer in self.publisher.handle(received, self.now_ms):
-            if isinstance(answer, Send):
-                self._deliver(answer)
+        self.at(self.rng.uniform(0.0, 500.0), lambda: self.net.post(entry, Tick()))
 
-    def _deliver(self, answer: Send) -> None:
-        def deliver() -> None:
-            if answer.to not in self.cut:
-                self._post(self.entries[answer.to], Receive(LEADERS[self.leader], answer.message))
+    def _is_current(self, entry: Entry) -> bool:
+        return self.entries[entry.node] is entry
 
-        self.at(self.rng.uniform(0.5, 2.0), deliver)
+    def _apply(self, entry: Entry, effect: Any) -> None:
+        if isinstance(effect, WorkloadReceived):
+            entry.crashes.merge_reply(effect.workload, self.now_ms)
 
     # Requests.
 
@@ -205,7 +167,7 @@
             if self.entries[entry.node] is not entry:
                 continue
             entry.crashes.record_crash(upstream.run, parts, self.now_ms, began_ms)
-            self._post(entry, ReportDue())
+            self.net.post(entry, ReportDue())
             if attempts > 1 and entry.crashes.may_retry(parts, self.now_ms):
                 self._try(entry, parts, crashing, attempts - 1)
         upstream.waiting.clear()
--- a/tests/core/test_prompt_crashes.py
+++ b/tests/core/test_prompt_crashes.py
@@ -89,7 +89,7 @@
     fleet = CrashFleet(3, 1)
     send_sound(fleet, 20.0, [("a",)])
     fleet.run(3_000.0)
-    fleet.cut = set(fleet.entries)
+    fleet.net.cut = set(fleet.entries)
     send_crashing(fleet, 100.0, ("a", BAD))
     fleet.run(20_000.0)
     assert len(fleet.crash_times) <= 5
--- a/tests/core/test_window_budget.py
+++ b/tests/core/test_window_budget.py
@@ -132,7 +132,7 @@
                 if len(nodes) > fleet.size // 2:
                     fleet.remove(chosen[0], grace_ms=8_000.0)
             case 4:
-                fleet.change_leader()
+                fleet.net.change_leader()
             case _:
                 fleet.eagerness = fleet.rng.choice([0.0, 0.05, 1.0])
         fleet.run(fleet.rng.choice([200.0, 1_500.0, 4_000.0, 11_000.0]))
