--- a/packages/core/src/goldcrestridge_core/even_part.py
+++ b/packages/core/src/goldcrestridge_core/even_part.py
@@ -10,7 +10,7 @@
 # A node uses its part for this long after the leader last answered while it listed the node. It
 # covers an election and a polling interval of a large fleet.
 LEASE_MS = 5_000.0
-# The fixed part of what is sent may arrive this much later than it was counted.
+# What was sent on a part may arrive this much after the part has ended.
 ARRIVAL_MARGIN_MS = 500.0
 
 
--- a/packages/core/src/goldcrestridge_core/window_budget.py
+++ b/packages/core/src/goldcrestridge_core/window_budget.py
@@ -39,7 +39,7 @@
     under_way: int = 0
 
     def forget(self, oldest: int) -> None:
-        """Forget what lies before a slot; slots are added in the order of their times."""
+        """Forget what lies before a slot; slots are added nearly in the order of their times."""
         for counts in (self.requests, self.retries):
             while counts and (first := next(iter(counts))) < oldest:
                 del counts[first]
