--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -123,6 +123,7 @@
         self.record, self.name, self.service, self.zone = record, name, service, zone
         self.address, self.slots, self.work, self.version = address, slots, work, version
         self.state = "ready"
+        self.weights = 1  # Version of the weights of its model.
         self.running = 0
         self.runs: list[tuple[float, str]] = []  # Time and id of each request that began to run.
         self.born = 1_764_900_000_000
@@ -134,7 +135,7 @@
         return {
             "service": self.service, "address": "{}:{}".format(*self.address), "zone": self.zone,
             "version": self.version, "slots": self.slots, "state": self.state, "cold_left_ms": 0,
-            "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
+            "stage": "both", "models": [{"name": "m", "version": self.weights, "adapters": []}],
             "born": self.born, "id": self.name,
         }
 
@@ -183,9 +184,17 @@
             writer.write(response(200, {"X-Goldcrestridge-Instance-Id": self.name}, b""))
             return
         if expected != self.name or not request_id:
-            headers = {"X-Goldcrestridge-Not-Executed": "1"}
+            headers = {"X-Goldcrestridge-Not-Executed": "1",
+                       "X-Goldcrestridge-Instance-Id": self.name}
             writer.write(response(421 if request_id else 400, headers, b""))
             return
+        if head.headers.get(PREFIX + "expect-version", str(self.weights)) != str(self.weights):
+            self.record.add("other_weights", server=self.name, id=request_id)
+            headers = {"X-Goldcrestridge-Not-Executed": "1",
+                       "X-Goldcrestridge-Request-Id": request_id,
+                       "X-Goldcrestridge-Instance-Id": self.name}
+            writer.write(response(421, headers, b""))
+            return
         self.runs.append((self.record.now(), request_id))
         self.record.add("run", server=self.name, id=request_id)
         self.running += 1
@@ -262,15 +271,18 @@
     return answer
 
 
-def stream_manifest(version: int) -> bytes:
-    """Return a manifest with one resumable streaming route to model servers, like profile-match."""
+def stream_manifest(version: int, prefixes: tuple[str, ...] = ("/match/",)) -> bytes:
+    """Return a manifest with resumable streaming routes to model servers, like profile-match."""
+    def route(prefix: str) -> dict[str, object]:
+        return {
+            "name": "r-" + prefix.strip("/"), "host": HOST, "path_prefix": prefix,
+            "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 1500, "priority": 2,
+            "service": "llm", "attempts": 2, "public": False, "sticky": True, "resumable": True,
+            "max_gap_ms": 600,
+        }
     return json.dumps({
         "version": version,
-        "routes": [{
-            "name": "r-match", "host": HOST, "path_prefix": "/match/", "kind": "streaming",
-            "timeout_ms": 5000, "target_latency_ms": 1500, "priority": 2, "service": "llm",
-            "attempts": 2, "public": False, "sticky": True, "resumable": True, "max_gap_ms": 600,
-        }],
+        "routes": [route(prefix) for prefix in prefixes],
         "services": [{
             "name": "llm", "health_path": "/healthz", "max_conns": 520, "protocol": "h1",
             "tls": False,
@@ -296,7 +308,7 @@
     writer.write(
         f"HTTP/1.1 200 OK\r\nX-Goldcrestridge-Request-Id: {request_id}\r\n"
         f"X-Goldcrestridge-Server-Stamp: {server.name}.{version}\r\n"
-        "X-Goldcrestridge-Weights-Version: 1\r\nContent-Type: text/event-stream\r\n"
+        f"X-Goldcrestridge-Weights-Version: {server.weights}\r\nContent-Type: text/event-stream\r\n"
         "Transfer-Encoding: chunked\r\n\r\n".encode()
     )
     for number in range(first, events + 1):
@@ -310,7 +322,7 @@
 
 async def read_stream(
     record: Record, front: tuple[str, int], request_id: str, prefix: str,
-    headers: dict[str, str] | None = None, limit_s: float = 5.0,
+    headers: dict[str, str] | None = None, limit_s: float = 5.0, path: str = "/match/1",
 ) -> tuple[int, list[tuple[int, str, str]], bool]:
     """Request a stream; return its status, its events as (id, server, version), and its end.
 
@@ -321,16 +333,18 @@
         "X-Goldcrestridge-Token-Count": "1460,52",
         "X-Goldcrestridge-Prompt-Prefix": f"{prefix}:1200,{request_id}:260",
         "X-Goldcrestridge-Deadline-Ms": str(int(limit_s * 1000)), "X-Api-Key": KEY,
-        "Content-Length": "2", **(headers or {}),
+        **(headers or {}),
     }
-    record.add("sent", id=request_id, to=front[0], **(headers or {}))
+    body = b'{"prompt":"%s"}' % request_id.encode()  # No two requests are the same.
+    lines["Content-Length"] = str(len(body))
+    record.add("sent", id=request_id, to=front[0], path=path, **(headers or {}))
     events: list[tuple[int, str, str]] = []
     status, whole, writer = 0, False, None
     try:
         async with asyncio.timeout(limit_s):
             reader, writer = await asyncio.open_connection(*front)
             text = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
-            writer.write(f"POST /match/1 HTTP/1.1\r\n{text}\r\n".encode() + b"{}")
+            writer.write(f"POST {path} HTTP/1.1\r\n{text}\r\n".encode() + body)
             head = await read_head(reader)
             if head is not None:
                 status = int(head.start.split()[1])
