--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -66,7 +66,7 @@
     def __init__(self, fleet: Fleet, machine: int, role: str) -> None:
         self.fleet, self.machine, self.role = fleet, machine, role
         self.name = f"{role}-{machine}"
-        self.bootstrap = True
+        self.bootstrap = True  # Only at the first start of the deployment.
         self.ends: list[tuple[float, int]] = []  # Those by itself: time and exit code.
         self.stopping = False
         self.process: asyncio.subprocess.Process | None = None
@@ -75,11 +75,18 @@
     def ip(self) -> str:
         return self.fleet.ip(self.machine)
 
+    def write_settings(self) -> Path:
+        """Write the settings file as the provider does at each start and change."""
+        folder = self.fleet.folder / self.name
+        folder.mkdir(exist_ok=True)
+        settings, new = folder / "settings.json", folder / "settings.new"
+        new.write_text(json.dumps(self.fleet.settings(self)), encoding="utf-8")
+        new.rename(settings)
+        return settings
+
     async def start(self) -> None:
         fleet, folder = self.fleet, self.fleet.folder / self.name
-        folder.mkdir(exist_ok=True)
-        settings = folder / "settings.json"
-        settings.write_text(json.dumps(fleet.settings(self)), encoding="utf-8")
+        settings = self.write_settings()
         command = fleet.deploy["roles"][self.role]["run"].split()
         log = (folder / "log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
@@ -140,6 +147,8 @@
     def __init__(self, folder: Path, record: Record, machines: int, core: int = 3) -> None:
         self.folder, self.record = folder, record
         self.machines, self.core = machines, core
+        self.seeds = tuple(range(1, core + 1))
+        self.disks = set(self.seeds)
         self.network = free_network()
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         self.processes = [
@@ -167,7 +176,7 @@
 
     def settings(self, process: Process) -> dict[str, object]:
         zones = ("sve-a", "sve-b", "sve-c")
-        ip, has_disk = process.ip, process.machine <= self.core
+        ip, has_disk = process.ip, process.machine in self.disks
         listen = (
             {"control": f"{ip}:8229"}
             if process.role == "control"
@@ -182,7 +191,7 @@
             "zone": zones[(process.machine - 1) % 3], "region": "sverige",
             "zones": dict.fromkeys(zones, "sverige"), "listen": listen,
             "port_range": [7340, 7355],
-            "seeds": [f"{self.ip(number)}:8229" for number in range(1, min(3, self.core) + 1)],
+            "seeds": [f"{self.ip(number)}:8229" for number in self.seeds],
             "bootstrap": process.bootstrap, "in_tolerance": has_disk,
             "limits": {"cpu_share": 0.968, "cores": 2, "memory_mb": 150, "max_fds": 4100,
                        "link_mbps": 1000.0, "disk_mb": 64},
@@ -199,6 +208,38 @@
     def start(self) -> None:
         self._tasks = [asyncio.ensure_future(p.supervise()) for p in self.processes]
 
+    def add_core_machine(self, machine: int) -> None:
+        """Add a machine with an empty disk that takes over the roles of a core machine."""
+        self.disks.add(machine)
+        self.record.add("machine_added", machine=machine, ip=self.ip(machine))
+        for role in ("control", "entry"):
+            process = Process(self, machine, role)
+            process.bootstrap = False
+            self.processes.append(process)
+            self._tasks.append(asyncio.ensure_future(process.supervise()))
+
+    async def remove_machine(self, machine: int) -> None:
+        """Stop a machine for good: SIGTERM, and SIGKILL after grace_s."""
+        self.record.add("machine_removed", machine=machine)
+        gone = [process for process in self.processes if process.machine == machine]
+        for process in gone:
+            process.stopping = True
+            process.signal(signal.SIGTERM)
+        await asyncio.wait(
+            [asyncio.ensure_future(process.process.wait()) for process in gone if process.process],
+            timeout=BOUNDS["grace_s"],
+        )
+        for process in gone:
+            process.signal(signal.SIGKILL)
+
+    def exchange_seeds(self, machines: tuple[int, ...]) -> None:
+        """Name other seeds in the settings of all processes and send them SIGHUP."""
+        self.seeds = machines
+        self.record.add("seeds_exchanged", machines=machines)
+        for process in self.processes:
+            process.write_settings()
+            process.signal(signal.SIGHUP)
+
     async def stop(self) -> None:
         for process in self.processes:
             process.stopping = True
