Take a founding replica of the log in again after it was removed

A replica that had formed the log, was cut off and replaced, never came back into the log: each of its announcements was answered with the first entry, which names it, for as long as the leader had that entry. It holds that entry already. When the next replica was lost, this spare waited beside a log with one replica too few.

Only a replica without any entry needs the first one. All others now reach the replacement of lost replicas.

--- a/packages/core/src/goldcrestridge_core/log_members.py
+++ b/packages/core/src/goldcrestridge_core/log_members.py
@@ -69,7 +69,7 @@
         if message.fresh:
             _try_form(state, message.replica, now_ms)
         return
-    if state.entries.base_index == 0:
+    if message.fresh and state.entries.base_index == 0:
         first = state.entries.at(1)
         membership = membership_of(first)
         if membership is not None and message.replica in membership.voters:
--- a/tests/core/test_control.py
+++ b/tests/core/test_control.py
@@ -279,3 +279,20 @@
     assert follower.version == document.version
     commit(net, A, 3)
     assert len(net.voters_of(net.leaders()[0])) == 3
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_founding_replica_that_was_removed_is_taken_in_again(seed: int) -> None:
+    # Guards against a spare that is sent the first entry of its log for ever, because that names
+    # it, and never replaces a lost replica.
+    net = formed_net(seed)
+    commit(net, A, 1)
+    net.start_control(D, bootstrap=False)
+    net.partition({A})
+    net.run(8_000.0)
+    net.partition(())
+    net.run(2_000.0)
+    assert net.voters_of(net.leaders()[0]) == {B, C, D}
+    net.kill(B, wipe=True)
+    net.run(8_000.0)
+    assert net.voters_of(net.leaders()[0]) == {A, C, D}
