Let control replicas join the log through seeds that hold no replica

Cause: a replica with an empty disk announces itself to the seeds of its settings only. Control nodes without a replica dropped the announcement without a trace, though they know the leader. The log went on with two of three voters and lost its quorum at the next replacement. The same gap on related paths: a replica that waits to join named no leader to entry nodes and operators, a wiped replica whose seeds are gone was never told of the leader, clients of the log kept former seeds, and a control node that is no seed of the leader never learned the replicas.

Change: nodes outside the log ask for a notice each 2 s, announcements go to the nodes that notices name as well, a node outside the log answers an announcement with a notice and passes it on once, the leader notifies replicas that do not answer, and new seeds reach all roles as an event. Messages that a node without a replica drops are counted.

--- a/packages/core/src/goldcrestridge_core/control.py
+++ b/packages/core/src/goldcrestridge_core/control.py
@@ -12,13 +12,14 @@
 from goldcrestridge_core import codec, duties, usage
 from goldcrestridge_core.duty_roles import Duties, DutyOptions, PlatformAnswered
 from goldcrestridge_core.follow_types import (
+    ControlAddresses,
     ControlNotice,
     FollowRequest,
     FormationPlan,
     InstancesListed,
     StreamVersion,
 )
-from goldcrestridge_core.log_members import is_fresh
+from goldcrestridge_core.log_members import is_fresh, is_responsive
 from goldcrestridge_core.log_types import (
     JoinReplica,
     Propose,
@@ -30,10 +31,11 @@
 )
 from goldcrestridge_core.proposals import Proposals
 from goldcrestridge_core.publisher import Leadership, Publisher
-from goldcrestridge_core.queries import Queries, SubmitQuery
+from goldcrestridge_core.queries import Queries, QueryDone, SubmitQuery
 from goldcrestridge_core.replica import ControlReplica
 from goldcrestridge_core.replication import has_lease
 from goldcrestridge_core.store import Store
+from goldcrestridge_core.store_types import QueryLease
 from goldcrestridge_core.stream_versions import (
     HOLDER,
     StreamServices,
@@ -43,6 +45,7 @@
     resource_of,
 )
 from goldcrestridge_core.types import (
+    Count,
     Emit,
     NodeId,
     ProposalDone,
@@ -61,6 +64,12 @@
 OWN_PROPOSALS = (duties.RESOURCE, usage.SERVICE, HOLDER)
 # A control node without a replica learns of the leader within this time.
 NOTICE_INTERVAL_MS = 1_000.0
+# Bound on the nodes beyond the seeds that a node remembers as possible members of the log.
+MAX_CONTACTS = 12
+# A node outside the log that is not among the seeds of the leader asks for a notice at this
+# interval, a fraction of the time between two changes of the replicas.
+CONTACT_INTERVAL_MS = 2_000.0
+CONTACT_QUERY = "contact "
 
 
 @frozen
@@ -115,6 +124,10 @@
     replica: ControlReplica | None = None
     store: Store | None = None
     _known_replicas: tuple[NodeId, ...] = ()
+    # Nodes that notices named, the latest last, and the leader of the latest notice.
+    _noticed: dict[NodeId, None] = field(factory=dict)
+    _noticed_leader: NodeId | None = None
+    _next_contact_ms: float = -math.inf
     _joining_since_ms: dict[NodeId, float] = field(factory=dict)
     _plan: FormationPlan | None = None
     _was_leading: bool = False
@@ -137,21 +150,41 @@
         self.queries = Queries(seeds, random.Random(f"{self.seed} queries"))
 
     def leadership(self, now_ms: float) -> Leadership:
-        """Return the leader, the replicas and the document as this node's replica knows them."""
-        if self.replica is None or self.store is None:
+        """Return the leader, the replicas and the document as far as this node knows them."""
+        if self.replica is None or self.store is None or is_fresh(self.replica.log.state):
             return Leadership(
-                False, self.proposals.leader, self._known_replicas, VersionedDocument()
+                False, self._known_leader(), self._known_replicas, VersionedDocument()
             )
         state = self.replica.log.state
         leads = not state.failed and self.replica.log.leads and has_lease(state, now_ms)
-        leader = state.leader.node if state.leader else None
         nodes = tuple(voter.node for voter in state.membership.voters)
-        return Leadership(leads, leader, nodes, self.store.versions.current)
+        return Leadership(leads, self._known_leader(), nodes, self.store.versions.current)
+
+    def _is_in_log(self) -> bool:
+        """Return whether this node holds a replica that has been in the log."""
+        return self.replica is not None and not is_fresh(self.replica.log.state)
+
+    def _followed_leader(self) -> NodeId | None:
+        """Return the leader that the replica of this node follows, or None."""
+        leader = None if self.replica is None else self.replica.log.state.leader
+        return None if leader is None else leader.node
+
+    def _known_leader(self) -> NodeId | None:
+        """Return the leader that the replica follows, or the one that was last heard of."""
+        heard_of = self._noticed_leader if self._is_in_log() else self.proposals.leader
+        return self._followed_leader() or heard_of
+
+    def contacts(self) -> tuple[NodeId, ...]:
+        """Return the other nodes that may know the leader: seeds and those that notices named."""
+        nodes = dict.fromkeys((*self.identity.seeds, *self._noticed))
+        return tuple(node for node in nodes if node != self.identity.node)
 
     def next_deadline_ms(self) -> float | None:
         """Return the earliest deadline of all roles."""
         roles = (self.publisher, self.proposals, self.queries, self.replica)
         times = [role.next_deadline_ms() for role in roles if role is not None]
+        if self._followed_leader() is None:
+            times.append(self._next_contact_ms)
         return min((time for time in times if time is not None), default=None)
 
     def handle(self, event: Any, now_ms: float) -> list[Any]:
@@ -164,6 +197,7 @@
                 self._advance_duties(now_ms)
         self._update_known_replicas(now_ms)
         self._report_leadership(now_ms)
+        self._ask_for_notice(now_ms)
         effects, self._effects = self._effects, []
         return effects
 
@@ -178,6 +212,9 @@
                 self._run_role(self.proposals, event, now_ms)
             case SubmitQuery():
                 self._run_role(self.queries, event, now_ms)
+            case ControlAddresses(nodes=nodes):
+                self.identity = evolve(self.identity, seeds=nodes)
+                self._update_contacts(now_ms)
             case InstancesListed():
                 self._unpublished = event
             case PlatformAnswered():
@@ -185,6 +222,7 @@
                     self._effects += self.duties.answered(event, now_ms)
             case ReplicaOpened(replica=replica, store=store):
                 self.replica, self.store = replica, store
+                self._update_contacts(now_ms)
             case ReplicaClosed():
                 self.replica = self.store = None
             case WallTime():
@@ -203,17 +241,23 @@
             case FormationPlan(nodes=nodes):
                 self._adopt_plan(nodes, now_ms)
             case JoinReplica():
-                self._plan_formation(sender, message, now_ms)
+                self._plan_formation(message, now_ms)
                 self._run_role(self.replica, event, now_ms)
-            case ControlNotice() if self.replica is None:
-                self.proposals.leader = self.queries.leader = message.leader
-                self._set_known_replicas(message.replicas, now_ms)
-            case Propose(proposal_id=name) if self.replica is None:
-                reply = ProposeReply(name, False, b"", self.proposals.leader)
+                self._direct_announcement(sender, message)
+            case ControlNotice():
+                self._apply_notice(message, now_ms)
+            case Propose(proposal_id=name) if not self._is_in_log():
+                reply = ProposeReply(name, False, b"", self._known_leader())
                 self._effects.append(Send(sender, reply))
-            case Query(query_id=name) if self.replica is None:
-                query_reply = QueryReply(name, False, b"", self.proposals.leader)
+            case Query(query_id=name) if not self._is_in_log():
+                query_reply = QueryReply(name, False, b"", self._known_leader())
                 self._effects.append(Send(sender, query_reply))
+            case Query():
+                self._run_role(self.replica, event, now_ms)
+                self._notify_client(sender)
+            case _ if self.replica is None:
+                labels = (("kind", type(message).__name__),)
+                self._effects.append(Count("control_messages_dropped", 1, labels))
             case _:
                 self._run_role(self.replica, event, now_ms)
 
@@ -223,6 +267,8 @@
         for effect in role.handle(event, now_ms):
             if isinstance(effect, Send) and effect.to == self.identity.node:
                 self._inbox.append(Receive(effect.to, effect.message))
+            elif isinstance(effect, QueryDone) and effect.query_id.startswith(CONTACT_QUERY):
+                continue
             elif isinstance(effect, ProposalDone) and effect.proposal_id.startswith(OWN_PROPOSALS):
                 if self.duties is not None:
                     self._effects += self.duties.confirm(effect)
@@ -273,15 +319,61 @@
             else:
                 self._effects.append(effect)
 
-    def set_seeds(self, nodes: tuple[NodeId, ...]) -> None:
-        """Replace the seeds after a change of the settings."""
-        self.identity = evolve(self.identity, seeds=nodes)
+    # Contacts outside the log.
+
+    def _update_contacts(self, now_ms: float) -> None:
+        """Pass the contacts to the replica, which announces itself to them, and to the clients."""
         if self.replica is not None:
-            self.replica.log.state.contacts = nodes
+            self.replica.log.state.contacts = self.contacts()
+        nodes = ReplicasKnown(tuple(dict.fromkeys((*self._known_replicas, *self.identity.seeds))))
+        self._run_role(self.proposals, nodes, now_ms)
+        self._run_role(self.queries, nodes, now_ms)
+
+    def _apply_notice(self, notice: ControlNotice, now_ms: float) -> None:
+        """Remember the nodes of a notice; a node outside the log also asks them from now on."""
+        self._noticed_leader = notice.leader
+        self._next_contact_ms = now_ms + CONTACT_INTERVAL_MS
+        for node in (*notice.replicas, notice.leader):
+            self._noticed.pop(node, None)
+            self._noticed[node] = None
+        while len(self._noticed) > MAX_CONTACTS:
+            del self._noticed[next(iter(self._noticed))]
+        if not self._is_in_log():
+            self.proposals.leader = self.queries.leader = notice.leader
+            self._set_known_replicas(notice.replicas, now_ms)
+        self._update_contacts(now_ms)
+
+    def _notify_client(self, sender: NodeId) -> None:
+        """Send a notice to a node outside the log that has sent a query."""
+        leader = self._followed_leader()
+        if leader is not None and sender not in self._known_replicas:
+            self._effects.append(Send(sender, ControlNotice(leader, self._known_replicas)))
+
+    def _ask_for_notice(self, now_ms: float) -> None:
+        """Query a lease that does not exist, since the leader answers with a notice as well."""
+        if self._followed_leader() is not None or now_ms < self._next_contact_ms:
+            return
+        self._next_contact_ms = now_ms + CONTACT_INTERVAL_MS
+        request = codec.encode(QueryLease(""))
+        query = SubmitQuery(CONTACT_QUERY + self.identity.node, request, CONTACT_INTERVAL_MS)
+        self._run_role(self.queries, query, now_ms)
+
+    def _direct_announcement(self, sender: NodeId, message: JoinReplica) -> None:
+        """Tell a replica that wants to join where the log is, and pass its announcement on.
+
+        The nodes that it knows may all be outside the log. A replica in the log passes an
+        announcement on by itself. One that was passed on already goes no further.
+        """
+        joining, leader = message.replica.node, self._noticed_leader
+        if self._is_in_log() or leader is None or leader in (self.identity.node, joining):
+            return
+        self._effects.append(Send(joining, ControlNotice(leader, self._known_replicas)))
+        if sender == joining:
+            self._effects.append(Send(leader, message))
 
     # Formation of the log and its replicas.
 
-    def _plan_formation(self, sender: NodeId, message: JoinReplica, now_ms: float) -> None:
+    def _plan_formation(self, message: JoinReplica, now_ms: float) -> None:
         """Choose the nodes that form the log if this node is the first seed of a new deployment."""
         identity = self.identity
         if (
@@ -294,7 +386,8 @@
         own = self.replica
         if own is not None and not is_fresh(own.log.state):
             return
-        self._joining_since_ms.setdefault(sender, now_ms)
+        joining = message.replica.node
+        self._joining_since_ms.setdefault(joining, now_ms)
         if own is not None:
             self._joining_since_ms.setdefault(identity.node, now_ms)
         if self._plan is None:
@@ -311,7 +404,7 @@
             self._effects.append(
                 Emit("log_planned", detail=(("nodes", " ".join(self._plan.nodes)),))
             )
-        self._effects.append(Send(sender, self._plan))
+        self._effects.append(Send(joining, self._plan))
         self._adopt_plan(self._plan.nodes, now_ms)
 
     def _adopt_plan(self, nodes: tuple[NodeId, ...], now_ms: float) -> None:
@@ -333,8 +426,7 @@
     def _set_known_replicas(self, nodes: tuple[NodeId, ...], now_ms: float) -> None:
         if nodes and nodes != self._known_replicas:
             self._known_replicas = nodes
-            self._run_role(self.proposals, ReplicasKnown(nodes), now_ms)
-            self._run_role(self.queries, ReplicasKnown(nodes), now_ms)
+            self._update_contacts(now_ms)
 
     def _report_leadership(self, now_ms: float) -> None:
         leads = self.leadership(now_ms).leads
@@ -344,8 +436,18 @@
         if leads and now_ms >= self._last_notice_ms + NOTICE_INTERVAL_MS:
             self._last_notice_ms = now_ms
             notice = ControlNotice(self.identity.node, self._known_replicas)
-            others = (node for node in self.identity.seeds if node not in self._known_replicas)
-            self._effects.extend(Send(node, notice) for node in others)
+            self._effects.extend(Send(node, notice) for node in self._nodes_to_notify(now_ms))
+
+    def _nodes_to_notify(self, now_ms: float) -> list[NodeId]:
+        """Return the seeds and the replicas that the log does not reach.
+
+        A replica that does not answer may have lost its disk, and its seeds may all be gone.
+        """
+        assert self.replica is not None
+        state = self.replica.log.state
+        reached = {item.node for item in state.peers if is_responsive(state, item, now_ms)}
+        nodes = dict.fromkeys((*self.identity.seeds, *self._known_replicas))
+        return [node for node in nodes if node not in reached and node != self.identity.node]
 
 
 def read_document(query_id: str, timeout_ms: float) -> SubmitQuery:
--- a/packages/core/src/goldcrestridge_core/log_members.py
+++ b/packages/core/src/goldcrestridge_core/log_members.py
@@ -73,7 +73,7 @@
         first = state.entries.at(1)
         membership = membership_of(first)
         if membership is not None and message.replica in membership.voters:
-            state.effects.append(Send(sender, JoinReply(first)))
+            state.effects.append(Send(message.replica.node, JoinReply(first)))
             return
     if state.position is not Position.LEADER:
         # An announcement that was passed on already stays here.
@@ -118,7 +118,7 @@
     node, or if a voter is missing or lost. A lost learner of the same node is removed first.
     """
     former = [member for member in _all_replicas(state.membership) if member.node == replica.node]
-    if any(_is_responsive(state, member, now_ms) for member in former):
+    if any(is_responsive(state, member, now_ms) for member in former):
         return
     membership = state.membership
     if not former:
@@ -132,7 +132,7 @@
         change_membership(state, ReplicaOperation.ADD, replica, now_ms)
 
 
-def _is_responsive(state: LogState, replica: Replica, now_ms: float) -> bool:
+def is_responsive(state: LogState, replica: Replica, now_ms: float) -> bool:
     """Return whether a replica acknowledged an append sent within two election timeouts."""
     if replica == state.own:
         return True
@@ -219,7 +219,7 @@
         return
     for learner in membership.learners:
         peer = state.peers[learner]
-        if peer.match < state.commit or not _is_responsive(state, learner, now_ms):
+        if peer.match < state.commit or not is_responsive(state, learner, now_ms):
             continue
         former = [voter for voter in membership.voters if voter.node == learner.node]
         if former:
--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -26,7 +26,11 @@
 from goldcrestridge_core.duties import MIN_LEASE_MS
 from goldcrestridge_core.duty_roles import CallPlatform, DutyOptions, PlatformAnswered
 from goldcrestridge_core.exceptions import StorageError
-from goldcrestridge_core.follow_types import InstancesListed, UpstreamInstance
+from goldcrestridge_core.follow_types import (
+    ControlAddresses,
+    InstancesListed,
+    UpstreamInstance,
+)
 from goldcrestridge_core.log import open_log
 from goldcrestridge_core.log_state import LogOptions
 from goldcrestridge_core.log_types import STORAGE_EFFECTS, LogFailed, WallTime
@@ -215,7 +219,7 @@
         self._log.info("settings_reloaded", usable=settings is not None)
         if settings is not None:
             self.settings = evolve(self.settings, seeds=settings.seeds)
-            self.node.set_seeds(settings.seeds)
+            self.driver.post(ControlAddresses(settings.seeds))
 
     # Background tasks.
 
--- a/tests/core/control_net.py
+++ b/tests/core/control_net.py
@@ -21,7 +21,7 @@
 )
 from goldcrestridge_core.engine_slots import EngineAdmission
 from goldcrestridge_core.entry import EntryNode
-from goldcrestridge_core.follow_types import EntryStatus, UsageReplied
+from goldcrestridge_core.follow_types import ControlAddresses, EntryStatus, UsageReplied
 from goldcrestridge_core.follower import Follower
 from goldcrestridge_core.log import open_log
 from goldcrestridge_core.log_records import recover
@@ -159,6 +159,12 @@
         self.post(node, ReplicaOpened(ControlReplica(log, store), store))
         del role
 
+    def exchange_seeds(self, seeds: tuple[NodeId, ...], but: Iterable[NodeId] = ()) -> None:
+        """Name other seeds to all nodes that run and are not in ``but``, and to later ones."""
+        self.seeds = seeds
+        for node in self.nodes.keys() - self.stopped - set(but):
+            self.post(node, ControlAddresses(seeds))
+
     def kill(self, node: NodeId, wipe: bool = False) -> None:
         """Crash a node; ``wipe`` also erases its disk."""
         self.stopped.add(node)
@@ -201,6 +207,14 @@
         result = self.answers[name]
         return None if result is None else codec.decode(result).unwrap()
 
+    def document_at(self, node: NodeId) -> VersionedDocument:
+        """Read the newest document at a node; fail if no quorum confirms it."""
+        name = self.read(node)
+        self.run(2_000.0)
+        document = self.document(name)
+        assert document is not None
+        return document
+
     def post(self, node: NodeId, event: Any) -> None:
         """Deliver an event to a node now, unless it is stopped."""
         if node not in self.stopped:
