Read the list of upstreams entry by entry, whatever one entry holds

Cause: msgspec checks the text of a page before it hands out the entries, so one entry that it refuses failed the page, and read_list then dropped the list, again at each poll.

Change: a page that msgspec refuses is split by its quotes and brackets alone, and each entry is decoded by itself. After an entry whose end cannot be found, reading goes on at the next object; the list then counts as incomplete, and upstreams that it does not hold stay as they were last listed.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -10,6 +10,8 @@
 import anyio
 import pytest
 from attrs import define, field
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 from tests.core.control_net import Net
 from tests.core.test_control import SEEDS, commit, formed_net
 
@@ -63,6 +65,16 @@
     "name:80",
     "10.0.0.9:" + "9" * 5_000,
 ]
+ODD_TEXTS = [
+    b'{"id":"\x01"}',
+    b'{"id":"\\ud800","service":"s","address":"10.0.0.9:80","state":"ready"}',
+    b"\xff\xfe",
+    b"[" * 100_000 + b"]" * 100_000,
+    b'{"deep":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    b'{"a":' * 5_000 + b"1" + b"}" * 5_000,
+    b"1e400",
+    b"9" * 10_000,
+]
 
 
 def text_of(entry: Any) -> bytes:
@@ -137,13 +149,41 @@
         check_instances(read_page(page_with(odd)).unwrap().instances)
 
 
+@pytest.mark.parametrize("text", ODD_TEXTS, ids=lambda text: str(text[:12]))
+@pytest.mark.parametrize("place", [0, 2, 4])
+def test_an_entry_that_cannot_be_read_hides_no_other(text: bytes, place: int) -> None:
+    # Guards against a leaving upstream that is used on, because one entry fails its whole page.
+    instances = read_page(page_with(text, place)).unwrap().instances
+    assert [item.instance for item in instances] == ["i-1", "i-2", "i-3", "i-4"]
+    check_instances(instances)
+
+
+@settings(max_examples=150)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 400), st.integers(0, 6), st.binary(max_size=6)),
+        min_size=1,
+        max_size=4,
+    )
+)
+@example([(1, 1, b"")])
+def test_any_bytes_in_one_entry_end_no_process(edits: list[tuple[int, int, bytes]]) -> None:
+    # Guards against faults of the same kind as the cases above.
+    text = bytearray(text_of({**SOUND[0], "id": "i-9", "address": "10.0.0.9:80"}))
+    for start, removed, added in edits:
+        at = start % (len(text) + 1)
+        text[at : at + removed] = added
+    page = read_page(page_with(bytes(text), len(SOUND))).unwrap()
+    check_instances(page.instances)
+
+
 def test_odd_entries_on_any_page_leave_the_other_pages_as_they_are() -> None:
     # Guards against an odd entry or page token that hides the pages after the first.
     token = "p/2 é\r\n&x=1"
     pages = {
-        "/instances": page_of([text_of(SOUND[0]), b"null", text_of(SOUND[1])], token),
+        "/instances": page_of([text_of(SOUND[0]), b"\xff", text_of(SOUND[1])], token),
         "/instances?page_token=p%2F2%20%C3%A9%0D%0A%26x%3D1": page_of(
-            [*map(text_of, SOUND[2:]), b'{"id":7}']
+            [*map(text_of, SOUND[2:]), b'{"id":"\x01"}']
         ),
     }
     assert read(Recorder().reader(pages.get)) == ["i-1", "i-2", "i-3", "i-4"]
@@ -164,6 +204,31 @@
     assert [event for event, _ in recorder.lines] == ["platform_list_unreadable"]
 
 
+def test_what_a_damaged_page_does_not_hold_stays_as_it_was() -> None:
+    # Guards against upstreams that count as gone because the end of an entry was not found.
+    sound = list(map(text_of, SOUND))
+    leaving = text_of({**SOUND[2], "state": "draining"})
+    pages = [
+        page_of(sound),
+        page_of([sound[0], b'{"id":"i-9', leaving]),
+        page_of([sound[0], leaving]),
+    ]
+    recorder = Recorder()
+    reader = recorder.reader(lambda _path: pages.pop(0))
+    assert read(reader) == ["i-1", "i-2", "i-3", "i-4"]
+    damaged = anyio.run(reader.read)
+    assert damaged is not None
+    assert [(item.instance, item.leaving) for item in damaged] == [
+        ("i-1", False),
+        ("i-2", False),
+        ("i-3", True),
+        ("i-4", False),
+    ]
+    assert read(reader) == ["i-1", "i-3"]
+    events = [event for event, _ in recorder.lines]
+    assert events == ["platform_list_unreadable", "platform_list_readable"]
+
+
 def test_a_second_entry_of_an_id_replaces_it_only_if_its_run_began_later() -> None:
     # Guards against an entry of another writer that takes the place of a sound one.
     other = {key: value for key, value in SOUND[0].items() if key != "born"}
