Read documents of the log that this release would not accept

Control processes ended (DecodeError) each time their replica was opened again after a failed write: the store is empty until the log is applied, its version differs from the one that was known, and the services of streams were read from the empty document. Likewise an entry or control node ended on a version that a node of another release had accepted and this one cannot read, and a version, priority or limit over 64 bits was accepted and then raised OverflowError in the messages between nodes.

--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -12,6 +12,7 @@
 import anyio
 from anyio.abc import TaskStatus
 from attrs import define, evolve, field, frozen
+from returns.result import Failure, Result
 
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_core.engine_slots import EngineAdmission
@@ -84,7 +85,7 @@
     """
 
     dialect: Dialect
-    read_routes: Callable[[bytes], RouteTable]
+    read_routes: Callable[[bytes], Result[RouteTable, str]]
     management_app: Callable[[GatewayProcess], Any]
     reload: Callable[[], GatewaySettings | None]
     settings_path: Path | None = None
@@ -310,8 +311,13 @@
                 self._retry_part.set_entries(len(entries), listed, self.clock.now_ms())
 
     def _set_routes(self, received: RoutesReceived) -> None:
-        table = self.hooks.read_routes(received.document)
-        self.routes.table = table
+        read = self.hooks.read_routes(received.document)
+        if isinstance(read, Failure):
+            # Control nodes of another release accepted it. The former version stays in force.
+            self.metrics.record(Count("routes_invalid_here"))
+            self._log.info("routes_invalid_here", version=received.version, reason=read.failure())
+            return
+        table = self.routes.table = read.unwrap()
         limits = table.limits
         self.gateway.options = evolve(self.gateway.options, max_body_bytes=limits.max_body_bytes)
         self._server_options.head_timeout_ms = limits.head_timeout_ms
--- a/tests/core/control_net.py
+++ b/tests/core/control_net.py
@@ -183,6 +183,10 @@
         """Close a node's replica, as after a failed write."""
         self.post(node, ReplicaClosed())
 
+    def open_again(self, node: NodeId) -> None:
+        """Open the replica of a running node with the contents of its disk."""
+        self._open_replica(node, self.nodes[node])
+
     def partition(self, group: Iterable[NodeId]) -> None:
         """Separate the group from all other nodes; an empty group heals the partition."""
         inside = set(group)
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -8,9 +8,13 @@
 
 import pytest
 from returns.result import Failure, Success
+from tests.core.test_control import SEEDS, formed_net
 
+from goldcrestridge_core import codec
+from goldcrestridge_core.follow_types import InstancesListed, UpstreamInstance
 from goldcrestridge_core.routes import RouteKind
-from goldcrestridge_platform.manifest import read_manifest
+from goldcrestridge_core.versions import ReplaceDocument
+from goldcrestridge_platform.manifest import read_manifest, scale_bounds, stream_services
 
 MANIFEST: dict[str, Any] = {
     "version": 7,
@@ -138,3 +142,62 @@
         read = limits[services[0]["name"]].engine
         assert read is not None
         assert read.transfer_ms_per_token == pytest.approx(expected_ms, abs=1e-5)
+
+
+def numbers_in(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Return the paths of all integers in a document."""
+    if isinstance(value, dict | list):
+        items = value.items() if isinstance(value, dict) else enumerate(value)
+        return [found for key, item in items for found in numbers_in(item, (*path, key))]
+    return [path] if isinstance(value, int) and not isinstance(value, bool) else []
+
+
+@pytest.mark.parametrize("path", numbers_in(MANIFEST), ids=str)
+@pytest.mark.parametrize("number", [10**20, -(10**20), 2**63, 2**64])
+def test_a_number_of_any_size_is_refused_or_can_be_used(path: tuple[Any, ...], number: int) -> None:
+    # Guards against a version that ends the control nodes that store it, or the entry nodes that
+    # use it, since messages between nodes hold 64 bits.
+    document = copy.deepcopy(MANIFEST)
+    place: Any = document
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = number
+    read = read_manifest(json.dumps(document).encode())
+    assert isinstance(read, Failure) or path[-1] in (
+        "timeout_ms",
+        "target_latency_ms",
+        "max_gap_ms",
+        "weight",
+        "header_timeout_ms",
+        "idle_timeout_ms",
+    )
+    codec.encode(ReplaceDocument(read.map(lambda table: table.version).value_or(0), b""))
+
+
+@pytest.mark.parametrize("document", [b"", b"rubbish", encode_manifest(version=10**30)])
+def test_a_document_of_another_release_has_no_streams_and_nothing_to_scale(document: bytes) -> None:
+    # Guards against control nodes that end with the store still empty, or with a document that a
+    # node of another release accepted.
+    assert stream_services(document) == frozenset()
+    assert scale_bounds(document) == ()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_control_node_goes_on_when_its_replica_is_opened_again(seed: int) -> None:
+    # Guards against a process that ends each time its replica is opened after a failed write: the
+    # store is empty then, though the node has known a version.
+    net = formed_net(seed)
+    for node in SEEDS:
+        net.nodes[node].version_log.stream_services = stream_services
+    name = net.replace(SEEDS[0], 7, encode_manifest())
+    net.run(3_000.0)
+    assert net.answers[name].version == 7
+    leader = net.leaders()[0]
+    net.post(leader, InstancesListed((UpstreamInstance("i", "s1", "10.0.0.1:80", "z", 4, False),)))
+    net.run(500.0)
+    for node in (leader, *SEEDS):
+        net.fail_disk(node)
+        net.run(100.0)
+        net.open_again(node)
+        net.run(3_000.0)
+    assert net.document_at(SEEDS[seed % 3]).version == 7
