Bound what engines, other platforms and settings say

An entry node of the product's own interface ended, or sent numbers that no message can hold, when one engine reported deep nesting, invalid UTF-8 or integers over 64 bits; one entry failed its whole list of VMs; a settings file that was read again could name an address to which no message can be sent, which ended the process at its next message. Each reader had a list of errors of its own.

Change: all readers use the errors and bounds of `decoding`, the list of VMs is read entry by entry, addresses in settings are checked, and a peer without a valid address is counted. The numbers of a stream's usage and of Keep-Alive are bounded as well (no test failed first for these two).

--- a/packages/cli/src/goldcrestridge_cli/client.py
+++ b/packages/cli/src/goldcrestridge_cli/client.py
@@ -7,8 +7,10 @@
 import httpcore
 import msgspec
 from attrs import frozen
+from returns.result import Failure
 
 from goldcrestridge_cli.exceptions import EXIT_REFUSED, EXIT_UNREACHABLE, CommandError
+from goldcrestridge_core.decoding import decode_json
 
 TIMEOUT_S = 10.0
 
@@ -55,13 +57,13 @@
 
 
 def _parse(response: httpcore.Response, url: str) -> dict[str, Any]:
-    try:
-        value = msgspec.json.decode(response.content, type=dict[str, Any])
-    except msgspec.DecodeError as exc:
+    decoded = decode_json(response.content, dict[str, Any])
+    if isinstance(decoded, Failure):
         message = (
             f"The response of {url} is not JSON; check that it is the operator address of a node."
         )
-        raise CommandError(message, EXIT_UNREACHABLE) from exc
+        raise CommandError(message, EXIT_UNREACHABLE)
+    value = decoded.unwrap()
     if response.status in (401, 403):
         message = f"{value.get('error', 'Refused.')} Give an operator's key with --key-file."
         raise CommandError(message, EXIT_REFUSED)
--- a/packages/cli/src/goldcrestridge_cli/request_report.py
+++ b/packages/cli/src/goldcrestridge_cli/request_report.py
@@ -11,6 +11,8 @@
 import msgspec
 from attrs import define, field
 
+from goldcrestridge_core.decoding import decode_json
+
 # An event of a log line that does not begin with the JSON object, such as one with a prefix of the
 # log collector.
 _OBJECT = re.compile(r"\{.*\}\s*$")
@@ -118,10 +120,7 @@
     unreadable = 0
     for text in lines:
         found = _OBJECT.search(text)
-        try:
-            line = msgspec.json.decode(found.group(0), type=RequestLine) if found else None
-        except msgspec.DecodeError:
-            line = None
+        line = decode_json(found.group(0).encode(), RequestLine).value_or(None) if found else None
         if line is None:
             unreadable += 1
         elif line.event == "request":
--- a/packages/core/src/goldcrestridge_core/codec.py
+++ b/packages/core/src/goldcrestridge_core/codec.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from goldcrestridge_core.decoding import MALFORMED
 from goldcrestridge_core.exceptions import CodecError
 
 FORMAT_VERSION = 1
@@ -47,7 +48,7 @@
     """Decode a message; return a CodecError for malformed data or another format version."""
     try:
         version, kind, body = _ENVELOPE_DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except MALFORMED as exc:
         return Failure(CodecError(f"The data is not a message envelope: {exc}."))
     if version != FORMAT_VERSION:
         return Failure(
@@ -58,7 +59,7 @@
         return Failure(CodecError(f"The message kind {kind!r} is unknown."))
     try:
         return Success(decoder.decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except MALFORMED as exc:
         return Failure(CodecError(f"The body of {kind} is malformed: {exc}."))
 
 
--- a/packages/core/src/goldcrestridge_core/differences.py
+++ b/packages/core/src/goldcrestridge_core/differences.py
@@ -14,6 +14,7 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
+from goldcrestridge_core.decoding import MALFORMED
 from goldcrestridge_core.exceptions import PatchError
 
 Tables = dict[str, Any]
@@ -38,7 +39,6 @@
 _ENCODER = msgspec.msgpack.Encoder(order="deterministic")
 _DOCUMENT: msgspec.msgpack.Decoder[Tables] = msgspec.msgpack.Decoder(Tables)
 _PATCH: msgspec.msgpack.Decoder[TablePatch] = msgspec.msgpack.Decoder(TablePatch)
-_MALFORMED = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 def encode_tables(document: Tables) -> bytes:
@@ -50,7 +50,7 @@
     """Decode a document; fail with PatchError if ``data`` is malformed."""
     try:
         return Success(_DOCUMENT.decode(data))
-    except _MALFORMED as exc:
+    except MALFORMED as exc:
         return Failure(PatchError(f"The document cannot be decoded: {exc}."))
 
 
@@ -121,7 +121,7 @@
     """Decode a difference; fail with PatchError if ``data`` is malformed."""
     try:
         return Success(_PATCH.decode(data))
-    except _MALFORMED as exc:
+    except MALFORMED as exc:
         return Failure(PatchError(f"The difference cannot be decoded: {exc}."))
 
 
--- a/packages/core/src/goldcrestridge_core/documents.py
+++ b/packages/core/src/goldcrestridge_core/documents.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
+from goldcrestridge_core.decoding import MALFORMED
 from goldcrestridge_core.exceptions import ConfigError
 
 BASE_FILE = "base.toml"
@@ -43,7 +44,7 @@
     for name in sorted(texts):
         try:
             tables[name] = tomllib.loads(texts[name])
-        except tomllib.TOMLDecodeError as exc:
+        except (tomllib.TOMLDecodeError, RecursionError) as exc:
             errors.append(ConfigError(name, "", f"The file is not valid TOML: {exc}."))
     base_name = next((name for name in sorted(texts) if _is_base(name)), None)
     if base_name is None:
@@ -83,6 +84,6 @@
         value = msgspec.msgpack.decode(data, type=dict[str, dict[str, Any]])
         sites = msgspec.convert(value["sites"], dict[str, dict[str, Any]])
         return Success(Document(value["base"], sites, {}))
-    except (msgspec.DecodeError, msgspec.ValidationError, KeyError, UnicodeDecodeError) as exc:
+    except (*MALFORMED, KeyError) as exc:
         reason = f"The configuration document is malformed: {exc}."
         return Failure((ConfigError("", "", reason),))
--- a/packages/node/src/goldcrestridge_node/admin.py
+++ b/packages/node/src/goldcrestridge_node/admin.py
@@ -11,6 +11,7 @@
 import msgspec
 from attrs import frozen
 
+from goldcrestridge_core.decoding import MALFORMED
 from goldcrestridge_core.documents import Document, decode_document, encode_document
 from goldcrestridge_core.store_types import ApplyConfig, ApplyResult
 from goldcrestridge_core.types import TimelineEvent
@@ -164,7 +165,7 @@
             body = msgspec.json.decode(await _read_body(receive), type=ApplyRequest)
             sites = msgspec.convert(body.document["sites"], dict[str, dict[str, Any]])
             document = Document(body.document["base"], sites, {})
-        except (msgspec.DecodeError, msgspec.ValidationError, KeyError, ValueError) as exc:
+        except (*MALFORMED, KeyError, ValueError) as exc:
             return _Response(400, {"error": f"The request body is malformed: {exc}."})
         checked = validate(document)
         if errors := checked.swap().value_or(()):
@@ -189,7 +190,7 @@
     async def _drain(self, receive: Receive) -> _Response:
         try:
             body = msgspec.json.decode(await _read_body(receive) or b"{}", type=DrainRequest)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except (*MALFORMED, ValueError) as exc:
             return _Response(400, {"error": f"The request body is malformed: {exc}."})
         return _Response(202, self._hooks.drain(body.deadline_ms))
 
--- a/packages/node/src/goldcrestridge_node/calls.py
+++ b/packages/node/src/goldcrestridge_node/calls.py
@@ -13,6 +13,7 @@
 from goldcrestridge_core.call_types import Call, CallKind
 from goldcrestridge_core.classes import is_repeatable
 from goldcrestridge_core.config import Configuration, Workspace
+from goldcrestridge_core.decoding import MALFORMED
 from goldcrestridge_core.types import Headers
 from goldcrestridge_node import prompts
 from goldcrestridge_node.headers import header_values, request_headers
@@ -91,7 +92,7 @@
         decode = prompts.decode_chat if path == CHAT_PATH else prompts.decode_text
         try:
             prompt = decode(body)
-        except prompts.DECODE_ERRORS as exc:
+        except MALFORMED as exc:
             return Refusal(400, "invalid_body", f"The body cannot be used: {exc}.")
         if prompt.model not in self.models(workspace):
             return Refusal(
--- a/packages/node/src/goldcrestridge_node/platform.py
+++ b/packages/node/src/goldcrestridge_node/platform.py
@@ -8,9 +8,12 @@
 import httpcore
 import msgspec
 from attrs import frozen
+from returns.result import Failure, Result, Success
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.decoding import decode_json
+from goldcrestridge_core.json_items import split_items
 from goldcrestridge_core.member_types import Member, PlatformList, PlatformVm
 from goldcrestridge_core.types import Count, UpstreamLeaving
 from goldcrestridge_node.polling import get
@@ -27,13 +30,27 @@
     state: str
 
 
-class Listing(msgspec.Struct):
+@frozen
+class Listing:
     """Response of the platform; ``lag_ms`` is the maximum age of the list."""
 
-    vms: list[ListedVm]
+    vms: tuple[ListedVm, ...]
     lag_ms: float = 0.0
 
 
+def read_listing(body: bytes) -> Result[Listing, str]:
+    """Decode a response entry by entry; skip those that are not valid."""
+    split = split_items(body, "vms")
+    if isinstance(split, Failure):
+        return Failure(split.failure())
+    listing = split.unwrap()
+    lag_ms = decode_json(listing.members.get("lag_ms", b"0"), float)
+    if isinstance(lag_ms, Failure):
+        return Failure(lag_ms.failure())
+    vms = (decode_json(item, ListedVm).value_or(None) for item in listing.items)
+    return Success(Listing(tuple(vm for vm in vms if vm is not None), lag_ms.unwrap()))
+
+
 @frozen
 class PlatformPoller:
     """Poll the list at ``url``.
@@ -54,15 +71,17 @@
             while True:
                 try:
                     response = await get(pool, self.url, POLL_TIMEOUT_MS)
-                    self._deliver(msgspec.json.decode(response.content, type=Listing))
+                    listing = read_listing(response.content)
                 except (
                     httpcore.NetworkError,
                     httpcore.TimeoutException,
                     httpcore.ProtocolError,
-                    msgspec.DecodeError,
-                    msgspec.ValidationError,
-                ):
+                ) as exc:
+                    listing = Failure(type(exc).__name__)
+                if isinstance(listing, Failure):
                     self.count(Count("platform_lists_failed"))
+                else:
+                    self._deliver(listing.unwrap())
                 await anyio.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
 
     def _deliver(self, listing: Listing) -> None:
--- a/packages/node/src/goldcrestridge_node/prompts.py
+++ b/packages/node/src/goldcrestridge_node/prompts.py
@@ -58,7 +58,6 @@
 _CHAT = msgspec.json.Decoder(_ChatBody)
 _TEXT = msgspec.json.Decoder(_TextBody)
 _FIELDS = msgspec.json.Decoder(dict[str, Raw])
-DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 @frozen
@@ -81,7 +80,7 @@
 
 
 def decode_chat(body: bytes) -> Prompt:
-    """Decode a chat request; raise one of DECODE_ERRORS, whose message is sent to the caller."""
+    """Decode a chat request; raise one of MALFORMED, whose message is sent to the caller."""
     req = _CHAT.decode(body)
     if not req.messages:
         raise msgspec.ValidationError("Expected at least one message - at `$.messages`")
--- a/packages/node/src/goldcrestridge_node/reports.py
+++ b/packages/node/src/goldcrestridge_node/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Annotated
 
 import anyio
 import httpcore
@@ -11,6 +12,7 @@
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.decoding import MALFORMED, Name, Natural
 from goldcrestridge_core.types import (
     LOAD_REPORT,
     CacheEvents,
@@ -27,19 +29,19 @@
 
 
 class _Load(msgspec.Struct):
-    running: int
-    waiting: int
-    slots: int
+    running: Natural
+    waiting: Natural
+    slots: Natural
     age_ms: float = 0.0
     leaving: bool = False
     limit_per_second: float | None = None
-    version: str = ""
+    version: Name = ""
 
 
 class _CacheEvent(msgspec.Struct):
-    sequence: int
+    sequence: Natural
     kind: str
-    block: int
+    block: Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 
 
 class _CachePage(msgspec.Struct):
@@ -87,8 +89,7 @@
                         httpcore.NetworkError,
                         httpcore.TimeoutException,
                         httpcore.ProtocolError,
-                        msgspec.DecodeError,
-                        msgspec.ValidationError,
+                        *MALFORMED,
                     ):
                         self.count(Count("upstream_reports_failed", 1, (("upstream", name),)))
                 await anyio.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
--- a/packages/node/src/goldcrestridge_node/settings.py
+++ b/packages/node/src/goldcrestridge_node/settings.py
@@ -131,7 +131,7 @@
         table = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as exc:
         return Failure((ConfigError(str(path), "", f"The file can't be read: {exc.strerror}."),))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as exc:
         return Failure((ConfigError(str(path), "", f"The file is not valid TOML: {exc}."),))
     return parse_settings(table, str(path))
 
--- a/packages/node/src/goldcrestridge_node/sse.py
+++ b/packages/node/src/goldcrestridge_node/sse.py
@@ -6,6 +6,8 @@
 from attrs import define, field, frozen
 from msgspec import UNSET, Raw, UnsetType
 
+from goldcrestridge_core.decoding import MALFORMED, MAX_INTEGER
+
 END_DATA = b"[DONE]"
 _DATA = b"data:"
 
@@ -87,7 +89,7 @@
             raise StreamError("The upstream sent an event that is too large.")
         try:
             chunk = _CHUNK.decode(content)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        except MALFORMED:
             raise StreamError(
                 "The upstream sent an event that is not a completion chunk."
             ) from None
@@ -100,7 +102,7 @@
         if chunk.usage is None:
             tokens = 1 if text else 0
         else:
-            tokens = max(0, chunk.usage.completion_tokens - self._tokens)
+            tokens = max(0, min(chunk.usage.completion_tokens, MAX_INTEGER) - self._tokens)
         self._tokens += tokens
         return tokens
 
--- a/packages/node/src/goldcrestridge_node/transport.py
+++ b/packages/node/src/goldcrestridge_node/transport.py
@@ -265,7 +265,13 @@
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         if self._curve is not None:
             socket.curve_serverkey = self._curve.peers[peer]
-        socket.connect(f"tcp://{link.address}")
+        try:
+            socket.connect(f"tcp://{link.address}")
+        except zmq.ZMQError:
+            # Another node named a peer whose address is none.
+            socket.close()
+            self._count(Count("peer_messages_rejected", 1, (("reason", "address"),)))
+            return
         link.socket = socket
         link.flush()
 
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -22,6 +22,7 @@
 )
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_core.config import Upstream
+from goldcrestridge_core.decoding import MALFORMED, MAX_INTEGER
 from goldcrestridge_core.types import Headers, RequestId, UpstreamId
 from goldcrestridge_node.connections import ConnectFailedError, ConnectionPool, UpstreamConnection
 from goldcrestridge_node.continuation import (
@@ -428,6 +429,6 @@
 def _completion_tokens(data: bytes) -> int:
     try:
         response = msgspec.json.decode(data, type=_Answer)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except MALFORMED:
         return 0
-    return response.usage.completion_tokens if response.usage else 0
+    return min(response.usage.completion_tokens, MAX_INTEGER) if response.usage else 0
--- a/tests/node/test_platform.py
+++ b/tests/node/test_platform.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
+import pytest
+from returns.result import Failure
 
 from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.member_types import Member, MemberState, PlatformList, PlatformVm
 from goldcrestridge_core.types import NodeId, UpstreamId, UpstreamLeaving
-from goldcrestridge_node.platform import Listing, PlatformPoller
+from goldcrestridge_node.platform import PlatformPoller, read_listing
 
 
 def member(name: str, address: str) -> Member:
@@ -32,7 +34,7 @@
         events.append,
         ignore,
     )
-    platform._deliver(msgspec.convert(listing, Listing))
+    platform._deliver(read_listing(json.dumps(listing).encode()).unwrap())
     return events
 
 
@@ -55,3 +57,30 @@
 def test_an_empty_list_marks_no_node_or_upstream_as_leaving() -> None:
     # Guards against a platform fault that empties the deployment.
     assert delivered_events({"vms": []}) == [PlatformList((), 0.0)]
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b'{"address":7,"state":"leaving"}',
+        b"null",
+        b'{"a":"\x01"}',
+        b"\xff",
+        b"[" * 9_000 + b"]" * 9_000,
+    ],
+    ids=lambda odd: str(odd[:8]),
+)
+def test_an_odd_entry_hides_no_other(odd: bytes) -> None:
+    # Guards against a leaving VM that is not noticed because of an entry of another writer.
+    sound = b'{"address":"10.0.0.9","state":"leaving"}'
+    listing = read_listing(b'{"vms":[%s,%s],"lag_ms":7}' % (odd, sound)).unwrap()
+    assert [(vm.address, vm.state) for vm in listing.vms] == [("10.0.0.9", "leaving")]
+    assert listing.lag_ms == 7.0
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b'{"vms":[],"lag_ms":"x"}', b'{"vms":[],"lag_ms":1e999}']
+)
+def test_a_list_that_cannot_be_read_is_a_failure(body: bytes) -> None:
+    # Guards against treating an unreadable list as an empty one.
+    assert isinstance(read_listing(body), Failure)
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -88,3 +88,30 @@
     assert (control.holder, control.duty_lease_ms) == ("edge-1", 3_000.0)
     assert (control.usage_window_ms, control.orders_upstreams) == (5_000.0, True)
     assert gateway_settings(file, None).usage_window_ms == 5_000.0
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"seeds": ["10.1.0.19:8229", ""]},
+        {"seeds": ["10.1.0.19:99999"]},
+        {"seeds": ["name:8229"]},
+        {"seeds": ["10.1.0.19:0"]},
+        {"port_range": [7340, 70_000]},
+        {"port_range": [10**30, 1]},
+        {"ip": "10.1.0"},
+    ],
+    ids=str,
+)
+def test_addresses_that_no_message_can_be_sent_to_are_refused(
+    tmp_path: Path, changes: dict[str, Any]
+) -> None:
+    # Guards against a process that ends at its next message after such a file was read again.
+    assert isinstance(load_settings(write(tmp_path, **changes)), Failure)
+
+
+def test_a_file_with_deep_nesting_is_refused(tmp_path: Path) -> None:
+    # Guards against a process that ends while it reads its settings again.
+    file = tmp_path / "settings.json"
+    file.write_text('{"new_field":' + "[" * 100_000)
+    assert isinstance(load_settings(file), Failure)
