--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -53,7 +53,7 @@
 from goldcrestridge_node.role_settings import ControlSettings
 from goldcrestridge_node.runtime import Driver, Outputs
 from goldcrestridge_node.server import listen_at, serve
-from goldcrestridge_node.tasks import handle_signals, log_event, watch_file
+from goldcrestridge_node.tasks import call_or_log, handle_signals, log_event, watch_file
 from goldcrestridge_node.transport import Transport, addressed_transport
 
 # The outcome of a change that is not committed within this time is unknown; the operator sends
@@ -172,8 +172,10 @@
                 self._calls.start_soon(self._call_platform, effect)
 
     async def _call_platform(self, call: CallPlatform) -> None:
-        status = await self.hooks.call_platform(call)
-        self.driver.post(PlatformAnswered(call.ticket, status))
+        status = await call_or_log(
+            lambda: self.hooks.call_platform(call), "call_platform", self._log, self.metrics.record
+        )
+        self.driver.post(PlatformAnswered(call.ticket, status or 0))
 
     # Requests of operators.
 
@@ -309,7 +311,9 @@
         while True:
             wait_ms = LEADER_CHECK_MS
             if self.node.publisher.leads(self.clock.now_ms()):
-                instances = await self.hooks.list_upstreams()
+                instances = await call_or_log(
+                    self.hooks.list_upstreams, "list_upstreams", self._log, self.metrics.record
+                )
                 if instances is not None:
                     self.driver.post(InstancesListed(instances))
                 wait_ms = LIST_RETRY_MS if instances is None else LIST_INTERVAL_MS
--- a/packages/node/src/goldcrestridge_node/tasks.py
+++ b/packages/node/src/goldcrestridge_node/tasks.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import anyio
 
 from goldcrestridge_core.clock import MS_PER_SECOND
-from goldcrestridge_core.types import Emit
+from goldcrestridge_core.types import Count, Emit
+
+T = TypeVar("T")
 
 # Interval at which the settings file is checked for a change without a signal.
 SETTINGS_POLL_MS = 2_000.0
@@ -28,6 +30,22 @@
     log.info(event.kind, **detail, **{key: value for key, value in names.items() if value})
 
 
+async def call_or_log(
+    call: Callable[[], Awaitable[T]], name: str, log: Any, count: Callable[[Count], None]
+) -> T | None:
+    """Return the result of a call, or None if it raises an exception that nothing expected.
+
+    It keeps a fault in the reading of foreign input from ending the process. Each exception is
+    counted and logged with its traceback.
+    """
+    try:
+        return await call()
+    except Exception as exc:
+        count(Count("calls_failed_unexpectedly", 1, (("call", name),)))
+        log.error("call_failed_unexpectedly", call=name, reason=repr(exc), exc_info=True)
+        return None
+
+
 async def handle_signals(stop: Callable[[], None], reload: Callable[[], None]) -> None:
     """Call ``stop`` on SIGTERM or SIGINT and ``reload`` on SIGHUP."""
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
