Let streams go on only at runs that are proven to be the listed ones

An upstream that restarts under its id with another version, or a node that was suspended or cut off during a release, makes the list that an entry node holds older than the process that answers. Both the origin of a stream and the place where it goes on took their version from that list; only a connection refused within 3 s was a reason for doubt, and a node that was away had seen none.

Lost connections and times out of step put a run in doubt until a later proof. A stream in doubt has an origin without a version until the run is proven.

The two changed tests of test_gateway_streams.py broke a stream and took it up at the same upstream at once, which may have been restarted by then. They now give the gateway a list from after the break, and check as much.

--- a/packages/core/src/goldcrestridge_core/follow_types.py
+++ b/packages/core/src/goldcrestridge_core/follow_types.py
@@ -205,7 +205,8 @@
     ``workload`` is the sum of the last reports of all other entry nodes. ``version_age_ms`` tells
     for how long the leader has known the version. ``blocked_digest`` stands for the blocked parts
     of prompts in the workload. ``stream_versions`` are those at which streams that are still alive
-    may have begun, or None if the leader doesn't know them all.
+    may have begun, or None if the leader doesn't know them all. ``instances_age_ms`` is the time
+    since the platform was asked for the list with the digest, or None if it is not known.
     """
 
     sequence: int
@@ -224,6 +225,7 @@
     blocked_digest: str = ""
     stream_versions: tuple[StreamVersion, ...] | None = None
     usage: UsageReply = Factory(UsageReply)
+    instances_age_ms: float | None = None
 
 
 @message
@@ -256,9 +258,10 @@
 
 @frozen
 class InstancesListed:
-    """Event: the platform's list of upstreams was read."""
+    """Event: the platform's list of upstreams was read, after it was asked at ``asked_ms``."""
 
     instances: tuple[UpstreamInstance, ...]
+    asked_ms: float | None = None
 
 
 @frozen
@@ -277,6 +280,17 @@
     instances: tuple[UpstreamInstance, ...]
 
 
+@frozen
+class InstancesConfirmed:
+    """Effect: the leader, asked at ``asked_ms``, had the same list of upstreams as this node.
+
+    The platform had given it at ``listed_ms`` or later.
+    """
+
+    listed_ms: float
+    asked_ms: float
+
+
 @frozen
 class EntriesReceived:
     """Effect: the list of entry nodes changed."""
--- a/packages/core/src/goldcrestridge_core/follower.py
+++ b/packages/core/src/goldcrestridge_core/follower.py
@@ -22,6 +22,7 @@
     FollowHint,
     FollowReply,
     FollowRequest,
+    InstancesConfirmed,
     InstancesReceived,
     ReportDue,
     RoutesReceived,
@@ -50,6 +51,9 @@
 REPLY_VALID_MS = 4_000.0
 # Bounds the requests whose replies are still used.
 MAX_OPEN_REQUESTS = 16
+# Age of the list of upstreams of a leader of the former release, which does not name it: the
+# interval at which it polls the platform, and the time of a slow answer.
+ASSUMED_LIST_AGE_MS = 1_800.0
 # Number of consecutive requests without a leader's answer after which the leader counts as lost.
 LOST_AFTER_UNANSWERED = 3
 
@@ -69,8 +73,8 @@
 
     Events: Tick; Receive of FollowReply and FollowHint; StatusChanged; ReportDue;
     ControlAddresses.
-    Effects: Send, RoutesReceived, InstancesReceived, EntriesReceived, StreamVersionsReceived,
-    UsageReplied, WorkloadReceived, Emit, Count.
+    Effects: Send, RoutesReceived, InstancesReceived, InstancesConfirmed, EntriesReceived,
+    StreamVersionsReceived, UsageReplied, WorkloadReceived, Emit, Count.
     ``workload`` returns the load that this node puts on upstreams at a monotonic time in
     milliseconds, ``usage`` the counts of what upstreams began for it. ``confirmed_ms`` is the
     latest time at which ``version`` was known to be current, ``outdated_since_ms`` when this node
@@ -204,6 +208,10 @@
         if reply.instances is not None:
             self.instances_digest = reply.instances_digest
             effects.append(InstancesReceived(reply.instances))
+        if reply.instances_digest and reply.instances_digest == self.instances_digest:
+            age_ms = reply.instances_age_ms
+            listed_ms = sent_ms - (ASSUMED_LIST_AGE_MS if age_ms is None else age_ms)
+            effects.append(InstancesConfirmed(listed_ms, sent_ms))
         if reply.entries is not None:
             self.entries_digest = reply.entries_digest
             self._poll_interval_ms = poll_interval_ms(len(reply.entries))
--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -23,7 +23,7 @@
 import itertools
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import define, field
 
@@ -39,6 +39,7 @@
 from goldcrestridge_core.rate_limits import RateLimits
 from goldcrestridge_core.recent_work import RecentWork
 from goldcrestridge_core.rendezvous import weight
+from goldcrestridge_core.run_proofs import RunProofs
 from goldcrestridge_core.stream_origins import StreamOrigin
 from goldcrestridge_core.upstream_notices import Avoidance, UpstreamNotices, Usability
 
@@ -77,7 +78,8 @@
     """Choose an instance for each request from the health and load of all instances.
 
     ``listed`` tells whether the list of instances has been received. ``limits`` holds the request
-    rates that instances name, ``notices`` what they say of their leaving and of rests.
+    rates that instances name, ``notices`` what they say of their leaving and of rests, ``proofs``
+    whether they may have been started again.
     """
 
     data_centre: str
@@ -85,6 +87,7 @@
     listed: bool = False
     limits: RateLimits = field(factory=RateLimits)
     notices: UpstreamNotices = field(init=False)
+    proofs: RunProofs = field(factory=RunProofs)
     _services: dict[str, tuple[UpstreamInstance, ...]] = field(factory=dict)
     _health: dict[str, InstanceHealth] = field(factory=dict)
     _recent_work: dict[str, RecentWork] = field(factory=dict)
@@ -117,6 +120,7 @@
                 in_flight = self._health[item.instance].in_flight
                 self._health[item.instance] = InstanceHealth(in_flight=in_flight)
         self.limits.retain(listed)
+        self.proofs.set_listed(itertools.chain.from_iterable(self._services.values()), now_ms)
         self.notices.set_listed(itertools.chain.from_iterable(self._services.values()), now_ms)
 
     def choose(
@@ -226,6 +230,27 @@
             and _runs_versions_of(item, origin)
             and not origin_in_doubt
             and now_ms - unreachable_ms >= RESTART_DOUBT_MS
+            and self.proofs.runs(item.instance, now_ms)
+        )
+
+    def runs(self, item: UpstreamInstance, now_ms: float) -> bool:
+        """Return whether a run is still listed and is taken to run now."""
+        return self.proofs.lists(item) and self.proofs.runs(item.instance, now_ms)
+
+    def answers(
+        self,
+        item: UpstreamInstance,
+        opened_ms: float,
+        is_open_since: Callable[[float], bool],
+        now_ms: float,
+    ) -> bool:
+        """Return whether a listed run answers on a connection opened at ``opened_ms``.
+
+        ``is_open_since`` returns whether another connection to it was opened by a time.
+        """
+        watched = is_open_since(self.proofs.proven_ms(item.instance))
+        return self.proofs.lists(item) and self.proofs.answers(
+            item.instance, opened_ms, watched, now_ms
         )
 
     def serves_version(self, origin: StreamOrigin) -> bool:
@@ -452,8 +477,15 @@
 
     def record_failure(self, item: UpstreamInstance, now_ms: float) -> None:
         """Record a failure of the instance, such as a cut connection, and start its backoff."""
+        self.proofs.record_loss(item.instance, now_ms)
         self._health_of(item).record_failure(now_ms)
 
+    def record_loss(self, address: str, now_ms: float) -> None:
+        """Record that the instance at an address has closed an idle connection."""
+        for item in itertools.chain.from_iterable(self._services.values()):
+            if item.address == address:
+                self.proofs.record_loss(item.instance, now_ms)
+
     def record_unreachable(self, item: UpstreamInstance, now_ms: float) -> None:
         """Record that the instance accepted no connection, and start its backoff."""
         self._health_of(item).unreachable_ms = now_ms
--- a/packages/core/src/goldcrestridge_core/publisher.py
+++ b/packages/core/src/goldcrestridge_core/publisher.py
@@ -73,6 +73,7 @@
     _entries: dict[NodeId, _Entry] = field(factory=dict)
     _instances: tuple[UpstreamInstance, ...] | None = None
     _instances_digest: str = ""
+    _listed_ms: float = -math.inf  # When the platform was asked for the list.
     _accepting_entries: tuple[EntryStatus, ...] = ()
     _entries_digest: str = ""
     _leads_since_ms: float = math.inf
@@ -109,7 +110,8 @@
                 effects += self._register(request, current.leads, now_ms)
                 self._sweep(current, now_ms)
                 effects.append(Send(sender, self._answer(request, current, now_ms)))
-            case InstancesListed(instances=instances):
+            case InstancesListed(instances=instances, asked_ms=asked_ms):
+                self._listed_ms = now_ms if asked_ms is None else asked_ms
                 effects += self._apply_instances(instances)
         self._sweep(current, now_ms)
         return effects + self._hint_changes(current, now_ms)
@@ -212,6 +214,7 @@
                 own_rests=self._forgotten_rests(request, now_ms),
             ),
             "stream_versions": self.stream_versions(),
+            "instances_age_ms": now_ms - self._listed_ms if self._instances is not None else None,
             "usage": UsageReply() if self.usage is None else self.usage.reply(now_ms),
         }
         if newest.version > request.have_version:
--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import socket
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
+from weakref import WeakSet
 
 import anyio
 import h11
@@ -23,6 +25,10 @@
 )
 
 
+def _ignore_loss() -> None:
+    """Do nothing about a lost connection."""
+
+
 class ConnectFailedError(Exception):
     """Raised if no connection was made, so that no byte of a request was sent.
 
@@ -40,11 +46,12 @@
     ``idle_limit_ms`` is None if the upstream reported no limit, and 0 if it closes the connection.
     ``reused`` tells whether it has carried an earlier exchange. An upstream can send a second copy
     of that answer late, so the answer to a later request must name its request, and a connection
-    whose answer named none is not reused.
+    whose answer named none is not reused. ``opened_ms`` is when it had been opened.
     """
 
     idle_limit_ms: float | None = None
     reused: bool = False
+    opened_ms: float = math.inf
 
     def accepts(self, answered_id: bytes | None, request_id: bytes) -> bool:
         """Return whether an answer belongs to a request; ``answered_id`` is the one it names."""
@@ -85,7 +92,8 @@
 class ConnectionPool:
     """At most ``max_open`` connections to ``host:port``, each with one request at a time.
 
-    ``opened`` counts all connections that were opened.
+    ``opened`` counts all connections that were opened. ``report_lost`` is called for an idle
+    connection that the upstream has closed before its limit.
     """
 
     host: str
@@ -94,8 +102,11 @@
     max_idle_ms: float
     clock: Clock
     backend: httpcore.AsyncNetworkBackend
+    report_lost: Callable[[], None] = _ignore_loss
     opened: int = field(init=False, default=0)
     _idle: list[tuple[float, UpstreamConnection]] = field(init=False, factory=list)
+    # All connections that were not closed by this node; weak, since some are closed elsewhere.
+    _open: WeakSet[UpstreamConnection] = field(init=False, factory=WeakSet)
     _permits: anyio.Semaphore = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -140,6 +151,14 @@
         finally:
             self._permits.release()
 
+    def is_open_since(self, opened_ms: float) -> bool:
+        """Return whether a connection that was opened by then, idle or in use, is still open."""
+        return any(
+            conn.opened_ms <= opened_ms
+            for conn in self._open
+            if not conn.is_closed() and not (conn.is_idle() and conn.has_expired())
+        )
+
     async def close_expired(self) -> None:
         """Close the connections that were idle for longer than ``max_idle_ms``."""
         oldest_ms = self.clock.now_ms() - self.max_idle_ms
@@ -165,10 +184,13 @@
             idle_since_ms, conn = self._idle.pop()
             limit_ms = self.max_idle_ms if conn.idle_limit_ms is None else conn.idle_limit_ms
             usable = self.clock.now_ms() - idle_since_ms < limit_ms
-            if usable and not conn.has_expired():
+            lost = conn.has_expired()
+            if usable and not lost:
                 conn.reused = True
                 return conn
             await conn.aclose()
+            if usable:
+                self.report_lost()
         return None
 
     async def _connect(self, timeout_ms: float) -> UpstreamConnection:
@@ -185,4 +207,7 @@
                 isinstance(exc.__cause__, ConnectionRefusedError),
             ) from exc
         self.opened += 1
-        return UpstreamConnection(self.origin, stream)
+        conn = UpstreamConnection(self.origin, stream)
+        conn.opened_ms = self.clock.now_ms()
+        self._open.add(conn)
+        return conn
--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -311,11 +311,12 @@
         while True:
             wait_ms = LEADER_CHECK_MS
             if self.node.publisher.leads(self.clock.now_ms()):
+                asked_ms = self.clock.now_ms()
                 instances = await call_or_log(
                     self.hooks.list_upstreams, "list_upstreams", self._log, self.metrics.record
                 )
                 if instances is not None:
-                    self.driver.post(InstancesListed(instances))
+                    self.driver.post(InstancesListed(instances, asked_ms))
                 wait_ms = LIST_RETRY_MS if instances is None else LIST_INTERVAL_MS
             await anyio.sleep(wait_ms / MS_PER_SECOND)
 
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -98,6 +98,11 @@
     _pool: ConnectionPool
     _closed: bool = False
 
+    @property
+    def opened_ms(self) -> float:
+        """Return when the connection of the response was opened."""
+        return self._conn.opened_ms
+
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body; raise IncompleteResponseError if it does not end properly."""
         try:
@@ -121,6 +126,10 @@
     """Do nothing with the head of an answer."""
 
 
+def _ignore_loss(_address: str) -> None:
+    """Do nothing about a lost connection."""
+
+
 def _send_always(_instance: UpstreamInstance | None = None, /) -> str:
     return ""
 
@@ -133,7 +142,8 @@
     monotonic time in milliseconds at which its request was sent. ``observe_notice`` is called with
     an answer that is not known to be that of the request, if its upstream says in it that it leaves
     or wants no requests. ``withheld`` is asked right before a request is sent; unless it returns an
-    empty text, the request is not sent for that reason.
+    empty text, the request is not sent for that reason. ``report_lost`` is called with the address
+    of an upstream that has closed an idle connection before its limit.
     """
 
     dialect: Dialect
@@ -142,6 +152,7 @@
     observe: Callable[[UpstreamInstance, UpstreamResponseHead, float], None] = _ignore
     observe_notice: Callable[[UpstreamInstance, UpstreamResponseHead, float], None] = _ignore
     withheld: Callable[[UpstreamInstance], str] = _send_always
+    report_lost: Callable[[str], None] = _ignore_loss
     _pools: dict[str, ConnectionPool] = field(init=False, factory=dict)
     # By address: when an upstream was last asked for a connection, and whether it refused.
     _refusals: dict[str, tuple[float, bool]] = field(init=False, factory=dict)
@@ -231,11 +242,22 @@
             host, _, port = instance.address.rpartition(":")
             limits = self.options
             pool = ConnectionPool(
-                host, int(port), limits.max_open, limits.max_idle_ms, self.clock, self._backend
+                host,
+                int(port),
+                limits.max_open,
+                limits.max_idle_ms,
+                self.clock,
+                self._backend,
+                lambda: self.report_lost(instance.address),
             )
             self._pools[instance.address] = pool
         return pool
 
+    def is_open_since(self, instance: UpstreamInstance, opened_ms: float) -> bool:
+        """Return whether a connection to an instance that was opened by then is still open."""
+        pool = self._pools.get(instance.address)
+        return pool is not None and pool.is_open_since(opened_ms)
+
     async def refuses_connections(self, instance: UpstreamInstance) -> bool:
         """Tell whether nothing listens at the address of an instance after this call.
 
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -23,6 +23,7 @@
     ControlAddresses,
     EntriesReceived,
     EntryStatus,
+    InstancesConfirmed,
     InstancesReceived,
     ReportDue,
     RoutesReceived,
@@ -32,11 +33,12 @@
     Workload,
     WorkloadReceived,
 )
-from goldcrestridge_core.follower import Follower
+from goldcrestridge_core.follower import Follower, poll_interval_ms
 from goldcrestridge_core.permits import PermitDecided, Permits
 from goldcrestridge_core.placement import Placement
 from goldcrestridge_core.prompt_crashes import PromptCrashes
 from goldcrestridge_core.routes import RouteTable
+from goldcrestridge_core.run_proofs import MAX_REPLY_DELAY_MS
 from goldcrestridge_core.stream_origins import OriginFound, StreamOrigins
 from goldcrestridge_core.types import Count, Emit, Send
 from goldcrestridge_core.upstream_notices import NoticeChange
@@ -146,6 +148,7 @@
             observe=self._observe,
             observe_notice=self._observe_notice,
             withheld=lambda item: self.placement.withheld(item, self.clock.now_ms()),
+            report_lost=lambda address: self.placement.record_loss(address, self.clock.now_ms()),
         )
         self._engines = EngineAdmissionClient(lambda event: self.driver.post(event))
         self._permits = PendingRequests(lambda event: self.driver.post(event))
@@ -293,6 +296,10 @@
                 self.placement.set_instances(instances, self.clock.now_ms())
                 self._log.info("upstreams_in_force", count=len(instances))
                 self.gateway.notify_news()
+            case InstancesConfirmed(listed_ms=listed_ms, asked_ms=asked_ms):
+                shown_ms = listed_ms - self.settings.list_lag_ms
+                max_gap_ms = poll_interval_ms(len(self.entries)) + MAX_REPLY_DELAY_MS
+                self.placement.proofs.confirm(shown_ms, asked_ms, max_gap_ms)
             case EngineFound() | EngineDenied():
                 self._engines.resolve(effect)
             case PermitDecided(ticket=ticket):
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -150,16 +150,29 @@
         self.admitted = self._permits.admitted = self._engine.admitted = admitted
         return True
 
-    def _begin_stream(self, instance: UpstreamInstance) -> None:
-        """Record the origin of a stream before its first event is written."""
-        if self._origin is not None:
+    def _record_origin(self, response: UpstreamResponse) -> None:
+        """Record the origin of a stream before its first event is written.
+
+        Its version is empty until it is known that the run in the list has answered. Nothing can
+        take the stream up until then.
+        """
+        instance, now_ms = response.instance, self._now_ms
+        if self._origin is not None and (
+            self._origin.version or self._origin.instance != instance.instance
+        ):
             return
-        request_id = self.record.request_id
-        service, version = self.admitted.service, instance.version
-        self._origin = StreamOrigin(
-            request_id, service, instance.instance, version, instance.weights
-        )
-        self._post_origin()
+        origin = StreamOrigin(self.record.request_id, self.admitted.service, instance.instance, "")
+        deps = self.gateway.dependencies
+        if deps.placement.answers(
+            instance,
+            response.opened_ms,
+            lambda proven_ms: deps.dispatcher.is_open_since(instance, proven_ms),
+            now_ms,
+        ):
+            origin = evolve(origin, version=instance.version, weights=instance.weights)
+        if origin != self._origin:
+            self._origin = origin
+            self._post_origin()
 
     def _post_origin(self) -> None:
         """Hold the origin of the stream at several entry nodes, under the id of this attempt."""
@@ -177,10 +190,13 @@
             self.admitted, self.request.caller_head.key
         )
 
-    def _denied(self) -> str:
-        """Return why the request may no longer be sent, or an empty text."""
+    def _denied(self, instance: UpstreamInstance) -> str:
+        """Return why the request may no longer be sent to an instance, or an empty text."""
         if not self._is_allowed():
             return "the routes are no longer known to be current"
+        placement, now_ms = self.gateway.dependencies.placement, self._now_ms
+        if self._origin is not None and not placement.runs(instance, now_ms):
+            return "the upstream may have been started again with another software version"
         return self._permits.denied()
 
     def _choose_instance(self) -> UpstreamInstance | None:
@@ -308,7 +324,7 @@
                     instance,
                     self._build_request_head(instance),
                     self._timeout_ms(),
-                    self._denied,
+                    lambda: self._denied(instance),
                 )
                 sent = (
                     isinstance(result, UpstreamResponse)
@@ -439,6 +455,7 @@
                     return await self._forward_long(response, parts, chunks)
         body = b"".join(parts)
         self.crashes.record_event()
+        self._record_read(response)
         self.record.add_body_end(response.framing)
         if self.exchange.started:
             return FailedAttempt(
@@ -538,17 +555,23 @@
 
     async def _write_events(self, response: UpstreamResponse, events: bytes) -> None:
         self.crashes.record_event()
+        self._record_read(response)
         if not self._began:
             self._began = True
             self._count_begun(self._now_ms)
+        self._record_origin(response)
         if not self.exchange.started:
-            self._begin_stream(response.instance)
             await self._start_response(response)
         self._engine.report_prefilled()
         self.forwarding.streaming = True
         self.record.add_event(self._now_ms)
         await self.exchange.write(events, more=True)
 
+    def _record_read(self, response: UpstreamResponse) -> None:
+        self.gateway.dependencies.placement.proofs.record_read(
+            response.instance.instance, response.opened_ms, self._now_ms
+        )
+
     async def _start_response(self, response: UpstreamResponse) -> None:
         await self.exchange.start(response.status, self.gateway.caller_response_headers(response))
 
--- a/packages/node/src/goldcrestridge_node/role_settings.py
+++ b/packages/node/src/goldcrestridge_node/role_settings.py
@@ -24,7 +24,8 @@
     ``grace_ms`` is the time from SIGTERM to SIGKILL. In each ``retry_window_ms``, all entry nodes
     together may retry ``retry_share`` of the requests plus ``retry_extra`` more. A leaving upstream
     goes on serving for ``upstream_drain_ms``. Requests that upstreams begin are counted by windows
-    of ``usage_window_ms``, unless that is 0.
+    of ``usage_window_ms``, unless that is 0. The platform's list of upstreams shows a change after
+    ``list_lag_ms``.
     """
 
     node: NodeId
@@ -40,6 +41,7 @@
     retry_window_ms: float
     upstream_drain_ms: float
     usage_window_ms: float = 0.0
+    list_lag_ms: float = 0.0
 
 
 @frozen
--- a/tests/node/test_gateway_streams.py
+++ b/tests/node/test_gateway_streams.py
@@ -76,7 +76,8 @@
         placement.set_instances([upstreams[0].instance()])
         with pytest.raises(httpcore.RemoteProtocolError):
             await running.call("/resume/x", x_goldcrestridge_request_id="first")
-        placement.set_instances([upstream.instance() for upstream in upstreams])
+        # The list shows that the instance was not started again.
+        running.list_upstreams(upstreams)
         for resumed in ("unheard", ""):
             response = await running.call("/resume/x", last_event_id="1", resumes=resumed)
             assert response.status == 503
@@ -106,6 +107,8 @@
             await running.call("/resume/x", x_goldcrestridge_request_id="first")
         deps.routes.table = RouteTable(2, routes, services, table.limits, table.workspaces)
         deps.placement.record_success(upstreams[0].instance(), 0.0)
+        # The list shows that the instance was not started again.
+        deps.placement.set_instances([upstreams[0].instance(), other], deps.clock.now_ms())
         assert (await running.call("/resume/x", last_event_id="1", resumes="first")).status == 200
         assert "last-event-id" in upstreams[0].exchanges[-1].headers
         deps.routes.table = RouteTable(
