Answer every request before a node that stops ends

Cause: nothing compared the time that a request takes with what was left of the grace, the end of the drain cancelled what was left, and the time for new connections did not depend on the grace time.

Change: a request is sent, or sent once more, only if the usual time of its route ends before the stop; otherwise it is refused as not run. Before the end all requests that are left get their answer: 503 if not sent, 502 if they may have run, a broken stream. The steps fit into any grace time.

--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterator
+import math
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import anyio
@@ -13,6 +14,7 @@
 from goldcrestridge_core.demand import Demand, demand_of
 from goldcrestridge_core.forwarding import Forwarding
 from goldcrestridge_core.request_keys import request_key
+from goldcrestridge_core.route_times import RouteTimes
 from goldcrestridge_core.routes import Route, RoutedWorkspace, RouteTable
 from goldcrestridge_core.types import Headers, Outcome, RequestId
 from goldcrestridge_node.dialect import CallerHead
@@ -25,10 +27,16 @@
     Scope,
     Send,
 )
-from goldcrestridge_node.gateway_parts import NOT_READY, AdmittedRequest, GatewayDependencies
+from goldcrestridge_node.gateway_parts import (
+    NOT_READY,
+    STOPPING,
+    AdmittedRequest,
+    GatewayDependencies,
+)
 from goldcrestridge_node.headers import header_values
 from goldcrestridge_node.refusals import Refusal
 from goldcrestridge_node.relay import Relay
+from goldcrestridge_node.relay_refusals import FAILED
 from goldcrestridge_node.request_crashes import RequestCrashes
 from goldcrestridge_node.request_log import RequestRecord
 
@@ -39,6 +47,8 @@
 STARTING_MS = 3_000.0
 # Share of its time limit that a request waits for them at most.
 START_WAIT_SHARE = 0.75
+# Time for the answer to a request that was in flight when this node had to stop.
+STOPPED_ANSWER_MS = 300.0
 INTERNAL_ERROR = Refusal(500, "internal", "The router failed.", outcome=Outcome.UNKNOWN, close=True)
 
 
@@ -46,16 +56,20 @@
 class Gateway:
     """The ASGI application; while ``draining``, each response closes its connection.
 
-    ``served`` counts the requests that have ended. ``unanswered`` holds those that wait for the
-    first event of an answer to their prompt.
+    All requests end at ``stop_ms``: a request that would take longer is not sent. ``served`` counts
+    the requests that have ended. ``unanswered`` holds those that wait for the first event of an
+    answer to their prompt. ``route_times`` tells how long requests usually take.
     """
 
     dependencies: GatewayDependencies
     options: EdgeOptions = Factory(EdgeOptions)
     draining: bool = False
+    stop_ms: float = math.inf
     in_flight: int = 0
     served: int = 0
     unanswered: set[RequestCrashes] = field(factory=set)
+    route_times: RouteTimes = field(factory=RouteTimes)
+    _scopes: set[anyio.CancelScope] = field(factory=set)
     _reserved_bytes: int = 0
     _tickets: Iterator[int] = field(factory=itertools.count)
     _idle: anyio.Event = field(factory=anyio.Event)
@@ -95,6 +109,23 @@
                 self._idle.set()
             self.dependencies.log.write(record, self.dependencies.clock.now_ms())
 
+    def begin_drain(self, stop_ms: float) -> None:
+        """Close connections after their responses, and end all requests at ``stop_ms``."""
+        self.draining = True
+        self.stop_ms = stop_ms
+
+    def end_requests(self) -> None:
+        """End the requests that are still in flight, each with its response."""
+        for scope in list(self._scopes):
+            scope.cancel()
+
+    def may_finish(self, route: Route, left_ms: float) -> bool:
+        """Return whether a request that is sent now probably ends before this node stops."""
+        if self.stop_ms == math.inf:
+            return True
+        now_ms = self.dependencies.clock.now_ms()
+        return now_ms + self.route_times.usual_ms(route.name, left_ms) <= self.stop_ms
+
     def next_ticket(self) -> str:
         """Return a ticket that is unique among all attempts of all nodes."""
         return f"{self.dependencies.ticket_prefix} {next(self._tickets)}"
@@ -116,14 +147,17 @@
     async def _serve(self, exchange: Exchange, head: CallerHead, record: RequestRecord) -> None:
         """Read the request and forward it; cancel both when the caller disconnects."""
         scope = anyio.CancelScope()
+        stop_scope = anyio.CancelScope()
         exchange.conn.on_lost = scope.cancel
         if exchange.conn.transport.is_closing():
             record.set_outcome(
                 "caller_gone", "The caller closed the connection before the request was read."
             )
             return
+        self._scopes.add(stop_scope)
+        relays: list[Relay] = []
         try:
-            with scope:
+            with scope, stop_scope:
                 body = await exchange.read_body(self._reserve)
                 if body is None:
                     record.set_outcome(
@@ -134,8 +168,11 @@
                 if isinstance(body, Refusal):
                     await self.refuse(exchange, body, record)
                     return
-                await self._handle(exchange, head, body, record)
+                await self._handle(exchange, head, body, record, relays.append)
+            if stop_scope.cancelled_caught and not scope.cancel_called:
+                await self._end_stopped(exchange, record, relays)
         finally:
+            self._scopes.discard(stop_scope)
             exchange.conn.on_lost = None
             self._reserved_bytes -= exchange.reserved_bytes
         if scope.cancelled_caught:
@@ -143,6 +180,21 @@
                 "caller_gone", "The caller closed the connection, so the attempt was cancelled."
             )
 
+    async def _end_stopped(
+        self, exchange: Exchange, record: RequestRecord, relays: list[Relay]
+    ) -> None:
+        """Answer a request that was in flight when this node had to stop."""
+        if exchange.started:
+            record.set_outcome("broken_off", "The node stopped.")
+            exchange.conn.transport.close()
+            return
+        may_have_run = any(relay.may_have_run for relay in relays)
+        refusal = FAILED if may_have_run else STOPPING
+        record.set_outcome("failed" if may_have_run else "refused", "The node stopped.")
+        record.status = refusal.status
+        with anyio.move_on_after(STOPPED_ANSWER_MS / MS_PER_SECOND):
+            await exchange.send_refusal(self.close_if_draining(refusal))
+
     def _reserve(self, size: int) -> bool:
         """Reserve memory for a request body; return False above ``max_reserved_bytes``."""
         if self._reserved_bytes + size > self.options.max_reserved_bytes:
@@ -151,7 +203,12 @@
         return True
 
     async def _handle(
-        self, exchange: Exchange, head: CallerHead, body: bytes, record: RequestRecord
+        self,
+        exchange: Exchange,
+        head: CallerHead,
+        body: bytes,
+        record: RequestRecord,
+        register: Callable[[Relay], None],
     ) -> None:
         admitted = self._admit(exchange.scope, head, record)
         if admitted is NOT_READY:
@@ -182,6 +239,7 @@
         forwarding = Forwarding(admitted.route, started_ms + limit_ms)
         self.dependencies.retry_budget.record_request(admitted.service, started_ms)
         relay = Relay(self, exchange, request, admitted, forwarding, record, crashes)
+        register(relay)
         await relay.run()
 
     async def _admit_once_started(
--- a/packages/node/src/goldcrestridge_node/gateway_parts.py
+++ b/packages/node/src/goldcrestridge_node/gateway_parts.py
@@ -30,6 +30,17 @@
     retry_after_ms=NOT_READY_RETRY_AFTER_MS,
 )
 
+# Another node takes the request at once.
+STOPPING_RETRY_AFTER_MS = 50.0
+
+STOPPING = Refusal(
+    503,
+    "stopping",
+    "The node stops before the upstream would have answered. The request has not run.",
+    retry_after_ms=STOPPING_RETRY_AFTER_MS,
+    close=True,
+)
+
 
 @define
 class ActiveRoutes:
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -61,11 +61,14 @@
 from goldcrestridge_node.transport import Transport, addressed_transport
 
 IDLE_CLOSE_INTERVAL_MS = 2_000.0
-# Callers cache addresses for some seconds, so a draining node still accepts requests for this time.
-# The rest of the grace time is left for the requests in flight.
+# Callers cache addresses for some seconds, so a draining node still accepts requests for this time,
+# and at most for this share of the grace time. The rest is left for the requests in flight.
 DRAIN_ACCEPT_MS = 2_800.0
-# The process ends this long before the end of the grace time, when it would be killed.
-DRAIN_MARGIN_MS = 400.0
+DRAIN_ACCEPT_SHARE = 0.4
+# Requests that are still in flight are answered this long before the end of the grace time, when
+# the process would be killed, and the process ends half of it before.
+DRAIN_MARGIN_MS = 800.0
+DRAIN_MARGIN_SHARE = 0.2
 # Callers reuse a connection up to the idle limit. The node closes it this much later, so that no
 # request meets a closing connection.
 KEEP_ALIVE_MARGIN_MS = 2_000.0
@@ -76,6 +79,25 @@
 QUIET_MS = 300.0
 
 
+@frozen
+class StopSchedule:
+    """Times since SIGTERM: the last new connection, the answers to all requests, the end."""
+
+    accept_ms: float
+    answer_ms: float
+    end_ms: float
+
+
+def stop_schedule(grace_ms: float) -> StopSchedule:
+    """Return the schedule of a planned stop that ends within ``grace_ms``."""
+    margin_ms = min(DRAIN_MARGIN_MS, DRAIN_MARGIN_SHARE * grace_ms)
+    return StopSchedule(
+        min(DRAIN_ACCEPT_MS, DRAIN_ACCEPT_SHARE * grace_ms),
+        grace_ms - margin_ms,
+        grace_ms - margin_ms / 2,
+    )
+
+
 @frozen
 class GatewayHooks:
     """Functions of one deployment that an entry node calls.
@@ -344,7 +366,8 @@
     def _terminate(self) -> None:
         if not self.draining:
             self.draining = True
-            self.gateway.draining = True
+            schedule = stop_schedule(self.settings.grace_ms)
+            self.gateway.begin_drain(self.clock.now_ms() + schedule.answer_ms)
             self._log.info("drain_started", in_flight=self.gateway.in_flight)
             self.driver.post(StatusChanged(accepting=False))
             self._stop.set()
@@ -382,14 +405,23 @@
             tasks.cancel_scope.cancel()
 
     async def _drain(self, stop_accepting: anyio.Event) -> None:
-        """Accept callers for ``DRAIN_ACCEPT_MS``, then wait for the requests in flight."""
-        await anyio.sleep(DRAIN_ACCEPT_MS / MS_PER_SECOND)
+        """Accept callers for some time, and answer the requests that are left before the end."""
+        schedule = stop_schedule(self.settings.grace_ms)
+        await anyio.sleep(schedule.accept_ms / MS_PER_SECOND)
         stop_accepting.set()
-        left_ms = self.settings.grace_ms - DRAIN_ACCEPT_MS - DRAIN_MARGIN_MS
+        left_ms = self.gateway.stop_ms - self.clock.now_ms()
         with anyio.move_on_after(max(0.0, left_ms) / MS_PER_SECOND):
-            # A request whose head is half received is not in flight yet, but keeps its connection.
-            await self._callers_gone.wait()
-            await self.gateway.wait_idle(QUIET_MS)
+            await self._wait_for_callers()
+            return
+        self._log.info("drain_ended_requests", in_flight=self.gateway.in_flight)
+        self.gateway.end_requests()
+        with anyio.move_on_after((schedule.end_ms - schedule.answer_ms) / MS_PER_SECOND):
+            await self._wait_for_callers()
+
+    async def _wait_for_callers(self) -> None:
+        # A request whose head is half received is not in flight yet, but keeps its connection.
+        await self._callers_gone.wait()
+        await self.gateway.wait_idle(QUIET_MS)
 
     async def _serve_callers(
         self,
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -30,7 +30,7 @@
 )
 from goldcrestridge_node.event_stream import EventSplitter
 from goldcrestridge_node.exchange import Exchange
-from goldcrestridge_node.gateway_parts import NOT_READY, AdmittedRequest
+from goldcrestridge_node.gateway_parts import NOT_READY, STOPPING, AdmittedRequest
 from goldcrestridge_node.headers import BodyFraming, may_be_event_stream
 from goldcrestridge_node.relay_refusals import CANNOT_RESUME, ORIGIN_NOT_FOUND, refusal_of
 from goldcrestridge_node.request_crashes import RequestCrashes
@@ -68,6 +68,7 @@
     # Set once the caller holds events of the stream.
     _origin: StreamOrigin | None = None
     _began: bool = False  # The current attempt brought an event.
+    _sending: bool = False  # An attempt is under way, or was cancelled.
     _arrived: bool = False  # An attempt was sent, so that each further one is a retry.
     _splitter: EventSplitter = field(init=False)
     _permits: RequestPermits = field(init=False)
@@ -102,6 +103,11 @@
             if decision.step is Step.SEND and not self._is_allowed():
                 await self.gateway.refuse(self.exchange, NOT_READY, self.record)
                 return
+            if decision.step is Step.SEND and not self._may_finish():
+                if not self.may_have_run:
+                    await self.gateway.refuse(self.exchange, STOPPING, self.record)
+                    return
+                decision = self.forwarding.give_up("the node stops before the next attempt ends")
             blocked = self.crashes.refusal()
             if decision.step is Step.SEND and blocked is not None:
                 if not self.forwarding.possible_runs:
@@ -116,6 +122,15 @@
                 await self._send_final_answer(decision)
                 return
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt may have reached an upstream that has not rejected it."""
+        return self._sending or self.forwarding.possible_runs > 0
+
+    def _may_finish(self) -> bool:
+        left_ms = self.forwarding.left_ms(self._now_ms)
+        return self.gateway.may_finish(self.admitted.route, left_ms)
+
     @property
     def _takes_up_stream(self) -> bool:
         """Tell whether the caller holds events of the stream already."""
@@ -297,6 +312,8 @@
         reason = result.reason if isinstance(result, FailedAttempt) else ""
         now_ms = self._now_ms
         self.record.add_attempt(instance.instance, outcome.value, reason, now_ms - started_ms)
+        if outcome is AttemptOutcome.ANSWERED:
+            self.gateway.route_times.record(self.admitted.route.name, now_ms - started_ms)
         if not self.admitted.route.streams and outcome in BEGUN:
             self._count_begun(started_ms)
         if isinstance(result, FailedAttempt):
@@ -316,6 +333,7 @@
             "The attempt was cancelled, since its prompt was blocked.",
             upstream_fault=False,
         )
+        self._sending = True
         with self.crashes.attempt():
             sent = True  # An attempt that is cancelled may have been.
             try:
@@ -334,6 +352,7 @@
                 self._settle_retry(sent)
             if isinstance(result, UpstreamResponse):
                 result = await self._forward(result)
+        self._sending = False
         return result
 
     def _report_failure(
