Let a node without a former connection record the origin of a stream

The first form of the proofs of runs took a run for the origin of a stream only if the node held a connection to it from before.

Change: that demand is gone. A lost connection is no reason for doubt if the upstream accepts the next one within 0.25 s of the last bytes, which the crash detection asks anyway and now also asks after a resumable stream has been answered for long.

Price: a node without a connection sees no loss when an upstream restarts under its id.

--- a/packages/core/src/goldcrestridge_core/placement.py
+++ b/packages/core/src/goldcrestridge_core/placement.py
@@ -23,7 +23,7 @@
 import itertools
 import math
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 
 from attrs import define, field
 
@@ -237,21 +237,9 @@
         """Return whether a run is still listed and is taken to run now."""
         return self.proofs.lists(item) and self.proofs.runs(item.instance, now_ms)
 
-    def answers(
-        self,
-        item: UpstreamInstance,
-        opened_ms: float,
-        is_open_since: Callable[[float], bool],
-        now_ms: float,
-    ) -> bool:
-        """Return whether a listed run answers on a connection opened at ``opened_ms``.
-
-        ``is_open_since`` returns whether another connection to it was opened by a time.
-        """
-        watched = is_open_since(self.proofs.proven_ms(item.instance))
-        return self.proofs.lists(item) and self.proofs.answers(
-            item.instance, opened_ms, watched, now_ms
-        )
+    def answers(self, item: UpstreamInstance, opened_ms: float, now_ms: float) -> bool:
+        """Return whether a listed run answers on a connection opened at ``opened_ms``."""
+        return self.proofs.lists(item) and self.proofs.answers(item.instance, opened_ms, now_ms)
 
     def serves_version(self, origin: StreamOrigin) -> bool:
         """Return whether an instance of the version of a stream is listed and not leaving."""
--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -5,7 +5,6 @@
 import math
 import socket
 from collections.abc import AsyncGenerator, Callable
-from weakref import WeakSet
 
 import anyio
 import h11
@@ -105,8 +104,6 @@
     report_lost: Callable[[], None] = _ignore_loss
     opened: int = field(init=False, default=0)
     _idle: list[tuple[float, UpstreamConnection]] = field(init=False, factory=list)
-    # All connections that were not closed by this node; weak, since some are closed elsewhere.
-    _open: WeakSet[UpstreamConnection] = field(init=False, factory=WeakSet)
     _permits: anyio.Semaphore = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -151,14 +148,6 @@
         finally:
             self._permits.release()
 
-    def is_open_since(self, opened_ms: float) -> bool:
-        """Return whether a connection that was opened by then, idle or in use, is still open."""
-        return any(
-            conn.opened_ms <= opened_ms
-            for conn in self._open
-            if not conn.is_closed() and not (conn.is_idle() and conn.has_expired())
-        )
-
     async def close_expired(self) -> None:
         """Close the connections that were idle for longer than ``max_idle_ms``."""
         oldest_ms = self.clock.now_ms() - self.max_idle_ms
@@ -209,5 +198,4 @@
         self.opened += 1
         conn = UpstreamConnection(self.origin, stream)
         conn.opened_ms = self.clock.now_ms()
-        self._open.add(conn)
         return conn
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -253,11 +253,6 @@
             self._pools[instance.address] = pool
         return pool
 
-    def is_open_since(self, instance: UpstreamInstance, opened_ms: float) -> bool:
-        """Return whether a connection to an instance that was opened by then is still open."""
-        pool = self._pools.get(instance.address)
-        return pool is not None and pool.is_open_since(opened_ms)
-
     async def refuses_connections(self, instance: UpstreamInstance) -> bool:
         """Tell whether nothing listens at the address of an instance after this call.
 
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -177,13 +177,7 @@
         ):
             return
         origin = StreamOrigin(self.record.request_id, self.admitted.service, instance.instance, "")
-        deps = self.gateway.dependencies
-        if deps.placement.answers(
-            instance,
-            response.opened_ms,
-            lambda proven_ms: deps.dispatcher.is_open_since(instance, proven_ms),
-            now_ms,
-        ):
+        if self.gateway.dependencies.placement.answers(instance, response.opened_ms, now_ms):
             origin = evolve(origin, version=instance.version, weights=instance.weights)
         if origin != self._origin:
             self._origin = origin
--- a/packages/node/src/goldcrestridge_node/request_crashes.py
+++ b/packages/node/src/goldcrestridge_node/request_crashes.py
@@ -35,6 +35,7 @@
     _sent_ms: float = 0.0  # When the current attempt began.
     _began_ms: float = math.inf  # When the current attempt brought its first event.
     _proved: bool = False
+    _read_ms: float = -math.inf  # When the current attempt last brought events.
     _crashed: bool = False  # The upstream of the last attempt ended before it had answered.
     _scope: anyio.CancelScope | None = None
 
@@ -63,6 +64,7 @@
     def attempt(self) -> Iterator[anyio.CancelScope]:
         """Watch one attempt; it is cancelled if its prompt is blocked before the answer begins."""
         self._began_ms, self._proved, self._crashed = math.inf, False, False
+        self._read_ms = -math.inf
         self._sent_ms = self._now_ms
         with anyio.CancelScope() as scope:
             self._scope = scope
@@ -80,6 +82,7 @@
 
     def record_event(self) -> None:
         """Record that events of the answer arrived."""
+        self._read_ms = self._now_ms
         if self._began_ms == math.inf:
             self._began_ms = self._now_ms
             self.gateway.unanswered.discard(self)
@@ -95,10 +98,14 @@
 
     async def record_failure(self, instance: UpstreamInstance, failed: FailedAttempt) -> None:
         """Record a crash if the connection ended and nothing listens at the upstream any more."""
-        if self._proved or not failed.disconnected:
+        if not failed.disconnected or (self._proved and self._read_ms == -math.inf):
             return
         deps, failed_ms = self.gateway.dependencies, self._now_ms
         if not await deps.dispatcher.refuses_connections(instance):
+            proofs = deps.placement.proofs
+            proofs.record_accepted(instance.instance, self._read_ms, self._now_ms)
+            return
+        if self._proved:
             return
         self._crashed = True
         deps.crashes.record_crash(instance.life, self.parts, failed_ms, self._sent_ms)
