Show crowds of clients that exhaust the memory and descriptors of a process

What callers saw: in a trial of the users a process ran out of memory under clients that sent many requests ahead and read no answers.

tests/crowds starts three VMs with their real processes on loopback addresses, lets one crowd send until the server holds it up, and checks life, the highest resident memory, the open descriptors and ordinary requests, while the crowd stays connected and after it has left.

They run one at a time after the parallel tests (make crowds).

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 STEPS ?= 2000
 LONG ?=
 
-.PHONY: env test lint format types unit demo bench fuzz soak clean
+.PHONY: env test lint format types unit crowds demo bench fuzz soak clean
 
 env: $(STAMP)
 
@@ -32,9 +32,14 @@
 	$(BIN)/mypy --cache-dir .mypy_cache packages/core/src packages/node/src packages/cli/src packages/lab/src platform/src tests
 
 unit: env
-	$(BIN)/python -m pytest -n 6
+	$(BIN)/python -m pytest -n 6 --ignore=tests/crowds
+
+# Each of these tests measures the memory of processes beside a crowd, so they run one at a time.
+crowds: env
+	$(BIN)/python -m pytest tests/crowds
 
 test: lint types unit
+	$(MAKE) crowds
 
 demo: env
 	PATH="$(CURDIR)/$(BIN):$$PATH" bash demo/run.sh
