Let reads of the document that wait at the same time share one copy

What callers saw: 150 connections that asked for a document of 3,000 workspaces and read nothing took 488 MB at a control process of 88 MB.

Cause: each read made a query of its own, and its answer was decoded into an object of its own, which lived until its caller had read it.

Change: reads that come while one is in progress share the next one, which begins after all of them, so that none returns a state older than itself. All readers of the same version get the same object.

--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -53,6 +53,7 @@
 from goldcrestridge_node.role_settings import ControlSettings
 from goldcrestridge_node.runtime import Driver, Outputs
 from goldcrestridge_node.server import listen_at, serve
+from goldcrestridge_node.shared_call import SharedCall
 from goldcrestridge_node.tasks import call_or_log, handle_signals, log_event, watch_file
 from goldcrestridge_node.transport import Transport, addressed_transport
 
@@ -117,6 +118,8 @@
     _stop: anyio.Event = field(factory=anyio.Event)
     _boot_id: str = field(factory=lambda: secrets.token_hex(4))
     _request_count: int = 0
+    _reads: SharedCall[VersionedDocument | None] = field(init=False)
+    _newest: VersionedDocument | None = None
     _calls: anyio.abc.TaskGroup = field(init=False)
     _log: Any = field(factory=logger)
 
@@ -136,6 +139,7 @@
         )
         self.driver = Driver(self.node, self.clock, outputs)
         self._pending = PendingRequests(self.driver.post)
+        self._reads = SharedCall(self._read)
         self.transport = addressed_transport(cfg.node, self.driver.post, self.metrics.record)
 
     def _duty_options(self) -> DutyOptions | None:
@@ -196,7 +200,14 @@
         self._log.info("change_refused", reason=reason)
 
     async def read(self) -> VersionedDocument | None:
-        """Return the newest document confirmed by a quorum; None if no quorum answered."""
+        """Return the newest document confirmed by a quorum; None if no quorum answered.
+
+        Reads that wait for the one in progress share the next one, and all get the same object, so
+        that any number of them holds one copy.
+        """
+        return await self._reads.get()
+
+    async def _read(self) -> VersionedDocument | None:
         query_id = self._new_request_id("read")
         result = await self._pending.ask(query_id, read_document(query_id, READ_TIMEOUT_MS))
         if result is None:
@@ -204,7 +215,11 @@
             return None
         decoded = codec.decode(result)
         newest = decoded.unwrap() if isinstance(decoded, Success) else None
-        return newest if isinstance(newest, VersionedDocument) else None
+        if not isinstance(newest, VersionedDocument):
+            return None
+        if newest != self._newest:
+            self._newest = newest
+        return self._newest
 
     def _new_request_id(self, kind: str) -> str:
         self._request_count += 1
