Bound the connections of a process to all its upstreams

What callers saw: beside 150 connections with requests sent ahead, an entry process of which 200 descriptors were allowed had 305 open, a hundred of them to one upstream.

Cause: the pool of each upstream had a bound of its own (128, 256 on the own interface) and nothing bounded their sum; idle connections to one upstream stayed while others were opened.

Change: ProcessConnections counts the connections of all pools. Requests wait for one in the order in which they came, within the time limit for a connection, and idle connections give way to new ones.

--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -9,7 +9,7 @@
 import anyio
 import h11
 import httpcore
-from attrs import define, field
+from attrs import Factory, define, field
 
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 
@@ -23,6 +23,9 @@
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
 
+# Connections to upstreams of a process that sets no other bound.
+MAX_PROCESS_CONNECTIONS = 1_024
+
 
 def _ignore_loss() -> None:
     """Do nothing about a lost connection."""
@@ -87,12 +90,42 @@
         return self.is_idle() and not surplus and not closed
 
 
+@define(eq=False)
+class ProcessConnections:
+    """At most ``max_open`` connections of a process to all its upstreams.
+
+    Requests wait for one in the order in which they came. Idle connections give way to new ones.
+    """
+
+    max_open: int
+    open: int = 0
+    _pools: list[ConnectionPool] = field(init=False, factory=list)
+    permits: anyio.Semaphore = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the semaphore that bounds the connections in use."""
+        self.permits = anyio.Semaphore(self.max_open, fast_acquire=True)
+
+    def add(self, pool: ConnectionPool) -> None:
+        """Count the connections of a pool."""
+        self._pools.append(pool)
+
+    async def make_room(self) -> None:
+        """Close idle connections, those that were idle longest first, until one may be opened."""
+        while self.open >= self.max_open:
+            idle = [pool for pool in self._pools if pool.idle]
+            if not idle:
+                return
+            await min(idle, key=lambda pool: pool.idle_since_ms).close_oldest()
+
+
 @define(eq=False)
 class ConnectionPool:
     """At most ``max_open`` connections to ``host:port``, each with one request at a time.
 
     ``opened`` counts all connections that were opened. ``report_lost`` is called for an idle
-    connection that the upstream has closed before its limit.
+    connection that the upstream has closed before its limit. ``process`` bounds the connections of
+    all pools.
     """
 
     host: str
@@ -102,6 +135,7 @@
     clock: Clock
     backend: httpcore.AsyncNetworkBackend
     report_lost: Callable[[], None] = _ignore_loss
+    process: ProcessConnections = Factory(lambda: ProcessConnections(MAX_PROCESS_CONNECTIONS))
     opened: int = field(init=False, default=0)
     _idle: list[tuple[float, UpstreamConnection]] = field(init=False, factory=list)
     _permits: anyio.Semaphore = field(init=False)
@@ -109,6 +143,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the semaphore that bounds the connections in use."""
         self._permits = anyio.Semaphore(self.max_open, fast_acquire=True)
+        self.process.add(self)
 
     @property
     def origin(self) -> httpcore.Origin:
@@ -120,23 +155,43 @@
         """Return the number of idle connections."""
         return len(self._idle)
 
+    @property
+    def idle_since_ms(self) -> float:
+        """Return since when the connection has been idle that is idle longest."""
+        return self._idle[0][0]
+
     async def acquire(self, reuse: bool, timeout_ms: float) -> UpstreamConnection:
         """Return a connection; raise ConnectFailedError if there is none within the timeout.
 
         Without ``reuse`` the connection is new. The upstream may close an idle connection while a
         request is written to it, and it is then unknown whether the request was run.
         """
-        try:
-            with anyio.fail_after(timeout_ms / MS_PER_SECOND):
-                await self._permits.acquire()
-        except TimeoutError:
-            raise ConnectFailedError("All connections to the upstream are in use.") from None
+        await self._acquire_permits(timeout_ms)
         try:
             return await self._take_idle(reuse) or await self._connect(timeout_ms)
         except BaseException:
-            self._permits.release()
+            self._release_permits()
             raise
 
+    async def _acquire_permits(self, timeout_ms: float) -> None:
+        """Wait for the right to use a connection; raise ConnectFailedError after the timeout."""
+        used = "All connections to the upstream are in use."
+        try:
+            with anyio.fail_after(timeout_ms / MS_PER_SECOND):
+                await self._permits.acquire()
+                used = "All connections of this node to upstreams are in use."
+                try:
+                    await self.process.permits.acquire()
+                except BaseException:
+                    self._permits.release()
+                    raise
+        except TimeoutError:
+            raise ConnectFailedError(used) from None
+
+    def _release_permits(self) -> None:
+        self.process.permits.release()
+        self._permits.release()
+
     async def release(self, conn: UpstreamConnection) -> None:
         """Return a connection to the pool; close it unless its last exchange ended properly."""
         try:
@@ -144,20 +199,28 @@
                 self._idle.append((self.clock.now_ms(), conn))
             else:
                 with anyio.CancelScope(shield=True):
-                    await conn.aclose()
+                    await self._close(conn)
         finally:
-            self._permits.release()
+            self._release_permits()
 
     async def close_expired(self) -> None:
         """Close the connections that were idle for longer than ``max_idle_ms``."""
         oldest_ms = self.clock.now_ms() - self.max_idle_ms
         while self._idle and self._idle[0][0] < oldest_ms:
-            await self._idle.pop(0)[1].aclose()
+            await self.close_oldest()
+
+    async def close_oldest(self) -> None:
+        """Close the connection that has been idle longest."""
+        await self._close(self._idle.pop(0)[1])
 
     async def aclose(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            await self._idle.pop()[1].aclose()
+            await self.close_oldest()
+
+    async def _close(self, conn: UpstreamConnection) -> None:
+        self.process.open -= 1
+        await conn.aclose()
 
     async def _take_idle(self, reuse: bool) -> UpstreamConnection | None:
         """Return the most recently used idle connection that is still usable, or None.
@@ -168,7 +231,7 @@
         await self.close_expired()
         in_use = self.max_open - self._permits.value
         while not reuse and self._idle and in_use + len(self._idle) > self.max_open:
-            await self._idle.pop(0)[1].aclose()
+            await self.close_oldest()
         while reuse and self._idle:
             idle_since_ms, conn = self._idle.pop()
             limit_ms = self.max_idle_ms if conn.idle_limit_ms is None else conn.idle_limit_ms
@@ -177,12 +240,21 @@
             if usable and not lost:
                 conn.reused = True
                 return conn
-            await conn.aclose()
+            await self._close(conn)
             if usable:
                 self.report_lost()
         return None
 
     async def _connect(self, timeout_ms: float) -> UpstreamConnection:
+        await self.process.make_room()
+        self.process.open += 1
+        try:
+            return await self._open(timeout_ms)
+        except BaseException:
+            self.process.open -= 1
+            raise
+
+    async def _open(self, timeout_ms: float) -> UpstreamConnection:
         try:
             stream = await self.backend.connect_tcp(
                 self.host,
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -14,7 +14,13 @@
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
 from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.forwarding import AttemptOutcome
-from goldcrestridge_node.connections import ConnectFailedError, ConnectionPool, UpstreamConnection
+from goldcrestridge_node.connections import (
+    MAX_PROCESS_CONNECTIONS,
+    ConnectFailedError,
+    ConnectionPool,
+    ProcessConnections,
+    UpstreamConnection,
+)
 from goldcrestridge_node.dialect import (
     CallerHead,
     Dialect,
@@ -43,6 +49,8 @@
     max_idle_ms: float = 4_000.0
     # Connections from this node to one upstream. Further requests wait for one of them.
     max_open: int = 128
+    # Connections from this node to all upstreams.
+    max_process_open: int = MAX_PROCESS_CONNECTIONS
 
 
 @frozen
@@ -158,6 +166,11 @@
     _refusals: dict[str, tuple[float, bool]] = field(init=False, factory=dict)
     _asking: dict[str, anyio.Lock] = field(init=False, factory=dict)
     _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=NetworkBackend)
+    _connections: ProcessConnections = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the count of all connections."""
+        self._connections = ProcessConnections(self.options.max_process_open)
 
     async def send(
         self,
@@ -249,6 +262,7 @@
                 self.clock,
                 self._backend,
                 lambda: self.report_lost(instance.address),
+                self._connections,
             )
             self._pools[instance.address] = pool
         return pool
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -24,7 +24,13 @@
 from goldcrestridge_core.config import Upstream
 from goldcrestridge_core.decoding import MALFORMED, MAX_INTEGER
 from goldcrestridge_core.types import Headers, RequestId, UpstreamId
-from goldcrestridge_node.connections import ConnectFailedError, ConnectionPool, UpstreamConnection
+from goldcrestridge_node.connections import (
+    MAX_PROCESS_CONNECTIONS,
+    ConnectFailedError,
+    ConnectionPool,
+    ProcessConnections,
+    UpstreamConnection,
+)
 from goldcrestridge_node.continuation import (
     StreamIdentities,
     StreamIdentity,
@@ -67,6 +73,7 @@
     idle_timeout_ms: float = 120_000.0
     drain_timeout_ms: float = 1_000.0
     max_open: int = 256
+    max_process_open: int = MAX_PROCESS_CONNECTIONS
     max_idle_ms: float = 15_000.0
     max_event_bytes: int = 1_048_576
     # A completion up to this length is read whole, so that its token count is reported with it.
@@ -114,6 +121,11 @@
     _identities: StreamIdentities = field(init=False, factory=StreamIdentities)
     _group: TaskGroup | None = field(init=False, default=None)
     _backend: httpcore.AsyncNetworkBackend = field(init=False, factory=NetworkBackend)
+    _connections: ProcessConnections = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the count of all connections."""
+        self._connections = ProcessConnections(self.options.max_process_open)
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Run the attempts until cancelled."""
@@ -221,6 +233,7 @@
                 self.options.max_idle_ms,
                 self.clock,
                 self._backend,
+                process=self._connections,
             )
             self._pools[upstream.address] = pool
         return pool
