Read the body of a request to a node's own pages only where one is taken

What callers saw: 150 connections that sent a quarter of a 4 MB document and then nothing took 212 MB at a control process, and as much at the ports for readiness, addresses and metrics, which take no body at all.

Cause: the applications for operators and for a node's pages collected the body of every request, up to 16 MiB, before they looked at its path, with no limit on the time.

Change: these applications use the Exchange of the callers. Only the paths that take a document read a body, within 30 s and 16 MiB (408 and 413 beyond that); all others answer at once and discard the rest for 2 s at most.

--- a/packages/node/src/goldcrestridge_node/admin.py
+++ b/packages/node/src/goldcrestridge_node/admin.py
@@ -14,14 +14,12 @@
 from goldcrestridge_core.decoding import MALFORMED
 from goldcrestridge_core.documents import Document, decode_document, encode_document
 from goldcrestridge_core.store_types import ApplyConfig, ApplyResult
-from goldcrestridge_core.types import TimelineEvent
+from goldcrestridge_core.types import RequestId, TimelineEvent
 from goldcrestridge_core.validation import validate
+from goldcrestridge_node.exchange import EdgeOptions, Exchange, Page, Receive, Scope, Send
+from goldcrestridge_node.refusals import Refusal
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
-
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
+OPTIONS = EdgeOptions(max_body_bytes=16 * 1024 * 1024)
 
 
 class ApplyRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -64,11 +62,8 @@
     metrics: Callable[[], bytes]
 
 
-@frozen
-class _Response:
-    status: int
-    body: Any
-    content_type: str = "application/json"
+def _json(status: int, body: Any) -> Page:
+    return Page(msgspec.json.encode(body), status)
 
 
 class Admin:
@@ -79,42 +74,34 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        response = await self._route(scope, receive)
-        raw = isinstance(response.body, bytes)
-        body = response.body if raw else msgspec.json.encode(response.body)
-        headers = [
-            (b"content-type", response.content_type.encode()),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        start = {"type": "http.response.start", "status": response.status, "headers": headers}
-        await send(start)
-        await send({"type": "http.response.body", "body": body})
+        exchange = Exchange(scope, receive, send, RequestId(""), OPTIONS)
+        page = await self._route(scope, exchange)
+        if page is not None:
+            await exchange.send_page(page)
 
-    async def _route(self, scope: Scope, receive: Receive) -> _Response:
+    async def _route(self, scope: Scope, exchange: Exchange) -> Page | None:
         endpoint = f"{scope['method']} {scope['path']}"
         if endpoint == "GET /healthz":
-            return _Response(200, {"status": "ok"})
+            return _json(200, {"status": "ok"})
         if endpoint == "GET /metrics":
-            return _Response(200, self._hooks.metrics(), "text/plain; version=0.0.4")
+            return Page(self._hooks.metrics(), content_type=b"text/plain; version=0.0.4")
         operator = self._operator(scope)
         if operator is None:
-            return _Response(401, {"error": "The operator's key is missing or unknown."})
+            return _json(401, {"error": "The operator's key is missing or unknown."})
         if endpoint == "GET /v1/status":
-            return _Response(200, self._hooks.status())
+            return _json(200, self._hooks.status())
         if endpoint == "GET /v1/version":
             current_config = self._hooks.current_config()
-            return _Response(
-                200, {"version": current_config.version, "digest": current_config.digest}
-            )
+            return _json(200, {"version": current_config.version, "digest": current_config.digest})
         if endpoint == "GET /v1/timeline":
             return self._timeline(scope)
         if endpoint == "GET /v1/config":
             return self._config()
         if endpoint == "POST /v1/config":
-            return await self._apply(operator, receive)
+            return await self._with_body(exchange, lambda content: self._apply(operator, content))
         if endpoint == "POST /v1/drain":
-            return await self._drain(receive)
-        return _Response(404, {"error": f"There is no {endpoint}."})
+            return await self._with_body(exchange, self._drain)
+        return _json(404, {"error": f"There is no {endpoint}."})
 
     def _operator(self, scope: Scope) -> str | None:
         """Return the name of the operator, or None for an unknown key.
@@ -129,7 +116,7 @@
                 matched = name
         return matched
 
-    def _timeline(self, scope: Scope) -> _Response:
+    def _timeline(self, scope: Scope) -> Page:
         filters = dict(parse_qsl(scope["query_string"].decode("latin-1")))
         events = [
             {
@@ -145,9 +132,9 @@
             }
             for entry in self._hooks.events(filters)
         ]
-        return _Response(200, {"events": events})
+        return _json(200, {"events": events})
 
-    def _config(self) -> _Response:
+    def _config(self) -> Page:
         current_config = self._hooks.current_config()
         document = None
         if current_config.document:
@@ -158,15 +145,25 @@
             "digest": current_config.digest,
             "document": document,
         }
-        return _Response(200, body)
-
-    async def _apply(self, operator: str, receive: Receive) -> _Response:
+        return _json(200, body)
+
+    async def _with_body(
+        self, exchange: Exchange, handle: Callable[[bytes], Awaitable[Page]]
+    ) -> Page | None:
+        """Read the body and handle it; return None if the operator got a refusal or has left."""
+        body = await exchange.read_body()
+        if isinstance(body, Refusal):
+            await exchange.send_refusal(body)
+            return None
+        return None if body is None else await handle(body)
+
+    async def _apply(self, operator: str, content: bytes) -> Page:
         try:
-            body = msgspec.json.decode(await _read_body(receive), type=ApplyRequest)
+            body = msgspec.json.decode(content, type=ApplyRequest)
             sites = msgspec.convert(body.document["sites"], dict[str, dict[str, Any]])
             document = Document(body.document["base"], sites, {})
         except (*MALFORMED, KeyError, ValueError) as exc:
-            return _Response(400, {"error": f"The request body is malformed: {exc}."})
+            return _json(400, {"error": f"The request body is malformed: {exc}."})
         checked = validate(document)
         if errors := checked.swap().value_or(()):
             detail = " ".join(str(error) for error in errors)
@@ -176,36 +173,20 @@
                 "version": current_config.version,
                 "digest": current_config.digest,
             }
-            return _Response(200, {**invalid, "detail": detail})
+            return _json(200, {**invalid, "detail": detail})
         command = ApplyConfig(
             body.change_id, body.base_version, operator, encode_document(document)
         )
         result = await self._hooks.apply(command)
         if result is None:
             error = "No quorum of control replicas answered; the change may have been accepted."
-            return _Response(503, {"error": error})
+            return _json(503, {"error": error})
         outcome = {"status": result.status.value, "version": result.version}
-        return _Response(200, {**outcome, "digest": result.digest, "detail": result.detail})
+        return _json(200, {**outcome, "digest": result.digest, "detail": result.detail})
 
-    async def _drain(self, receive: Receive) -> _Response:
+    async def _drain(self, content: bytes) -> Page:
         try:
-            body = msgspec.json.decode(await _read_body(receive) or b"{}", type=DrainRequest)
+            body = msgspec.json.decode(content or b"{}", type=DrainRequest)
         except (*MALFORMED, ValueError) as exc:
-            return _Response(400, {"error": f"The request body is malformed: {exc}."})
-        return _Response(202, self._hooks.drain(body.deadline_ms))
-
-
-async def _read_body(receive: Receive) -> bytes:
-    """Return the request body; raise ValueError if it is too large or incomplete."""
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] != "http.request":
-            raise ValueError("the operator closed the connection")
-        chunks.append(message.get("body", b""))
-        size += len(chunks[-1])
-        if size > MAX_BODY_BYTES:
-            raise ValueError(f"it is larger than {MAX_BODY_BYTES} bytes")
-        if not message.get("more_body", False):
-            return b"".join(chunks)
+            return _json(400, {"error": f"The request body is malformed: {exc}."})
+        return _json(202, self._hooks.drain(body.deadline_ms))
--- a/packages/node/src/goldcrestridge_node/exchange.py
+++ b/packages/node/src/goldcrestridge_node/exchange.py
@@ -88,8 +88,13 @@
         headers: Headers = self.scope["headers"]
         return headers
 
-    async def read_body(self, reserve: Callable[[int], bool]) -> bytes | Refusal | None:
-        """Return the body, a refusal, or None if the caller has disconnected."""
+    async def read_body(
+        self, reserve: Callable[[int], bool] | None = None
+    ) -> bytes | Refusal | None:
+        """Return the body, a refusal, or None if the caller has disconnected.
+
+        ``reserve`` returns False if a part of the body would exceed a limit on all bodies.
+        """
         length = header_values(self.headers, b"content-length")
         if length and int(length[0]) > self.options.max_body_bytes:
             return BODY_TOO_LARGE
@@ -97,7 +102,7 @@
             return await self._collect(reserve)
         return BODY_TOO_SLOW
 
-    async def _collect(self, reserve: Callable[[int], bool]) -> bytes | Refusal | None:
+    async def _collect(self, reserve: Callable[[int], bool] | None) -> bytes | Refusal | None:
         chunks: list[bytes] = []
         while True:
             message = await self.receive()
@@ -106,7 +111,7 @@
             chunk: bytes = message["body"]
             if self.reserved_bytes + len(chunk) > self.options.max_body_bytes:
                 return BODY_TOO_LARGE
-            if not reserve(len(chunk)):
+            if reserve is not None and not reserve(len(chunk)):
                 return OVERLOADED
             self.reserved_bytes += len(chunk)
             chunks.append(chunk)
@@ -117,9 +122,12 @@
     async def send_refusal(self, refusal: Refusal) -> None:
         """Send an error response."""
         body = error_body(refusal, self.request_id)
-        await self.start(
-            refusal.status, error_headers(refusal, self.request_id, body, self.whole_seconds)
-        )
+        headers = error_headers(refusal, self.request_id, body, self.whole_seconds)
+        await self._send_whole(refusal.status, headers, body)
+
+    async def _send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a response of the node itself, which does not depend on the rest of the request."""
+        await self.start(status, headers)
         await self.write(body, more=True)
         body_discarded = await self._discard_body()
         await self.write(b"", more=False)
@@ -149,13 +157,13 @@
 
     async def send_page(self, page: Page) -> None:
         """Send a complete response of the node itself."""
-        headers = (
+        headers: Headers = (
             (b"content-type", page.content_type),
             (b"content-length", b"%d" % len(page.body)),
-            (REQUEST_ID_HEADER, self.request_id.encode()),
         )
-        await self.start(page.status, headers)
-        await self.write(page.body, more=False)
+        if self.request_id:
+            headers += ((REQUEST_ID_HEADER, self.request_id.encode()),)
+        await self._send_whole(page.status, headers, page.body)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status and the headers."""
--- a/tests/node/test_process_connections.py
+++ b/tests/node/test_process_connections.py
@@ -28,9 +28,10 @@
 
 def pools(process: ProcessConnections, listeners: list[socket.socket]) -> list[ConnectionPool]:
     """Return a pool for each listener, all within the bound of the process."""
+    addresses = [sock.getsockname() for sock in listeners]
     return [
-        ConnectionPool(*sock.getsockname(), 8, 10_000.0, Clock(), NetworkBackend(), process=process)
-        for sock in listeners
+        ConnectionPool(host, port, 8, 10_000.0, Clock(), NetworkBackend(), process=process)
+        for host, port in addresses
     ]
 
 
