Send a response piece by piece to a caller that does not read

What callers saw: 150 connections that asked for answers of 200 kB and read none took 441 MB at an entry process.

Cause: a whole answer was copied into the transport, however large, on top of the 64 KB that it holds before it makes a writer wait, and the buffers of the kernel grew with it.

Change: parts of a body are written in pieces of 32 KiB, and a writer waits until all that was written has left the process. The kernel holds up to 32 KiB unread and 64 KiB unsent bytes for a connection, twice that with its own bookkeeping.

--- a/packages/node/src/goldcrestridge_node/exchange.py
+++ b/packages/node/src/goldcrestridge_node/exchange.py
@@ -32,6 +32,10 @@
 BODY_TOO_SLOW = Refusal(408, "body_timeout", "The request body took too long.", close=True)
 
 
+# A longer part of a body is sent in pieces of this length.
+MAX_WRITE_BYTES = 32_768
+
+
 @frozen
 class EdgeOptions:
     """Limits of the edge in bytes and milliseconds."""
@@ -171,8 +175,14 @@
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def write(self, data: bytes, *, more: bool) -> None:
-        """Send a part of the body; ``more`` is False for the last part."""
-        await self._send({"type": "http.response.body", "body": data, "more_body": more})
+        """Send a part of the body; ``more`` is False for the last part.
+
+        A caller that reads slowly gets it piece by piece, so that no copy of the whole part waits.
+        """
+        last = max(0, len(data) - 1) // MAX_WRITE_BYTES * MAX_WRITE_BYTES
+        for start in range(0, last, MAX_WRITE_BYTES):
+            await self._send(_body_message(data[start : start + MAX_WRITE_BYTES], more=True))
+        await self._send(_body_message(data[last:] if last else data, more))
 
     async def _send(self, message: Message) -> None:
         """Send a message; abort the connection if the caller reads nothing for the send timeout."""
@@ -183,3 +193,7 @@
             await self.send(message)
         if scope.cancelled_caught:
             self.conn.abort()
+
+
+def _body_message(data: bytes, more: bool) -> Message:
+    return {"type": "http.response.body", "body": data, "more_body": more}
--- a/packages/node/src/goldcrestridge_node/server.py
+++ b/packages/node/src/goldcrestridge_node/server.py
@@ -28,6 +28,11 @@
     503, "overloaded", "Too many connections are open.", retry_after_ms=1000.0, close=True
 )
 
+# What the kernel receives for a connection that is not read, and sends for one that does not read.
+# The send buffer is small enough that a slow caller is seen to go on reading.
+RECEIVE_BUFFER_BYTES = 32_768
+SEND_BUFFER_BYTES = 65_536
+
 
 @define
 class ServerOptions:
@@ -72,7 +77,7 @@
 
     @property
     def write_paused(self) -> bool:
-        """Return whether the send buffer is full because the caller reads too slowly."""
+        """Return whether the caller has not read all that was sent."""
         return self.flow.write_paused
 
     def abort(self) -> None:
@@ -82,6 +87,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the timeout of the first request head; refuse a connection over the limit."""
         super().connection_made(transport)
+        # A writer goes on once all was sent, so that no more than one part of a response waits.
+        transport.set_write_buffer_limits(high=0)
         if len(self.connections) > self.options.max_connections:
             self._refuse(TOO_MANY_CONNECTIONS)
             return
@@ -161,6 +168,9 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # The connections that it accepts inherit the sizes.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     sock.bind((host, port))
     sock.setblocking(False)
     return sock
