--- a/packages/lab/src/goldcrestridge_lab/asgi.py
+++ b/packages/lab/src/goldcrestridge_lab/asgi.py
@@ -13,7 +13,8 @@
 from anyio.abc import TaskStatus
 from attrs import define
 
-from goldcrestridge_node.server import CallerConnection, ServerOptions, serve
+from goldcrestridge_node.caller_connection import CallerConnection, ServerOptions
+from goldcrestridge_node.server import serve
 
 Scope = dict[str, Any]
 Message = dict[str, Any]
--- a/packages/node/src/goldcrestridge_node/exchange.py
+++ b/packages/node/src/goldcrestridge_node/exchange.py
@@ -10,6 +10,7 @@
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.types import Headers, RequestId
+from goldcrestridge_node.caller_connection import CallerConnection
 from goldcrestridge_node.headers import header_values
 from goldcrestridge_node.refusals import (
     REQUEST_ID_HEADER,
@@ -17,7 +18,6 @@
     error_body,
     error_headers,
 )
-from goldcrestridge_node.server import CallerConnection
 
 Scope = dict[str, Any]
 Message = dict[str, Any]
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -45,6 +45,7 @@
 from goldcrestridge_core.usage_counter import UsageCounter
 from goldcrestridge_core.usage_types import UsageReport
 from goldcrestridge_core.window_budget import WindowBudget
+from goldcrestridge_node.caller_connection import ServerOptions
 from goldcrestridge_node.dialect import Dialect, UpstreamResponseHead
 from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.engines import EngineAdmissionClient
@@ -56,7 +57,7 @@
 from goldcrestridge_node.request_log import RequestLog
 from goldcrestridge_node.role_settings import GatewaySettings
 from goldcrestridge_node.runtime import Driver, Outputs
-from goldcrestridge_node.server import ServerOptions, listen_at, serve
+from goldcrestridge_node.server import listen_at, serve
 from goldcrestridge_node.tasks import handle_signals, log_event, watch_file
 from goldcrestridge_node.transport import Transport, addressed_transport
 
--- a/tests/node/forward.py
+++ b/tests/node/forward.py
@@ -26,9 +26,10 @@
 from goldcrestridge_core.classes import classify
 from goldcrestridge_core.config import Configuration
 from goldcrestridge_core.types import Outcome, Reason, RequestId
+from goldcrestridge_node.caller_connection import ServerOptions
 from goldcrestridge_node.edge import Edge, EdgeHooks
 from goldcrestridge_node.exchange import EdgeOptions, Page
-from goldcrestridge_node.server import ServerOptions, serve
+from goldcrestridge_node.server import serve
 from goldcrestridge_node.upstream import AttemptEvent, UpstreamClient, UpstreamOptions
 
 
--- a/tests/node/path_helpers.py
+++ b/tests/node/path_helpers.py
@@ -34,8 +34,9 @@
 from goldcrestridge_lab.engine_http import EngineApp
 from goldcrestridge_lab.service_http import ServiceApp
 from goldcrestridge_lab.simple_engine import SimpleEngine
+from goldcrestridge_node.caller_connection import ServerOptions
 from goldcrestridge_node.exchange import EdgeOptions
-from goldcrestridge_node.server import ServerOptions, listen
+from goldcrestridge_node.server import listen
 from goldcrestridge_node.upstream import UpstreamOptions
 
 KEY = "sk-kiosk-secret"
--- a/tests/node/test_edge_faults.py
+++ b/tests/node/test_edge_faults.py
@@ -24,8 +24,8 @@
 
 from goldcrestridge_lab.service_http import Fault
 from goldcrestridge_lab.simple_engine import SimpleEngine
+from goldcrestridge_node.caller_connection import ServerOptions
 from goldcrestridge_node.exchange import EdgeOptions
-from goldcrestridge_node.server import ServerOptions
 from goldcrestridge_node.upstream import UpstreamOptions
 
 ENDLESS = 50_000  # Tokens; more than any of these tests reads.
