Let requests that were sent ahead begin in turn, one in each loop iteration

What callers saw: beside 600 connections that asked the metrics port of an entry process for pages ahead, no ordinary request was answered in 60 s.

Cause: the end of a response began the next request of its connection at once, so that each iteration of the event loop did the work of one request for every such connection. An ordinary request takes about ten iterations.

Change: a request that was sent ahead waits in a queue of the whole process, of which one begins in each iteration, and only once the response before it was read. Requests that nothing was sent before begin at once, as they did.

--- a/packages/node/src/goldcrestridge_node/caller_connection.py
+++ b/packages/node/src/goldcrestridge_node/caller_connection.py
@@ -67,6 +67,9 @@
     The application finds it in the state of the request as ``connection``. ``on_lost`` is called
     once if the connection is lost while a request is in progress. Unlike waiting for the disconnect
     message, this needs no second task per request.
+
+    A request that was sent ahead begins once the response before it was read, in turn with those
+    of other connections.
     """
 
     options = ServerOptions()
@@ -79,6 +82,8 @@
         self.on_lost: Callable[[], None] | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._stopping = False
+        self._completing = False
+        self._deferred = False  # A request that was sent ahead waits for its turn.
 
     def shutdown(self) -> None:
         """Close an idle connection; a request of which a part was received is still served."""
@@ -91,7 +96,27 @@
     def on_response_complete(self) -> None:
         """Apply the current keep-alive limit to the wait for the next request."""
         self.timeout_keep_alive = math.ceil(self.options.keep_alive_ms / MS_PER_SECOND)
+        self._completing = True
         super().on_response_complete()
+        self._completing = False
+
+    def handle_events(self) -> None:
+        """Handle what was received; a request that was sent ahead waits for its turn."""
+        if self._completing and self.conn.trailing_data[0]:
+            self._deferred = True
+            self._unset_keepalive_if_required()
+            if not self.flow.write_paused:
+                self.table.queue(self)
+            return
+        super().handle_events()
+
+    def proceed(self) -> None:
+        """Begin a request that was sent ahead, unless the response before it is not read."""
+        if self.transport.is_closing() or not self._deferred or self.flow.write_paused:
+            return
+        self._deferred = False
+        super().handle_events()
+        self._after_events()
 
     @property
     def write_paused(self) -> bool:
@@ -129,6 +154,12 @@
         self.app_state = {}
         self.scope = self.cycle = None  # type: ignore[assignment]
 
+    def resume_writing(self) -> None:
+        """Wake the writer, and go on with requests that were sent ahead."""
+        super().resume_writing()
+        if self._deferred:
+            self.table.queue(self)
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes."""
         receives_body = self.cycle is not None and self.cycle.more_body
@@ -140,7 +171,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass the data to the parser; run the head timeout while a head is incomplete."""
-        super().data_received(data)
+        if self._deferred:
+            self.conn.receive_data(data)
+        else:
+            super().data_received(data)
         self._after_events()
 
     def send_400_response(self, msg: str) -> None:
@@ -153,7 +187,7 @@
         """Adapt timer and flow control to what the parser holds."""
         if self._stopping and self.cycle is not None:
             self.cycle.keep_alive = False
-        if self.conn.their_state is h11.IDLE:
+        if self.conn.their_state is h11.IDLE and not self._deferred:
             self._start_head_timer()
         else:
             self._cancel_head_timer()
@@ -166,7 +200,7 @@
 
     def _is_ahead(self) -> bool:
         """Tell whether bytes that the parser holds belong to a later request."""
-        return self.conn.their_state is h11.DONE
+        return self._deferred or self.conn.their_state is h11.DONE
 
     def _may_read(self) -> bool:
         return not self._is_ahead() or len(self.conn.trailing_data[0]) <= MAX_AHEAD_BYTES
