Derive limits for the whole process from its memory and descriptors

What callers saw: 300 silent connections at any port for HTTP took 327 to 333 descriptors of a process that may use 200; bodies and unfinished heads took up to 173 MB of 88; callers at a crowded port got no connection.

Cause: connections had a constant limit for each server (4,096), and bodies a constant limit of 96 MiB. Nothing counted what a process holds as a whole, nor what its parsers, responses and buffers hold, and nothing ended a connection that is closed while its caller does not read.

Change: process_limits derives the limits from limits.memory_mb and limits.max_fds of the settings (memory_mb and max_descriptors on the own interface) and from the limit of the system on descriptors. connection_ledger decides, without I/O, which connections are kept: each listener is guaranteed some; at the bound one without a request gives way, then one with many requests ahead, then one whose caller has not gone on for 2 s; for memory, those go first that have held much for long; a request that runs is never cut. Beyond that requests are refused before they run (503, overloaded). A caller that takes less than 4 KB in 60 s, or reads nothing for 5 s of a connection that is being closed, is disconnected. At most 16 connections are accepted at once by each listener.

In-process tests of the connection, a state machine of the ledger, and properties of the limits.

--- a/packages/node/src/goldcrestridge_node/admin.py
+++ b/packages/node/src/goldcrestridge_node/admin.py
@@ -75,9 +75,12 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         exchange = Exchange(scope, receive, send, RequestId(""), OPTIONS)
-        page = await self._route(scope, exchange)
-        if page is not None:
-            await exchange.send_page(page)
+        try:
+            page = await self._route(scope, exchange)
+            if page is not None:
+                await exchange.send_page(page)
+        finally:
+            exchange.release()
 
     async def _route(self, scope: Scope, exchange: Exchange) -> Page | None:
         endpoint = f"{scope['method']} {scope['path']}"
--- a/packages/node/src/goldcrestridge_node/caller_connection.py
+++ b/packages/node/src/goldcrestridge_node/caller_connection.py
@@ -1,4 +1,4 @@
-"""Connection of one caller: uvicorn's protocol with limits on what it reads."""
+"""Connection of one caller: uvicorn's protocol with limits on what it reads and holds."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from goldcrestridge_core.clock import MS_PER_SECOND
+from goldcrestridge_core.connection_ledger import Phase
+from goldcrestridge_core.process_limits import CONNECTION_BYTES, REQUEST_BYTES
 from goldcrestridge_node.caller_table import CallerTable
 from goldcrestridge_node.refusals import Refusal, error_body, error_headers
 
@@ -34,12 +36,16 @@
 
 @define
 class ServerOptions:
-    """Limits of the server for callers; changes also apply to open connections."""
+    """Limits of the server for callers; changes also apply to open connections.
+
+    ``max_connections`` bounds the connections of this server beside the limits of the process, and
+    is None for no such bound.
+    """
 
     max_head_bytes: int = 32_768
     head_timeout_ms: float = 10_000.0
     keep_alive_ms: float = 75_000.0
-    max_connections: int = 4_096
+    max_connections: int | None = None
     backlog: int = 1_024
 
 
@@ -80,10 +86,13 @@
         super().__init__(*args, **kwargs)
         self.app_state = {"connection": self}
         self.on_lost: Callable[[], None] | None = None
+        self._key = -1
         self._head_timer: asyncio.TimerHandle | None = None
         self._stopping = False
         self._completing = False
         self._deferred = False  # A request that was sent ahead waits for its turn.
+        self._reserved_bytes = 0
+        self._unsent_bytes = 0
 
     def shutdown(self) -> None:
         """Close an idle connection; a request of which a part was received is still served."""
@@ -99,6 +108,7 @@
         self._completing = True
         super().on_response_complete()
         self._completing = False
+        self._account()
 
     def handle_events(self) -> None:
         """Handle what was received; a request that was sent ahead waits for its turn."""
@@ -127,20 +137,43 @@
         """Close immediately and discard unsent data."""
         self.transport.abort()
 
+    def reserve(self, size: int) -> bool:
+        """Reserve memory for the request in progress; return False if the process has none."""
+        if not self.table.make_room(size):
+            return False
+        self._reserved_bytes += size
+        self._account()
+        return True
+
+    def release(self, size: int) -> None:
+        """Release reserved memory."""
+        self._reserved_bytes -= size
+        self._account()
+
+    def take_progress(self) -> int:
+        """Return how many bytes less than at the last call wait for the caller."""
+        before, self._unsent_bytes = self._unsent_bytes, self.transport.get_write_buffer_size()
+        return before - self._unsent_bytes
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the timeout of the first request head; refuse a connection over the limit."""
         super().connection_made(transport)
         self.flow = _Flow(transport, self._may_read)
         # A writer goes on once all was sent, so that no more than one part of a response waits.
         transport.set_write_buffer_limits(high=0)
-        if len(self.connections) > self.options.max_connections:
+        address = transport.get_extra_info("sockname")
+        self._key, accepted = self.table.add(self, str(address))
+        limit = self.options.max_connections
+        if not accepted or (limit is not None and len(self.connections) > limit):
             self._refuse(TOO_MANY_CONNECTIONS)
             return
+        self._account()
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the application that its caller has disconnected."""
         super().connection_lost(exc)
+        self.table.remove(self._key)
         self._cancel_head_timer()
         self._unset_keepalive_if_required()
         if self.on_lost is not None:
@@ -154,9 +187,17 @@
         self.app_state = {}
         self.scope = self.cycle = None  # type: ignore[assignment]
 
+    def pause_writing(self) -> None:
+        """Make the writer wait until the caller has read what was sent."""
+        super().pause_writing()
+        self._unsent_bytes = self.transport.get_write_buffer_size()
+        self._account()
+
     def resume_writing(self) -> None:
         """Wake the writer, and go on with requests that were sent ahead."""
         super().resume_writing()
+        self._unsent_bytes = 0
+        self._account()
         if self._deferred:
             self.table.queue(self)
 
@@ -184,7 +225,7 @@
         self._refuse(HEAD_TOO_LARGE if too_large else BAD_REQUEST)
 
     def _after_events(self) -> None:
-        """Adapt timer and flow control to what the parser holds."""
+        """Adapt timer, flow control and memory to what the parser holds."""
         if self._stopping and self.cycle is not None:
             self.cycle.keep_alive = False
         if self.conn.their_state is h11.IDLE and not self._deferred:
@@ -197,6 +238,7 @@
                 self.flow.resume_reading()
             else:
                 self.flow.pause_reading()
+        self._account()
 
     def _is_ahead(self) -> bool:
         """Tell whether bytes that the parser holds belong to a later request."""
@@ -205,6 +247,28 @@
     def _may_read(self) -> bool:
         return not self._is_ahead() or len(self.conn.trailing_data[0]) <= MAX_AHEAD_BYTES
 
+    def _account(self) -> None:
+        """Report to the table what this connection waits for and holds."""
+        unparsed = len(self.conn.trailing_data[0])
+        held = CONNECTION_BYTES + unparsed + self._unsent_bytes + self._reserved_bytes
+        if self.flow.read_paused:
+            held += RECEIVE_BUFFER_BYTES
+        cycle = self.cycle
+        runs = cycle is not None and not cycle.response_complete
+        if runs:
+            held += REQUEST_BYTES + len(cycle.body)
+        if self.flow.write_paused:
+            phase = Phase.UNREAD
+        elif runs:
+            phase = Phase.RECEIVING if cycle.more_body else Phase.RUNNING
+        elif self._deferred and unparsed > MAX_AHEAD_BYTES:
+            phase = Phase.AHEAD
+        elif unparsed:
+            phase = Phase.RECEIVING
+        else:
+            phase = Phase.SILENT if cycle is None else Phase.IDLE
+        self.table.update(self._key, phase, held)
+
     def _start_head_timer(self) -> None:
         if self._head_timer is None:
             delay = self.options.head_timeout_ms / MS_PER_SECOND
--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -47,6 +47,7 @@
 )
 from goldcrestridge_core.versions import ReplaceDocument, ReplaceResult, VersionedDocument
 from goldcrestridge_node import disk
+from goldcrestridge_node.caller_table import CallerTable
 from goldcrestridge_node.logs import logger
 from goldcrestridge_node.metrics import Metrics
 from goldcrestridge_node.pending import PendingRequests
@@ -253,7 +254,11 @@
                 tasks.start_soon(self._post_wall_time)
             stop_serving = anyio.Event()
             operator_sockets = [listen_at(address) for address in cfg.operator_addresses]
-            await tasks.start(serve, self.hooks.operator_app(self), operator_sockets, stop_serving)
+            callers = CallerTable(
+                cfg.limits, self.clock, self.metrics.record, self.transport.descriptors
+            )
+            app = self.hooks.operator_app(self)
+            await tasks.start(serve, app, operator_sockets, stop_serving, None, callers)
             tasks.start_soon(self._poll_upstreams)
             if self.hooks.settings_path is not None:
                 tasks.start_soon(watch_file, self.hooks.settings_path, self._reload)
--- a/packages/node/src/goldcrestridge_node/edge.py
+++ b/packages/node/src/goldcrestridge_node/edge.py
@@ -207,6 +207,7 @@
             return None
         finally:
             self._reserved_bytes -= exchange.reserved_bytes
+            exchange.release()
 
     def _reserve(self, size: int) -> bool:
         """Reserve memory for ``size`` bytes of a request body.
--- a/packages/node/src/goldcrestridge_node/exchange.py
+++ b/packages/node/src/goldcrestridge_node/exchange.py
@@ -41,7 +41,7 @@
     """Limits of the edge in bytes and milliseconds."""
 
     max_body_bytes: int = 8 * 1024 * 1024
-    max_reserved_bytes: int = 96 * 1024 * 1024  # All bodies; under half of a node's 256 MB.
+    max_reserved_bytes: int = 96 * 1024 * 1024  # All bodies, beside the limits of the process.
     body_timeout_ms: float = 30_000.0
     drain_timeout_ms: float = 2_000.0  # Reading the body of a refused request.
     send_timeout_ms: float = 60_000.0
@@ -66,8 +66,9 @@
     """One HTTP request and its response on a caller's connection.
 
     ``started`` tells whether the response head was sent, and ``body_read`` whether the request body
-    was read to its end. ``reserved_bytes`` is the memory that is reserved for the body.
-    ``whole_seconds`` rounds Retry-After up to whole seconds, as RFC 9110 requires.
+    was read to its end. ``reserved_bytes`` is the size of the body so far, ``held_bytes`` the
+    memory that is reserved for the request. ``whole_seconds`` rounds Retry-After up to whole
+    seconds, as RFC 9110 requires.
     """
 
     scope: Scope
@@ -77,6 +78,7 @@
     options: EdgeOptions
     started: bool = False
     reserved_bytes: int = 0
+    held_bytes: int = 0
     body_read: bool = False
     whole_seconds: bool = True
 
@@ -92,13 +94,28 @@
         headers: Headers = self.scope["headers"]
         return headers
 
+    def reserve(self, size: int) -> bool:
+        """Reserve memory until ``release``; return False if the process has none left."""
+        if not self.conn.reserve(size):
+            return False
+        self.held_bytes += size
+        return True
+
+    def release(self) -> None:
+        """Release the memory that was reserved."""
+        self.conn.release(self.held_bytes)
+        self.held_bytes = 0
+
     async def read_body(
         self, reserve: Callable[[int], bool] | None = None
     ) -> bytes | Refusal | None:
         """Return the body, a refusal, or None if the caller has disconnected.
 
-        ``reserve`` returns False if a part of the body would exceed a limit on all bodies.
+        ``reserve`` returns False if a part of the body would exceed a limit beside that of the
+        process.
         """
+        if not self.reserve(0):
+            return OVERLOADED
         length = header_values(self.headers, b"content-length")
         if length and int(length[0]) > self.options.max_body_bytes:
             return BODY_TOO_LARGE
@@ -115,7 +132,7 @@
             chunk: bytes = message["body"]
             if self.reserved_bytes + len(chunk) > self.options.max_body_bytes:
                 return BODY_TOO_LARGE
-            if reserve is not None and not reserve(len(chunk)):
+            if not self.reserve(len(chunk)) or (reserve is not None and not reserve(len(chunk))):
                 return OVERLOADED
             self.reserved_bytes += len(chunk)
             chunks.append(chunk)
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -70,7 +70,6 @@
     unanswered: set[RequestCrashes] = field(factory=set)
     route_times: RouteTimes = field(factory=RouteTimes)
     _scopes: set[anyio.CancelScope] = field(factory=set)
-    _reserved_bytes: int = 0
     _tickets: Iterator[int] = field(factory=itertools.count)
     _idle: anyio.Event = field(factory=anyio.Event)
     _started_ms: float = field(init=False)
@@ -158,7 +157,7 @@
         relays: list[Relay] = []
         try:
             with scope, stop_scope:
-                body = await exchange.read_body(self._reserve)
+                body = await exchange.read_body()
                 if body is None:
                     record.set_outcome(
                         "caller_gone",
@@ -174,7 +173,7 @@
         finally:
             self._scopes.discard(stop_scope)
             exchange.conn.on_lost = None
-            self._reserved_bytes -= exchange.reserved_bytes
+            exchange.release()
         if scope.cancelled_caught:
             record.set_outcome(
                 "caller_gone", "The caller closed the connection, so the attempt was cancelled."
@@ -195,13 +194,6 @@
         with anyio.move_on_after(STOPPED_ANSWER_MS / MS_PER_SECOND):
             await exchange.send_refusal(self.close_if_draining(refusal))
 
-    def _reserve(self, size: int) -> bool:
-        """Reserve memory for a request body; return False above ``max_reserved_bytes``."""
-        if self._reserved_bytes + size > self.options.max_reserved_bytes:
-            return False
-        self._reserved_bytes += size
-        return True
-
     async def _handle(
         self,
         exchange: Exchange,
--- a/packages/node/src/goldcrestridge_node/gateway_process.py
+++ b/packages/node/src/goldcrestridge_node/gateway_process.py
@@ -46,8 +46,9 @@
 from goldcrestridge_core.usage_types import UsageReport
 from goldcrestridge_core.window_budget import WindowBudget
 from goldcrestridge_node.caller_connection import ServerOptions
+from goldcrestridge_node.caller_table import CallerTable
 from goldcrestridge_node.dialect import Dialect, UpstreamResponseHead
-from goldcrestridge_node.dispatch import Dispatcher
+from goldcrestridge_node.dispatch import Dispatcher, DispatchOptions
 from goldcrestridge_node.engines import EngineAdmissionClient
 from goldcrestridge_node.gateway import Gateway
 from goldcrestridge_node.gateway_parts import ActiveRoutes, GatewayDependencies
@@ -143,6 +144,7 @@
     _origins: PendingRequests = field(init=False)
     _usage: UsageCounter | None = None
     _server_options: ServerOptions = field(factory=ServerOptions)
+    _callers: CallerTable = field(init=False)
     _stop: anyio.Event = field(factory=anyio.Event)
     _callers_gone: anyio.Event = field(factory=anyio.Event)
     _log: Any = field(factory=logger)
@@ -168,6 +170,7 @@
         self._dispatcher = Dispatcher(
             self.hooks.dialect,
             self.clock,
+            DispatchOptions(max_process_open=cfg.limits.upstream_connections),
             observe=self._observe,
             observe_notice=self._observe_notice,
             withheld=lambda item: self.placement.withheld(item, self.clock.now_ms()),
@@ -212,6 +215,9 @@
         )
         self.driver = Driver(entry_node, self.clock, outputs)
         self.transport = addressed_transport(cfg.node, self.driver.post, self.metrics.record)
+        self._callers = CallerTable(
+            cfg.limits, self.clock, self.metrics.record, self.transport.descriptors
+        )
 
     @property
     def ready(self) -> bool:
@@ -394,7 +400,12 @@
             await tasks.start(self._serve_callers, caller_sockets, stop_accepting)
             management_sockets = [listen_at(address) for address in cfg.management_addresses]
             await tasks.start(
-                serve, self.hooks.management_app(self), management_sockets, stop_management
+                serve,
+                self.hooks.management_app(self),
+                management_sockets,
+                stop_management,
+                None,
+                self._callers,
             )
             tasks.start_soon(self._close_idle)
             if self.hooks.settings_path is not None:
@@ -433,7 +444,12 @@
     ) -> None:
         """Serve callers until ``stop_accepting`` is set and their connections have ended."""
         await serve(
-            self.gateway, sockets, stop_accepting, self._server_options, task_status=task_status
+            self.gateway,
+            sockets,
+            stop_accepting,
+            self._server_options,
+            self._callers,
+            task_status=task_status,
         )
         self._callers_gone.set()
 
--- a/packages/node/src/goldcrestridge_node/process.py
+++ b/packages/node/src/goldcrestridge_node/process.py
@@ -57,6 +57,7 @@
 from goldcrestridge_core.validation import validate_bytes
 from goldcrestridge_node import disk
 from goldcrestridge_node.admin import Admin, AdminHooks, CurrentConfig
+from goldcrestridge_node.caller_table import CallerTable
 from goldcrestridge_node.edge import Edge, EdgeHooks
 from goldcrestridge_node.exchange import EdgeOptions, Page
 from goldcrestridge_node.logs import logger
@@ -67,7 +68,7 @@
 from goldcrestridge_node.server import listen_at, serve
 from goldcrestridge_node.settings import ENTRY, Settings
 from goldcrestridge_node.transport import CurveKeys, Transport
-from goldcrestridge_node.upstream import UpstreamClient
+from goldcrestridge_node.upstream import UpstreamClient, UpstreamOptions
 
 APPLY_TIMEOUT_MS = 10_000.0
 WALL_CLOCK_INTERVAL_MS = 1_000.0
@@ -94,6 +95,7 @@
     transport: Transport = field(init=False)
     reports: ReportPoller = field(init=False)
     stop: anyio.Event = field(factory=anyio.Event)
+    _callers: CallerTable = field(init=False)
     _callers_gone: anyio.Event = field(factory=anyio.Event)
     _cfg: Configuration = field(factory=lambda: Configuration(""))
     _upstreams: dict[UpstreamId, Upstream] = field(factory=dict)
@@ -128,9 +130,14 @@
         self.client = UpstreamClient(
             self._upstreams.get,
             self.driver.post_and_wait,
+            UpstreamOptions(max_process_open=cfg.limits.upstream_connections),
             withheld=lambda name: self.node.requests.is_withheld(name, self.clock.now_ms()),
         )
-        self.edge = Edge(self._edge_hooks(), cfg.site, EdgeOptions(cfg.max_body_bytes))
+        self.edge = Edge(
+            self._edge_hooks(),
+            cfg.site,
+            EdgeOptions(cfg.max_body_bytes, max_reserved_bytes=cfg.limits.held_bytes),
+        )
         self.reports = ReportPoller(
             lambda: self.node.polled_upstreams(self.clock.now_ms()),
             self.node.is_engine,
@@ -146,6 +153,9 @@
             self._observe,
             _curve_keys(cfg),
         )
+        self._callers = CallerTable(
+            cfg.limits, self.clock, self.metrics.record, self.transport.descriptors
+        )
         for peer in cfg.peers.values():
             self.transport.connect(peer.node, peer.address)
 
@@ -332,7 +342,8 @@
                 self._callers_gone.set()
             if cfg.admin_address:
                 admin = Admin(self._admin_hooks())
-                await tasks.start(serve, admin, [listen_at(cfg.admin_address)], stop_serving)
+                sockets = [listen_at(cfg.admin_address)]
+                await tasks.start(serve, admin, sockets, stop_serving, None, self._callers)
             tasks.start_soon(self.reports.run)
             if cfg.platform_url:
                 tasks.start_soon(self._platform_poller().run)
@@ -352,7 +363,7 @@
     ) -> None:
         """Serve callers until ``stop_serving`` is set and their connections have ended."""
         sockets = [listen_at(self.settings.caller_address)]
-        await serve(self.edge, sockets, stop_serving, task_status=task_status)
+        await serve(self.edge, sockets, stop_serving, None, self._callers, task_status=task_status)
         self._callers_gone.set()
 
     def _platform_poller(self) -> PlatformPoller:
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -462,6 +462,8 @@
         size = 0
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
+                if not self.exchange.reserve(len(chunk)):
+                    raise IncompleteResponseError("this node has no memory left for it")
                 parts.append(chunk)
                 size += len(chunk)
                 if size > MAX_WHOLE_RESPONSE_BYTES:
--- a/packages/node/src/goldcrestridge_node/role_settings.py
+++ b/packages/node/src/goldcrestridge_node/role_settings.py
@@ -8,8 +8,9 @@
 
 from pathlib import Path
 
-from attrs import frozen
+from attrs import Factory, frozen
 
+from goldcrestridge_core.process_limits import ProcessLimits, process_limits
 from goldcrestridge_core.types import NodeId
 
 
@@ -25,7 +26,7 @@
     together may retry ``retry_share`` of the requests plus ``retry_extra`` more. A leaving upstream
     goes on serving for ``upstream_drain_ms``. Requests that upstreams begin are counted by windows
     of ``usage_window_ms``, unless that is 0. The platform's list of upstreams shows a change after
-    ``list_lag_ms``.
+    ``list_lag_ms``. ``limits`` bounds what the process holds for callers.
     """
 
     node: NodeId
@@ -42,6 +43,7 @@
     upstream_drain_ms: float
     usage_window_ms: float = 0.0
     list_lag_ms: float = 0.0
+    limits: ProcessLimits = Factory(process_limits)
 
 
 @frozen
@@ -53,6 +55,7 @@
     ``target_voters`` is the number of voting replicas that the log maintains. ``holder`` names this
     VM in calls to the platform. Its duties are held for ``duty_lease_ms``: usage reports, unless
     ``usage_window_ms`` is 0, and orders of upstreams if ``orders_upstreams`` is true.
+    ``limits`` bounds what the process holds for operators.
     """
 
     node: NodeId
@@ -66,3 +69,4 @@
     duty_lease_ms: float = 0.0
     usage_window_ms: float = 0.0
     orders_upstreams: bool = False
+    limits: ProcessLimits = Factory(process_limits)
--- a/packages/node/src/goldcrestridge_node/server.py
+++ b/packages/node/src/goldcrestridge_node/server.py
@@ -14,6 +14,7 @@
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.endpoints import split_address
+from goldcrestridge_core.process_limits import ACCEPT_BATCH
 from goldcrestridge_node.caller_connection import (
     RECEIVE_BUFFER_BYTES,
     SEND_BUFFER_BYTES,
@@ -26,9 +27,10 @@
 class _Server(Server):
     """Server that leaves signals to the process and calls ``on_started`` once it listens."""
 
-    def __init__(self, config: Config, on_started: Callable[[], None]) -> None:
+    def __init__(self, config: Config, on_started: Callable[[], None], backlog: int) -> None:
         super().__init__(config)
         self.on_started = on_started
+        self.backlog = backlog
 
     @contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
@@ -38,6 +40,10 @@
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Open the listeners and call ``on_started``."""
         await super().startup(sockets=sockets)
+        for sock in sockets or ():
+            # The event loop uses one number for the queue of the kernel and for the connections
+            # that it accepts at once. The queue is longer.
+            sock.listen(self.backlog)
         self.on_started()
 
 
@@ -71,12 +77,14 @@
     """Serve the ASGI application on bound sockets until ``stop`` is set.
 
     Requests in flight are then completed. Use ``TaskGroup.start``, which returns once the sockets
-    listen. Cancellation aborts all connections. ``table`` is that of all servers of the process;
-    without it, this server has one of its own.
+    listen. Cancellation aborts all connections. ``table`` holds the connections of all servers of
+    the process; without it, this server has one of its own.
     """
     options, table = options or ServerOptions(), table or CallerTable()
     protocol = type("Connection", (CallerConnection,), {"options": options, "table": table})
-    server = _Server(_config(app, protocol), task_status.started)
+    for sock in socks:
+        table.ledger.add_listener(str(sock.getsockname()))
+    server = _Server(_config(app, protocol), task_status.started, options.backlog)
     async with anyio.create_task_group() as group:
         group.start_soon(_stop_server, server, stop)
         try:
@@ -98,7 +106,7 @@
         access_log=False,
         proxy_headers=False,
         server_header=False,
-        backlog=options.backlog,
+        backlog=ACCEPT_BATCH,
         h11_max_incomplete_event_size=options.max_head_bytes,
         timeout_keep_alive=int(options.keep_alive_ms / MS_PER_SECOND),
         timeout_graceful_shutdown=None,
--- a/packages/node/src/goldcrestridge_node/settings.py
+++ b/packages/node/src/goldcrestridge_node/settings.py
@@ -13,7 +13,9 @@
 from goldcrestridge_core.endpoints import split_address
 from goldcrestridge_core.exceptions import ConfigError
 from goldcrestridge_core.options import Kind, Option, Section
+from goldcrestridge_core.process_limits import BYTES_PER_MB, ProcessLimits, process_limits
 from goldcrestridge_core.types import NodeId
+from goldcrestridge_node.descriptors import allowed_descriptors
 
 FORMAT = 1
 ENTRY = "entry"
@@ -63,6 +65,14 @@
         Option(
             "timeline_events", Kind.INTEGER, "number of events kept", default=20_000, minimum=100
         ),
+        Option("memory_mb", Kind.INTEGER, "memory that this node may use", default=256, minimum=64),
+        Option(
+            "max_descriptors",
+            Kind.INTEGER,
+            "descriptors that this node may open; 0 for those that the system allows it",
+            default=0,
+            minimum=0,
+        ),
         Option(
             "max_body_bytes", Kind.INTEGER, "largest request body", default=8_388_608, minimum=1
         ),
@@ -112,6 +122,7 @@
     drain_deadline_ms: float
     timeline_events: int
     max_body_bytes: int
+    limits: ProcessLimits
     peers: dict[NodeId, Peer]
     operators_sha256: dict[str, str]
     curve_public_key: str
@@ -160,6 +171,10 @@
             drain_deadline_ms=float(values["drain_deadline_ms"]),
             timeline_events=values["timeline_events"],
             max_body_bytes=values["max_body_bytes"],
+            limits=process_limits(
+                values["memory_mb"] * BYTES_PER_MB,
+                allowed_descriptors(values["max_descriptors"]),
+            ),
             peers={
                 NodeId(name): Peer(
                     NodeId(name), row["address"], bool(row["replica"]), row["public_key"]
--- a/packages/node/src/goldcrestridge_node/transport.py
+++ b/packages/node/src/goldcrestridge_node/transport.py
@@ -53,6 +53,8 @@
 # Interval at which messages are offered again to a socket whose queue is full, because its peer
 # does not read.
 FULL_QUEUE_RETRY_MS = 10.0
+# A socket to a peer with its wake-up descriptor, and the connection from that peer.
+DESCRIPTORS_PER_PEER = 3
 # Messages that are received before other tasks run.
 MAX_RECEIVED_AT_ONCE = 64
 
@@ -165,6 +167,10 @@
                 _unwatch(reader)
             self._context.destroy(linger=0)
 
+    def descriptors(self) -> int:
+        """Return about how many descriptors the connections to and from the peers use."""
+        return DESCRIPTORS_PER_PEER * len(self._links)
+
     def connect(self, peer: NodeId, address: str) -> None:
         """Connect to a peer, or reconnect if its address changed."""
         link = self._links.get(peer)
