Hold a response that does not fit the memory against no upstream

Found by reading the change before: a response for which a process has no memory left counted as one that its upstream broke off, so a sound upstream was avoided and the request, which had run, was run again where it fitted no better. It now ends as 502 at once.

Test: test_gateway_memory.py failed before (2 runs in place of 1).

--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -48,6 +48,7 @@
 MAX_WHOLE_RESPONSE_BYTES = 1_048_576
 # Outcomes of attempts that an upstream began, or most probably did.
 BEGUN = (AttemptOutcome.ANSWERED, AttemptOutcome.ERROR, AttemptOutcome.UNKNOWN)
+LACKS_MEMORY = "this node has no memory left for the response"
 # A longer event is taken for bytes that hold none.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -69,6 +70,7 @@
     _origin: StreamOrigin | None = None
     _began: bool = False  # The current attempt brought an event.
     _sending: bool = False  # An attempt is under way, or was cancelled.
+    _lacks_memory: bool = False  # A response did not fit, and the next one would not either.
     _arrived: bool = False  # An attempt was sent, so that each further one is a retry.
     _splitter: EventSplitter = field(init=False)
     _permits: RequestPermits = field(init=False)
@@ -369,6 +371,9 @@
         self, outcome: AttemptOutcome, instance: UpstreamInstance, now_ms: float
     ) -> Decision:
         self._excluded.add(instance.instance)
+        if self._lacks_memory:
+            self.forwarding.after_attempt(outcome, now_ms, has_retry_budget=False)
+            return self.forwarding.give_up(LACKS_MEMORY)
         if outcome is AttemptOutcome.UNKNOWN and self.crashes.bars_retry():
             self.forwarding.after_attempt(outcome, now_ms, has_retry_budget=False)
             return self.forwarding.give_up("upstreams crashed under the request")
@@ -463,7 +468,8 @@
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
                 if not self.exchange.reserve(len(chunk)):
-                    raise IncompleteResponseError("this node has no memory left for it")
+                    self._lacks_memory = True
+                    return FailedAttempt(AttemptOutcome.UNKNOWN, LACKS_MEMORY, upstream_fault=False)
                 parts.append(chunk)
                 size += len(chunk)
                 if size > MAX_WHOLE_RESPONSE_BYTES:
--- /dev/null
+++ b/tests/node/test_gateway_memory.py
@@ -0,0 +1,50 @@
+"""Tests of a gateway whose process has no memory left for a response."""
+
+from __future__ import annotations
+
+import pytest
+from tests.node.gateway_helpers import UpstreamExchange, running_gateway, scripted
+
+from goldcrestridge_node.caller_connection import CallerConnection
+
+pytestmark = pytest.mark.anyio
+
+RESPONSE_BYTES = 60_000
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def large(exchange: UpstreamExchange) -> None:
+    """Answer with more than the process may hold."""
+    await exchange.respond(200, bytes(RESPONSE_BYTES))
+
+
+async def test_a_response_that_does_not_fit_is_neither_repeated_nor_held_against_its_upstream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against work that is run again where it fits no better, against "not run" for a request
+    # that has run, and against sound upstreams that are avoided.
+    reserve = CallerConnection.reserve
+    with monkeypatch.context() as patch:
+        patch.setattr(
+            CallerConnection, "reserve", lambda conn, size: size < 100 and reserve(conn, size)
+        )
+        async with running_gateway(scripted("a", large), scripted("b", large)) as running:
+            refused = await running.call("/read/x")
+            assert refused.status == 502
+            assert sum(len(upstream.exchanges) for upstream in running.upstreams) == 1
+            line = running.log_lines[-1]
+            assert line["reason"] == "this node has no memory left for the response"
+            patch.undo()
+            asked: set[str] = set()
+            while len(asked) < 2:
+                before = [len(upstream.exchanges) for upstream in running.upstreams]
+                assert len((await running.call("/read/x")).content) == RESPONSE_BYTES
+                asked |= {
+                    upstream.name
+                    for upstream, count in zip(running.upstreams, before, strict=True)
+                    if len(upstream.exchanges) > count
+                }
