Check the key before the body, and bound what one workspace holds

Cause: a node read the whole body of a request before it looked for its route and key, so that callers without a key could fill the memory for bodies, and one workspace could fill it with requests that wait for upstreams.

Change: route and key are looked up before the body is read; a request that has none is refused at once. What a request holds counts for its workspace from then on, and one workspace holds at most half of the memory of a process.

--- a/packages/core/src/goldcrestridge_core/connection_ledger.py
+++ b/packages/core/src/goldcrestridge_core/connection_ledger.py
@@ -20,6 +20,8 @@
 MIN_STALLED_MS = 500.0
 # A caller that takes fewer bytes than this has not gone on reading.
 MIN_PROGRESS_BYTES = 4_096
+# Share of the memory that the requests of one workspace may hold.
+OWNER_SHARE = 0.5
 # Memory is freed down to this share of the limit, so that victims are not sought at each request.
 FREED_SHARE = 0.9
 
@@ -48,7 +50,8 @@
 class _Entry:
     """One connection, and since when it waits without any progress.
 
-    ``ahead_ms`` is since when requests have been sent ahead on it, or None.
+    ``ahead_ms`` is since when requests have been sent ahead on it, or None. ``owner`` is the
+    workspace of its request, empty if there is none.
     """
 
     listener: str
@@ -56,6 +59,7 @@
     since_ms: float
     held_bytes: int = 0
     ahead_ms: float | None = None
+    owner: str = ""
 
     def waits_ms(self, now_ms: float) -> float:
         """Return for how long the connection has waited in its phase, or been ahead."""
@@ -77,6 +81,7 @@
     held_bytes: int = 0
     _entries: dict[int, _Entry] = field(factory=dict)
     _counts: Counter[str] = field(factory=Counter)
+    _owned_bytes: Counter[str] = field(factory=Counter)
     # By listener and phase, in the order in which the connections entered the phase.
     _waiting: dict[tuple[str, Phase], dict[int, None]] = field(factory=dict)
 
@@ -107,7 +112,8 @@
         entry = self._entries.pop(key, None)
         if entry is not None:
             self._counts[entry.listener] -= 1
-            self.held_bytes -= entry.held_bytes
+            self._hold(entry, 0)
+            self._set_owner(entry, "")
             self._waiting.get((entry.listener, entry.phase), {}).pop(key, None)
 
     def update(self, key: int, phase: Phase, held_bytes: int, now_ms: float) -> None:
@@ -115,8 +121,7 @@
         entry = self._entries.get(key)
         if entry is None or entry.phase is Phase.CLOSING:
             return
-        self.held_bytes += held_bytes - entry.held_bytes
-        entry.held_bytes = held_bytes
+        self._hold(entry, held_bytes)
         if phase is not entry.phase:
             self._waiting[entry.listener, entry.phase].pop(key, None)
             self._waiting.setdefault((entry.listener, phase), {})[key] = None
@@ -125,6 +130,7 @@
                 entry.ahead_ms = now_ms if entry.ahead_ms is None else entry.ahead_ms
             elif phase is Phase.IDLE:
                 entry.ahead_ms = None
+                self._set_owner(entry, "")
 
     def progressed(self, key: int, now_ms: float) -> None:
         """Record that the caller has read a part of what was sent."""
@@ -134,6 +140,23 @@
             waiting = self._waiting[entry.listener, entry.phase]
             waiting[key] = waiting.pop(key)
 
+    def assign(self, key: int, owner: str) -> None:
+        """Count the memory of a connection for the workspace of its request."""
+        entry = self._entries.get(key)
+        if entry is not None:
+            self._set_owner(entry, owner)
+
+    def owner_fits(self, key: int, size: int) -> bool:
+        """Tell whether the workspace of a connection may hold ``size`` more bytes.
+
+        One workspace leaves room for the others. Without a workspace only a limited part of a
+        request is held, so there is no such bound.
+        """
+        entry = self._entries.get(key)
+        if entry is None or not entry.owner:
+            return True
+        return self._owned_bytes[entry.owner] + size <= OWNER_SHARE * self.limits.held_bytes
+
     def is_full(self) -> bool:
         """Tell whether no more memory may be held."""
         return self.held_bytes >= self.limits.held_bytes
@@ -174,6 +197,24 @@
             if now_ms - self._entries[key].since_ms >= limit_ms
         )
 
+    def _hold(self, entry: _Entry, held_bytes: int) -> None:
+        change = held_bytes - entry.held_bytes
+        entry.held_bytes = held_bytes
+        self.held_bytes += change
+        if entry.owner:
+            self._owned_bytes[entry.owner] += change
+
+    def _set_owner(self, entry: _Entry, owner: str) -> None:
+        if entry.owner == owner:
+            return
+        if entry.owner:
+            self._owned_bytes[entry.owner] -= entry.held_bytes
+            if not self._owned_bytes[entry.owner]:
+                del self._owned_bytes[entry.owner]
+        entry.owner = owner
+        if owner:
+            self._owned_bytes[owner] += entry.held_bytes
+
     def waits_ms(self, key: int, now_ms: float) -> float:
         """Return for how long a connection has waited without any progress."""
         return self._entries[key].waits_ms(now_ms)
@@ -182,8 +223,8 @@
         """Count the memory of a connection as free, and choose it no more."""
         entry = self._entries[key]
         self._waiting[entry.listener, entry.phase].pop(key, None)
-        self.held_bytes -= entry.held_bytes
-        entry.phase, entry.held_bytes = Phase.CLOSING, 0
+        self._hold(entry, 0)
+        entry.phase = Phase.CLOSING
 
     def _has_room(self, listener: str) -> bool:
         """Tell whether another connection leaves every other listener what it is guaranteed."""
--- a/packages/node/src/goldcrestridge_node/caller_connection.py
+++ b/packages/node/src/goldcrestridge_node/caller_connection.py
@@ -138,13 +138,20 @@
         self.transport.abort()
 
     def reserve(self, size: int) -> bool:
-        """Reserve memory for the request in progress; return False if the process has none."""
-        if not self.table.make_room(size):
+        """Reserve memory for the request in progress.
+
+        Return False if the process has none left, or none left for the workspace of the request.
+        """
+        if not self.table.ledger.owner_fits(self._key, size) or not self.table.make_room(size):
             return False
         self._reserved_bytes += size
         self._account()
         return True
 
+    def assign(self, workspace: str) -> None:
+        """Count the memory of the request in progress for a workspace."""
+        self.table.ledger.assign(self._key, workspace)
+
     def release(self, size: int) -> None:
         """Release reserved memory."""
         self._reserved_bytes -= size
--- a/packages/node/src/goldcrestridge_node/edge.py
+++ b/packages/node/src/goldcrestridge_node/edge.py
@@ -194,6 +194,7 @@
             return caller
         if len(self._responses) >= self.options.max_requests:
             return OVERLOADED
+        exchange.conn.assign(caller[1].name)
         try:
             body = await exchange.read_body(self._reserve)
             if body is None:
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -157,6 +157,10 @@
         relays: list[Relay] = []
         try:
             with scope, stop_scope:
+                refusal = self._identify(exchange, head, record)
+                if refusal is not None:
+                    await self.refuse(exchange, refusal, record)
+                    return
                 body = await exchange.read_body()
                 if body is None:
                     record.set_outcome(
@@ -194,6 +198,32 @@
         with anyio.move_on_after(STOPPED_ANSWER_MS / MS_PER_SECOND):
             await exchange.send_refusal(self.close_if_draining(refusal))
 
+    def _identify(
+        self, exchange: Exchange, head: CallerHead, record: RequestRecord
+    ) -> Refusal | None:
+        """Count the memory of a request for its workspace; refuse one without a route or key.
+
+        Callers without a key cannot make this node hold their bodies. While the routes or the list
+        of upstreams are not current, nothing is refused yet.
+        """
+        routes, now_ms = self.dependencies.routes, self.dependencies.clock.now_ms()
+        table = routes.table
+        listed = self.dependencies.placement.listed
+        if table is None or not listed or not routes.is_current(now_ms):
+            return None
+        record.routes_version, record.routes_age_ms = table.version, routes.age_ms(now_ms)
+        route = _match_route(table, exchange.scope)
+        if route is None:
+            return NO_ROUTE
+        record.route = route.name
+        if not table.workspaces or route.public:
+            return None
+        workspace = table.workspace_for_key(head.key) if head.key else None
+        if workspace is None:
+            return UNKNOWN_KEY
+        exchange.conn.assign(workspace.name)
+        return None
+
     async def _handle(
         self,
         exchange: Exchange,
@@ -271,9 +301,7 @@
         if routes.is_outdated(now_ms):
             return NOT_READY
         current = routes.is_current(now_ms)
-        host = b"".join(header_values(scope["headers"], b"host")[:1]).decode("latin-1")
-        path = scope["raw_path"].decode("latin-1")
-        route = table.match(host.partition(":")[0].lower(), path)
+        route = _match_route(table, scope)
         if route is None:
             return NO_ROUTE if current else NOT_READY
         record.route = route.name
@@ -338,6 +366,12 @@
         return response.head.forwarded_headers + extra
 
 
+def _match_route(table: RouteTable, scope: Scope) -> Route | None:
+    """Return the route of a request, or None."""
+    host = b"".join(header_values(scope["headers"], b"host")[:1]).decode("latin-1")
+    return table.match(host.partition(":")[0].lower(), scope["raw_path"].decode("latin-1"))
+
+
 def _request_target(scope: dict[str, Any]) -> bytes:
     """Return path and query exactly as the caller sent them."""
     path: bytes = scope["raw_path"]
--- a/tests/node/test_gateway_memory.py
+++ b/tests/node/test_gateway_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 from tests.node.gateway_helpers import UpstreamExchange, running_gateway, scripted
 
@@ -48,3 +49,20 @@
                     for upstream, count in zip(running.upstreams, before, strict=True)
                     if len(upstream.exchanges) > count
                 }
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/nowhere/x"])
+async def test_a_request_without_a_key_or_route_is_refused_before_its_body_is_read(
+    path: str,
+) -> None:
+    # Guards against memory that callers without a key take with bodies that do not end.
+    head = f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"
+    async with (
+        running_gateway(scripted("a", large)) as running,
+        await anyio.connect_tcp("127.0.0.1", running.port) as stream,
+    ):
+        await stream.send(head.encode() + bytes(1_000))
+        with anyio.fail_after(5):
+            answer = await stream.receive()
+        assert answer.startswith(b"HTTP/1.1 401 " if path == "/read/x" else b"HTTP/1.1 404 ")
+        assert running.upstreams[0].exchanges == []
