--- a/review/lib2/small.py
+++ b/review/lib2/small.py
@@ -294,6 +294,7 @@
         self.folder = deployment.folder / f"{role}-{number}"
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
+        self.seeds: list[str] = []  # The first machines unless set.
 
     @property
     def title(self) -> str:
@@ -317,7 +318,8 @@
             "zones": {"zone-a": "region-a"},
             "listen": {kind: self.address(kind) for kind in served},
             "port_range": [self.deployment.ports["first"], self.deployment.ports["first"] + 15],
-            "seeds": [node.address("control") for node in self.deployment.control[:3]],
+            "seeds": self.seeds
+            or [node.address("control") for node in self.deployment.control[:3]],
             "bootstrap": self.starts == 0,
             "in_tolerance": True,
             "limits": {
@@ -423,10 +425,11 @@
         self.control = [Node(self, "control", ip, number) for number, ip in enumerate(ips, 1)]
         self.entries = [Node(self, "entry", ip, number) for number, ip in enumerate(ips, 1)]
         self.servers: list[Server] = []
+        self.added: list[Node] = []  # Processes of machines that came later.
 
     @property
     def nodes(self) -> list[Node]:
-        return [*self.control, *self.entries]
+        return [*self.control, *self.entries, *self.added]
 
     def server(self, service: str, name: str, **entry: Any) -> Server:
         """Add a server at an address of its own; it is listed from now on."""
