Let one owner say that a request may have run, from its first byte on

The upstream reset their connections 7.1 s after SIGTERM and went dark; the node ended what was left 0.1 s later.

Cause: Relay said "may have run" while an attempt was under way, Forwarding from the decision on the next step on. Between the two the relay waits up to 0.2 s for an answer to the question whether the upstream still listens, and neither said it.

Change: Forwarding holds the fact. begin_attempt sets it right before the first byte is sent, and only an outcome that proves the opposite withdraws it. All refusals of a relay pass Relay.refuse, which asks it. An attempt that waits for a connection does not count, so its caller gets 503 at a stop and not 502.

--- a/packages/core/src/goldcrestridge_core/forwarding.py
+++ b/packages/core/src/goldcrestridge_core/forwarding.py
@@ -57,8 +57,8 @@
 class Forwarding:
     """State of one forwarded request; times are monotonic milliseconds.
 
-    ``possible_runs`` counts the attempts that may have run the request, ``failed_attempts`` all
-    that did not end with a valid answer, including those that were not sent.
+    ``possible_runs`` counts the ended attempts that may have run the request, ``failed_attempts``
+    all that did not end with a valid answer, including those that were not sent.
     """
 
     route: Route
@@ -67,6 +67,24 @@
     failed_attempts: int = 0
     streaming: bool = False  # The caller has received events.
     committed: bool = False  # The caller has received a part that no other attempt can complete.
+    _sending: bool = False  # An attempt was sent, and ``after_attempt`` has not got its outcome.
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an upstream may have run the request or may still run it.
+
+        Every answer that promises the opposite depends on this. An attempt counts from its first
+        byte on, until it is certain that its upstream did not run the request.
+        """
+        return self._sending or self.possible_runs > 0
+
+    def begin_attempt(self) -> None:
+        """Record that the request is sent from now on."""
+        self._sending = True
+
+    def cancelled_outcome(self) -> AttemptOutcome:
+        """Return the outcome of an attempt that ends now without an answer."""
+        return AttemptOutcome.UNKNOWN if self._sending else AttemptOutcome.NOT_SENT
 
     def left_ms(self, now_ms: float) -> float:
         """Return the time left until the deadline; negative once it has passed."""
@@ -98,6 +116,7 @@
         self.failed_attempts += 1
         if outcome in (AttemptOutcome.UNKNOWN, AttemptOutcome.ERROR):
             self.possible_runs += 1
+        self._sending = False
         retry = self._may_retry(now_ms) and (has_retry_budget or outcome is AttemptOutcome.NOT_SENT)
         if retry:
             return Decision(Step.SEND)
@@ -136,7 +155,7 @@
 
     def give_up(self, reason: str) -> Decision:
         """Return the final decision for a request that gets no further attempt."""
-        if self.possible_runs:
+        if self.may_have_run:
             return Decision(Step.FAIL, reason)
         return Decision(Step.REFUSE, reason, RETRY_AFTER_MS)
 
@@ -160,6 +179,6 @@
         return decision
 
     def _out_of_time(self, reason: str) -> Decision:
-        if self.possible_runs:
+        if self.may_have_run:
             return Decision(Step.TIME_OUT, reason)
         return Decision(Step.REFUSE, reason, RETRY_AFTER_MS)
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -142,6 +142,10 @@
     return ""
 
 
+def _ignore_begin() -> None:
+    """Do nothing about a request that is sent now."""
+
+
 @define(eq=False)
 class Dispatcher:
     """Send requests to upstream instances, with one bounded connection pool for each address.
@@ -179,11 +183,13 @@
         request_head: UpstreamRequestHead,
         timeout_ms: float,
         denied: Callable[[], str] = _send_always,
+        begin: Callable[[], None] = _ignore_begin,
     ) -> UpstreamResponse | FailedAttempt:
         """Send a request and wait up to ``timeout_ms`` for the head of the response.
 
         ``denied`` returns why the request may no longer be sent, or an empty text. It is asked once
-        there is a connection, since the node may have been delayed for long by then.
+        there is a connection, since the node may have been delayed for long by then. ``begin`` is
+        called right before the first byte is sent.
         """
         pool = self._pool(instance)
         connect_timeout_ms = min(self.options.connect_timeout_ms, timeout_ms)
@@ -197,6 +203,7 @@
             if reason:
                 result = FailedAttempt(AttemptOutcome.NOT_SENT, reason, upstream_fault=False)
                 return result
+            begin()
             result = await self._exchange(request, instance, request_head, timeout_ms, conn, pool)
         finally:
             if not isinstance(result, UpstreamResponse):
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -191,7 +191,7 @@
             record.set_outcome("broken_off", "The node stopped.")
             exchange.conn.transport.close()
             return
-        may_have_run = any(relay.may_have_run for relay in relays)
+        may_have_run = any(relay.forwarding.may_have_run for relay in relays)
         refusal = FAILED if may_have_run else STOPPING
         record.set_outcome("failed" if may_have_run else "refused", "The node stopped.")
         record.status = refusal.status
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -32,6 +32,7 @@
 from goldcrestridge_node.exchange import Exchange
 from goldcrestridge_node.gateway_parts import NOT_READY, STOPPING, AdmittedRequest
 from goldcrestridge_node.headers import BodyFraming, may_be_event_stream
+from goldcrestridge_node.refusals import Refusal
 from goldcrestridge_node.relay_refusals import CANNOT_RESUME, ORIGIN_NOT_FOUND, refusal_of
 from goldcrestridge_node.request_crashes import RequestCrashes
 from goldcrestridge_node.request_engine import RequestEngine
@@ -69,7 +70,6 @@
     # Set once the caller holds events of the stream.
     _origin: StreamOrigin | None = None
     _began: bool = False  # The current attempt brought an event.
-    _sending: bool = False  # An attempt is under way, or was cancelled.
     _lacks_memory: bool = False  # A response did not fit, and the next one would not either.
     _arrived: bool = False  # An attempt was sent, so that each further one is a retry.
     _splitter: EventSplitter = field(init=False)
@@ -102,20 +102,10 @@
                 await self._send_final_answer(instance)
                 return
             decision = self.forwarding.before_send(self._now_ms, instance is not None)
-            if decision.step is Step.SEND and not self._is_allowed():
-                await self.gateway.refuse(self.exchange, NOT_READY, self.record)
+            refusal = self._refusal() if decision.step is Step.SEND else None
+            if refusal is not None:
+                await self.refuse(refusal)
                 return
-            if decision.step is Step.SEND and not self._may_finish():
-                if not self.may_have_run:
-                    await self.gateway.refuse(self.exchange, STOPPING, self.record)
-                    return
-                decision = self.forwarding.give_up("the node stops before the next attempt ends")
-            blocked = self.crashes.refusal()
-            if decision.step is Step.SEND and blocked is not None:
-                if not self.forwarding.possible_runs:
-                    await self.gateway.refuse(self.exchange, blocked, self.record)
-                    return
-                decision = self.forwarding.give_up(blocked.detail)
             if decision.step is Step.SEND and instance is not None:
                 decision = await self._attempt(instance)
             if decision.step is Step.PASS_ON:
@@ -124,10 +114,20 @@
                 await self._send_final_answer(decision)
                 return
 
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether an attempt may have reached an upstream that has not rejected it."""
-        return self._sending or self.forwarding.possible_runs > 0
+    def _refusal(self) -> Refusal | None:
+        """Return why this node sends no further attempt, or None."""
+        if not self._is_allowed():
+            return NOT_READY
+        if not self._may_finish():
+            return STOPPING
+        return self.crashes.refusal()
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Refuse the request as not run, or report its failure if it may have run."""
+        if self.forwarding.may_have_run:
+            await self._send_final_answer(self.forwarding.give_up(refusal.code))
+        else:
+            await self.gateway.refuse(self.exchange, refusal, self.record)
 
     def _may_finish(self) -> bool:
         left_ms = self.forwarding.left_ms(self._now_ms)
@@ -155,7 +155,7 @@
             return True
         may_be_held = found.origin is None and not found.complete
         refusal = ORIGIN_NOT_FOUND if may_be_held else CANNOT_RESUME
-        await self.gateway.refuse(self.exchange, refusal, self.record)
+        await self.refuse(refusal)
         return False
 
     def _admit_to_origin(self, origin: StreamOrigin) -> bool:
@@ -197,7 +197,7 @@
         return demand if self._origin is None else evolve(demand, origin=self._origin)
 
     def _is_allowed(self) -> bool:
-        return self.forwarding.possible_runs > 0 or self.gateway.is_still_authorized(
+        return self.forwarding.may_have_run or self.gateway.is_still_authorized(
             self.admitted, self.request.caller_head.key
         )
 
@@ -239,7 +239,7 @@
                 return instance
             elif not permits.refused:
                 return self._refusal_for_rest()
-            elif not self.forwarding.possible_runs:
+            elif not self.forwarding.may_have_run:
                 return permits.refusal()
             elif self._error_response is not None or not await permits.wait_for_next():
                 return None
@@ -324,12 +324,7 @@
 
     async def _send(self, instance: UpstreamInstance) -> UpstreamResponse | FailedAttempt:
         """Send the request to an instance and forward the response."""
-        result: UpstreamResponse | FailedAttempt = FailedAttempt(
-            AttemptOutcome.UNKNOWN,
-            "The attempt was cancelled, since its prompt was blocked.",
-            upstream_fault=False,
-        )
-        self._sending = True
+        result: UpstreamResponse | FailedAttempt | None = None
         with self.crashes.attempt():
             sent = True  # An attempt that is cancelled may have been.
             try:
@@ -339,6 +334,7 @@
                     self._build_request_head(instance),
                     self._timeout_ms(),
                     lambda: self._denied(instance),
+                    self.forwarding.begin_attempt,
                 )
                 sent = (
                     isinstance(result, UpstreamResponse)
@@ -348,8 +344,11 @@
                 self._settle_retry(sent)
             if isinstance(result, UpstreamResponse):
                 result = await self._forward(result)
-        self._sending = False
-        return result
+        return result or FailedAttempt(
+            self.forwarding.cancelled_outcome(),
+            "The attempt was cancelled, since its prompt was blocked.",
+            upstream_fault=False,
+        )
 
     def _report_failure(
         self, instance: UpstreamInstance, failed: FailedAttempt, now_ms: float
--- a/packages/node/src/goldcrestridge_node/request_engine.py
+++ b/packages/node/src/goldcrestridge_node/request_engine.py
@@ -48,7 +48,7 @@
         result = await self.gateway.dependencies.engines.request_admission(event)
         if isinstance(result, EngineDenied):
             self._ticket = None
-            if self.forwarding.possible_runs:
+            if self.forwarding.may_have_run:
                 # The caller cannot be told that the request has not run, so a denial would leave it
                 # without a response. The request is sent to a busy engine instead.
                 return instances[0]
--- a/packages/node/src/goldcrestridge_node/request_permits.py
+++ b/packages/node/src/goldcrestridge_node/request_permits.py
@@ -50,7 +50,7 @@
             return True
         started_ms = deps.clock.now_ms()
         ticket = self.gateway.next_ticket()
-        priority = RUN_PRIORITY if self.forwarding.possible_runs else self.admitted.rank
+        priority = RUN_PRIORITY if self.forwarding.may_have_run else self.admitted.rank
         permit: PermitDecided = await deps.permits.ask(
             ticket, SeekPermit(ticket, instance.instance, priority)
         )
--- a/tests/core/test_forwarding.py
+++ b/tests/core/test_forwarding.py
@@ -44,8 +44,15 @@
         for outcome in outcomes:
             assert state.before_send(0.0, has_upstream=True).step is Step.SEND
             sent += 1
+            if outcome is not AttemptOutcome.NOT_SENT:
+                state.begin_attempt()
+                # Whatever ends the request now must not call it not run.
+                assert state.may_have_run
+                assert state.give_up("stopped").step is Step.FAIL
+                assert state.cancelled_outcome() is AttemptOutcome.UNKNOWN
             runs += outcome in (AttemptOutcome.UNKNOWN, AttemptOutcome.ERROR)
             decision = state.after_attempt(outcome, 0.0, has_retry_budget=True)
+            assert state.may_have_run == (runs > 0)
             if decision.step is not Step.SEND:
                 break
         assert runs <= (2 if state.route.repeatable else 1)
--- a/tests/node/test_gateway_stop.py
+++ b/tests/node/test_gateway_stop.py
@@ -6,9 +6,12 @@
 import json
 
 import anyio
+import httpcore
 import pytest
+from anyio.lowlevel import checkpoint
 from tests.node.gateway_helpers import (
     KEY,
+    Handler,
     RunningGateway,
     UpstreamExchange,
     event,
@@ -17,11 +20,19 @@
     scripted,
 )
 
+from goldcrestridge_core.follow_types import UpstreamInstance
 from goldcrestridge_core.route_times import RouteTimes
+from goldcrestridge_node.connections import ConnectionPool
+from goldcrestridge_node.dispatch import Dispatcher
 from goldcrestridge_node.gateway_process import stop_schedule
 
 pytestmark = pytest.mark.anyio
 
+# Statuses that promise that the request has not run and will not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+# More iterations of the event loop than a request takes from its arrival to its answer.
+STOP_STEPS = 60
+
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -169,3 +180,101 @@
     for number in range(3_000):
         times.record(f"r{number}", 1.0)
     assert len(times._times) <= 1_000
+
+
+async def test_a_request_is_not_refused_as_not_run_between_its_attempt_and_the_decision(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a stop that comes after an attempt has failed, while the node still asks
+    # whether the upstream has crashed.
+    asking = anyio.Event()
+
+    async def ask_forever(_dispatcher: Dispatcher, _instance: UpstreamInstance) -> bool:
+        asking.set()
+        await anyio.sleep_forever()
+        return False
+
+    monkeypatch.setattr(Dispatcher, "refuses_connections", ask_forever)
+    async with running_gateway(scripted("a", reset)) as running:
+        async with anyio.create_task_group() as tasks:
+            statuses: list[int] = []
+
+            async def call() -> None:
+                statuses.append((await running.call("/charge/1")).status)
+
+            tasks.start_soon(call)
+            with anyio.fail_after(10):
+                await asking.wait()
+            begin_drain(running, 0.0)
+            running.gateway.end_requests()
+        assert statuses == [502]
+
+
+async def fail(exchange: UpstreamExchange) -> None:
+    await exchange.respond(500, b"failed")
+
+
+@pytest.mark.parametrize("answer", [ok, fail, reset, begin], ids=lambda item: item.__name__)
+@pytest.mark.parametrize("path", ["/charge/1", "/stream/1"])
+async def test_no_stop_at_any_step_calls_a_request_not_run_that_an_upstream_has(
+    path: str, answer: Handler
+) -> None:
+    # Guards against any wait of a request at which the node forgets that it was sent.
+    statuses: dict[str, int] = {}
+    async with running_gateway(scripted("a", answer)) as running:
+        upstream = running.upstreams[0]
+
+        async def call(name: str) -> None:
+            try:
+                response = await running.call(path, x_goldcrestridge_request_id=name)
+                statuses[name] = response.status
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                statuses[name] = 0
+
+        for steps in range(STOP_STEPS):
+            name = f"request {steps}"
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call, name)
+                with anyio.fail_after(10):
+                    while not running.gateway.in_flight and name not in statuses:
+                        await checkpoint()
+                for _ in range(steps):
+                    await checkpoint()
+                running.gateway.end_requests()
+                if answer is begin:
+                    # A stream without an end holds its caller until the node stops.
+                    while name not in statuses:
+                        await checkpoint()
+                        running.gateway.end_requests()
+        ran = {item.headers["x-goldcrestridge-request-id"] for item in upstream.exchanges}
+    assert ran
+    assert len(statuses) == STOP_STEPS
+    assert [name for name in ran if statuses[name] in NOT_RUN_STATUSES] == []
+
+
+async def test_a_request_that_waits_for_a_connection_is_refused_as_not_run_at_the_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a failure, which promises nothing, in place of a refusal that lets the caller
+    # send the request again.
+    waiting = anyio.Event()
+
+    async def wait_forever(_pool: ConnectionPool, reuse: bool, timeout_ms: float) -> None:
+        waiting.set()
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(ConnectionPool, "acquire", wait_forever)
+    async with running_gateway(scripted("a", ok)) as running:
+        async with anyio.create_task_group() as tasks:
+            statuses: list[int] = []
+
+            async def call() -> None:
+                statuses.append((await running.call("/charge/1")).status)
+
+            tasks.start_soon(call)
+            with anyio.fail_after(10):
+                await waiting.wait()
+            begin_drain(running, 0.0)
+            running.gateway.end_requests()
+        assert statuses == [503]
+        assert running.upstreams[0].exchanges == []
