Send reads and changes of a node in the log to the leader that it follows

Operators saw: reads answered 503 and changes without an answer at a control node that knew the leader, while some of its seeds were gone.

Cause: the clients of the log forget the leader with each question and with each time-out, and then ask a random seed or replica, 300 ms for each that is gone. What the replica of the same node knows of the leader was used for nodes outside the log only.

Change: a question begins at the leader that the own replica follows, if any.

--- a/packages/core/src/goldcrestridge_core/control.py
+++ b/packages/core/src/goldcrestridge_core/control.py
@@ -208,9 +208,13 @@
                     self._run_role(role, event, now_ms)
             case Receive(sender=sender, message=message):
                 self._receive(sender, message, event, now_ms)
-            case SubmitProposal() | ProposalDone():
+            case SubmitProposal():
+                self.proposals.leader = self._followed_leader() or self.proposals.leader
+                self._run_role(self.proposals, event, now_ms)
+            case ProposalDone():
                 self._run_role(self.proposals, event, now_ms)
             case SubmitQuery():
+                self.queries.leader = self._followed_leader() or self.queries.leader
                 self._run_role(self.queries, event, now_ms)
             case ControlAddresses(nodes=nodes):
                 self.identity = evolve(self.identity, seeds=nodes)
--- a/tests/core/test_control.py
+++ b/tests/core/test_control.py
@@ -296,3 +296,19 @@
     net.kill(B, wipe=True)
     net.run(8_000.0)
     assert net.voters_of(net.leaders()[0]) == {A, C, D}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_node_in_the_log_asks_the_leader_that_its_replica_follows(seed: int) -> None:
+    # Guards against reads and changes that are sent to nodes that are gone until they time out,
+    # although the node that sends them knows the leader.
+    net = formed_net(seed)
+    commit(net, A, 1)
+    net.kill(net.leaders()[0])
+    net.exchange_seeds((D, E, F))
+    net.run(4_000.0)
+    for node in {A, B, C} - net.stopped:
+        for _ in range(5):
+            name = net.read(node)
+            net.run(250.0)
+            assert net.document(name) == VersionedDocument(1, b"v1")
