Let a spare take the place of a control node that stops, before it ends

Cause: a successor was taken in only once the node that it replaces had been silent for 3 s. A planned stop told nobody, an announcement was ignored while all voters lived, a new leader counted the silence of its predecessor from its own election on, and the spare was promoted before a lost voter was removed.

Change: replicas that announce themselves become spares (learners) at once. A node that gets SIGTERM says so in its acknowledgements and goes on until a spare has its place, 0.6 of its grace time at most; without a spare it ends as before and stays a voter, since it may come back with its disk. Silent voters are replaced after 1.5 s and removed first; voters beyond the target are removed.

--- a/packages/core/src/goldcrestridge_core/control.py
+++ b/packages/core/src/goldcrestridge_core/control.py
@@ -19,9 +19,10 @@
     InstancesListed,
     StreamVersion,
 )
-from goldcrestridge_core.log_members import is_fresh, is_responsive
+from goldcrestridge_core.log_members import awaits_successor, is_fresh, is_responsive
 from goldcrestridge_core.log_types import (
     JoinReplica,
+    LeaveLog,
     Propose,
     ProposeReply,
     Query,
@@ -100,6 +101,11 @@
     """Event: the data folder can no longer be used."""
 
 
+@frozen
+class HandoverDone:
+    """Effect: the node stops, and no spare is about to take the place of its replica."""
+
+
 def _no_stream_services(_document: bytes) -> frozenset[str]:
     return frozenset()
 
@@ -131,6 +137,7 @@
     _joining_since_ms: dict[NodeId, float] = field(factory=dict)
     _plan: FormationPlan | None = None
     _was_leading: bool = False
+    _leaving: bool = False  # The node stops, and HandoverDone has not been reported.
     _last_notice_ms: float = -math.inf
     # A list of upstreams whose versions are not all in the log yet.
     _unpublished: InstancesListed | None = None
@@ -198,6 +205,7 @@
         self._update_known_replicas(now_ms)
         self._report_leadership(now_ms)
         self._ask_for_notice(now_ms)
+        self._report_handover()
         effects, self._effects = self._effects, []
         return effects
 
@@ -229,6 +237,9 @@
                 self._update_contacts(now_ms)
             case ReplicaClosed():
                 self.replica = self.store = None
+            case LeaveLog():
+                self._leaving = True
+                self._run_role(self.replica, event, now_ms)
             case WallTime():
                 self._run_role(self.replica, event, now_ms)
             case _:
@@ -432,6 +443,13 @@
             self._known_replicas = nodes
             self._update_contacts(now_ms)
 
+    def _report_handover(self) -> None:
+        """Report once that a node that stops may end without a loss to the log."""
+        awaits = self.replica is not None and awaits_successor(self.replica.log.state)
+        if self._leaving and not awaits:
+            self._leaving = False
+            self._effects.append(HandoverDone())
+
     def _report_leadership(self, now_ms: float) -> None:
         leads = self.leadership(now_ms).leads
         if leads != self._was_leading:
--- a/packages/core/src/goldcrestridge_core/election.py
+++ b/packages/core/src/goldcrestridge_core/election.py
@@ -90,6 +90,7 @@
     state.leader = None
     state.votes = set()
     state.peers = {}
+    state.removed = {}
     state.waiters = {}
     state.proposal_indexes = {}
     state.verified = 0
@@ -193,6 +194,7 @@
     if state.leader != message.route.source:
         _become_follower(state)
         state.leader = message.route.source
+    state.last_leader = message.route.source
     state.last_contact_ms = now_ms
     state.leader_sent_ms = max(state.leader_sent_ms, message.sent_ms)
     start_timer(state, now_ms)
--- a/packages/core/src/goldcrestridge_core/log.py
+++ b/packages/core/src/goldcrestridge_core/log.py
@@ -26,6 +26,7 @@
     InstallSnapshotReply,
     JoinReplica,
     JoinReply,
+    LeaveLog,
     LogFailed,
     LogSynced,
     PreVote,
@@ -137,6 +138,8 @@
         election.step_down(state, now_ms)
         state.failed = True
         state.emit("log.disk_failed", reason=event.reason)
+    elif isinstance(event, LeaveLog):
+        replication.on_leave(state, now_ms)
     elif isinstance(event, WallTime):
         state.wall_offset_ms = event.wall_ms - now_ms
     _run_timers(state, now_ms)
@@ -253,7 +256,8 @@
     _apply_committed(state)
     if state.position is Position.LEADER:
         log_members.promote_learners(state, now_ms)
-        log_members.remove_lost(state, now_ms)
+        log_members.remove_surplus(state, now_ms)
+        log_members.forget_removed(state, now_ms)
         _answer_queries(state, now_ms)
         replication.replicate(state, now_ms)
         if state.commit >= state.memberships[-1][0] and not state.is_voter:
--- a/packages/core/src/goldcrestridge_core/log_members.py
+++ b/packages/core/src/goldcrestridge_core/log_members.py
@@ -4,6 +4,11 @@
 announcements; each computes the same first entry. Afterwards a replica with an empty folder can
 join only as a learner. Each change adds or removes one replica, so that old and new quorums
 overlap.
+
+A replica that announces itself while no voter is missing becomes a spare: a learner that holds the
+log and is promoted once a voter is lost or its node stops. A node that stops waits until a spare
+has taken its place. Without a spare its replica stays a voter, since the node may come back with
+its disk.
 """
 
 from __future__ import annotations
@@ -27,6 +32,9 @@
 from goldcrestridge_core.replication import propose
 from goldcrestridge_core.types import NodeId, Send
 
+# A replica that answered none of so many heartbeats may be lost.
+CURRENT_HEARTBEATS = 3
+
 
 def is_fresh(state: LogState) -> bool:
     """Return whether this replica has no entries, snapshot or membership."""
@@ -49,6 +57,8 @@
     committed: only this replica knows the entry then, and no leader sends it anything.
     """
     state.join_at_ms = now_ms + state.options.announcement_interval_ms
+    if state.own in state.leaving:
+        return
     if is_fresh(state):
         _try_form(state, state.own, now_ms)
     elif now_ms - state.last_contact_ms < 2 * state.options.election_timeout_ms:
@@ -112,17 +122,17 @@
 
 
 def _start_replacement(state: LogState, replica: Replica, now_ms: float) -> None:
-    """Begin to replace a failed replica by one that announced itself.
+    """Add a replica that announced itself as a learner.
 
-    The new replica is added as a learner if it replaces an unresponsive incarnation of the same
-    node, or if a voter is missing or lost. A lost learner of the same node is removed first.
+    It replaces an unresponsive incarnation of the same node, or becomes a spare unless there are
+    enough. A lost learner of the same node is removed first.
     """
     former = [member for member in _all_replicas(state.membership) if member.node == replica.node]
     if any(is_responsive(state, member, now_ms) for member in former):
         return
     membership = state.membership
     if not former:
-        if not membership.learners and _needs_voter(state, now_ms):
+        if len(membership.learners) < _max_spares(state):
             change_membership(state, ReplicaOperation.ADD, replica, now_ms)
         return
     lost = [learner for learner in membership.learners if learner.node == replica.node]
@@ -140,8 +150,14 @@
     return age_ms < 2 * state.options.election_timeout_ms
 
 
+def _max_spares(state: LogState) -> int:
+    """Return the number of spares to keep: that of the voters that may be lost, at least one."""
+    target = state.options.target_voters
+    return max(1, target // 2) if target else 0
+
+
 def _needs_voter(state: LogState, now_ms: float) -> bool:
-    """Return whether a spare replica should be added: a voter is missing or lost."""
+    """Return whether a spare should be promoted: a voter is missing, lost or stops."""
     voters = state.membership.voters
     target = state.options.target_voters
     return len(voters) < target or (
@@ -149,24 +165,81 @@
     )
 
 
-def _is_lost(state: LogState, replica: Replica, now_ms: float) -> bool:
-    """Return whether a replica has been silent for at least ``replace_after_ms``."""
+def _is_lost(state: LogState, voter: Replica, now_ms: float) -> bool:
+    """Return whether a voter's node stops, or the voter is silent for ``replace_after_ms``."""
+    silent_ms = _silent_ms(state, voter, now_ms)
+    return voter in state.leaving or silent_ms >= state.options.replace_after_ms
+
+
+def _voters_to_replace(state: LogState, now_ms: float) -> list[Replica]:
+    """Return the voters that are lost and do not answer, unless too few would be left."""
+    voters, target = state.membership.voters, state.options.target_voters
+    if not target or len(voters) < target:
+        return []
+    return [
+        voter
+        for voter in voters
+        if _is_lost(state, voter, now_ms) and not _is_current(state, voter, now_ms)
+    ]
+
+
+def _is_current(state: LogState, replica: Replica, now_ms: float) -> bool:
+    """Return whether a replica answers the heartbeats of the moment."""
+    limit_ms = CURRENT_HEARTBEATS * state.options.heartbeat_ms
+    return replica == state.own or now_ms - state.peers[replica].acked_ms < limit_ms
+
+
+def _silent_ms(state: LogState, replica: Replica, now_ms: float) -> float:
+    """Return for how long a replica has not been heard of."""
     if replica == state.own:
-        return False
-    last_contact_ms = max(state.peers[replica].acked_ms, state.leader_since_ms)
-    return now_ms - last_contact_ms >= state.options.replace_after_ms
+        return 0.0
+    peer = state.peers[replica]
+    return now_ms - max(peer.acked_ms, peer.heard_ms)
+
 
+def remove_surplus(state: LogState, now_ms: float) -> None:
+    """Remove a lost learner, or a voter if there are more than ``target_voters``.
 
-def remove_lost(state: LogState, now_ms: float) -> None:
-    """Remove a lost learner, or a lost voter if there are more than ``target_voters``."""
+    That is one whose node stops, or else the one that has been silent for longest.
+    """
     target = state.options.target_voters
     if not target or not may_change_membership(state):
         return
-    membership = state.membership
-    surplus = membership.voters if len(membership.voters) > target else ()
-    lost = [item for item in (*membership.learners, *surplus) if _is_lost(state, item, now_ms)]
-    if lost:
-        change_membership(state, ReplicaOperation.REMOVE, lost[0], now_ms)
+    membership, limit_ms = state.membership, state.options.remove_after_ms
+    surplus = [item for item in membership.learners if _silent_ms(state, item, now_ms) >= limit_ms]
+    if len(membership.voters) > target:
+        surplus += sorted(
+            membership.voters,
+            key=lambda voter: (voter in state.leaving, _silent_ms(state, voter, now_ms)),
+            reverse=True,
+        )
+    if surplus:
+        change_membership(state, ReplicaOperation.REMOVE, surplus[0], now_ms)
+
+
+def forget_removed(state: LogState, now_ms: float) -> None:
+    """Stop to send entries to removed replicas that hold their removal or do not answer."""
+    ended = [
+        replica
+        for replica, index in state.removed.items()
+        if state.peers[replica].match >= index or not is_responsive(state, replica, now_ms)
+    ]
+    for replica in ended:
+        del state.removed[replica], state.peers[replica]
+
+
+def awaits_successor(state: LogState) -> bool:
+    """Return whether a spare is about to take the place of this replica.
+
+    A leader that removes itself goes on until the removal is committed, when it steps down.
+    """
+    membership, target = state.membership, state.options.target_voters
+    if state.failed or not target:
+        return False
+    if not state.is_voter:
+        return state.position is Position.LEADER
+    spares = set(membership.learners) - state.leaving
+    return bool(spares) or len(membership.voters) > target
 
 
 def may_change_membership(state: LogState) -> bool:
@@ -184,6 +257,7 @@
     if operation is ReplicaOperation.ADD:
         if replica in _all_replicas(old):
             return "The replica is a member already."
+        state.removed.pop(replica, None)
         new = LogMembership(old.group, old.voters, (*old.learners, replica))
     else:
         if replica not in _all_replicas(old):
@@ -195,6 +269,8 @@
             tuple(voter for voter in old.voters if voter != replica),
             tuple(learner for learner in old.learners if learner != replica),
         )
+        if replica != state.own:
+            state.removed[replica] = state.entries.last_index + 1
     _append_membership(state, new, now_ms)
     return None
 
@@ -210,20 +286,24 @@
 
 
 def promote_learners(state: LogState, now_ms: float) -> None:
-    """Promote a learner that holds all committed entries.
+    """Promote a learner that holds all committed entries if a voter is needed.
 
-    If a former incarnation of its node is still a voter, remove that one first.
+    A voter that is gone is removed first, so that the log is not stuck if the learner is lost at
+    the same time. One that only stops is removed afterwards, since its vote may still be needed.
     """
     membership = state.membership
     if not membership.learners or not may_change_membership(state):
         return
     for learner in membership.learners:
         peer = state.peers[learner]
-        if peer.match < state.commit or not is_responsive(state, learner, now_ms):
-            continue
         former = [voter for voter in membership.voters if voter.node == learner.node]
-        if former:
-            change_membership(state, ReplicaOperation.REMOVE, former[0], now_ms)
+        peer.promotion_due = bool(former) or _is_promotion_due(state, learner, now_ms)
+        caught_up = peer.match >= state.commit and _is_current(state, learner, now_ms)
+        if not peer.promotion_due or not caught_up:
+            continue
+        gone = former or _voters_to_replace(state, now_ms)
+        if gone:
+            change_membership(state, ReplicaOperation.REMOVE, gone[0], now_ms)
         else:
             learners = tuple(other for other in membership.learners if other != learner)
             voters = (*membership.voters, learner)
@@ -231,6 +311,13 @@
         return
 
 
+def _is_promotion_due(state: LogState, learner: Replica, now_ms: float) -> bool:
+    """Return whether a learner should become a voter; without a target each one should."""
+    if not state.options.target_voters:
+        return True
+    return learner not in state.leaving and _needs_voter(state, now_ms)
+
+
 def on_change(state: LogState, sender: NodeId, message: ChangeReplicas, now_ms: float) -> None:
     """Handle a membership change requested by an operator."""
     if state.position is not Position.LEADER:
--- a/packages/core/src/goldcrestridge_core/log_state.py
+++ b/packages/core/src/goldcrestridge_core/log_state.py
@@ -85,8 +85,10 @@
     max_pending_proposals: int = 10_000
     # Number of voters that the leader maintains automatically; 0 disables automatic changes.
     target_voters: int = 0
-    # A voter silent for this long is replaced if a spare replica has announced itself.
-    replace_after_ms: float = 3_000.0
+    # A voter silent for this long is replaced if a spare replica is ready.
+    replace_after_ms: float = 1_500.0
+    # A learner silent for this long is removed.
+    remove_after_ms: float = 3_000.0
 
 
 class Position(enum.Enum):
@@ -100,9 +102,13 @@
 
 @define
 class Progress:
-    """Replication progress of one follower or learner, as tracked by the leader."""
+    """Replication progress of one follower or learner, as tracked by the leader.
+
+    ``heard_ms`` is when the replica was last known to run before it acknowledged an append.
+    """
 
     next_index: int
+    heard_ms: float
     match: int = 0
     acked_ms: float = -math.inf  # When the leader sent the newest append that was acknowledged.
     unacked_last: int = 0  # Last index of the append in flight; 0 if none.
@@ -111,8 +117,9 @@
     snapshot_data: bytes = b""
     offset: int = 0
     wall_offset_ms: float | None = None  # Peer wall time minus local monotonic time.
-    # Learners only: the commit index at the last heartbeat, the number of heartbeats since commits
-    # last waited for this learner, and whether they wait for it now.
+    # Learners only: whether it should become a voter, the commit index at the last heartbeat, the
+    # number of heartbeats since commits last waited for this learner, and whether they do now.
+    promotion_due: bool = False
     catch_up_target: int = 1 << 62
     heartbeats_since_hold: int = 0
     holds_commit: bool = False
@@ -166,6 +173,12 @@
     join_at_ms: float = math.inf
     votes: set[Replica] = Factory(set)
     peers: dict[Replica, Progress] = Factory(dict)
+    # Replicas whose nodes stop, this one included, as far as it is known.
+    leaving: set[Replica] = Factory(set)
+    # Removed replicas that still get entries, so that they learn of it, with the index of the
+    # entry that removed them.
+    removed: dict[Replica, int] = Factory(dict)
+    last_leader: Replica | None = None  # The leader that ``last_contact_ms`` is about.
     term_start: int = 0  # Index of the barrier entry of this leader's term.
     leader_since_ms: float = 0.0
     verified: int = 0  # Highest index known to match the log of this term's leader.
--- a/packages/core/src/goldcrestridge_core/log_types.py
+++ b/packages/core/src/goldcrestridge_core/log_types.py
@@ -170,6 +170,11 @@
     reason: str
 
 
+@frozen
+class LeaveLog:
+    """Event: the node of the replica stops; a spare replica is to take its place."""
+
+
 @frozen
 class WallTime:
     """Event: wall time of this process, sent about once per second; only stamps entries."""
@@ -236,7 +241,8 @@
 class Append:
     """Replicate the entries after ``prev_index``; without entries it is a heartbeat.
 
-    ``sent_ms`` is the leader's monotonic time, which the reply echoes.
+    ``sent_ms`` is the leader's monotonic time, which the reply echoes. ``leaving`` are the replicas
+    whose nodes stop, which a later leader needs to know.
     """
 
     route: LogRoute
@@ -246,6 +252,7 @@
     entries: tuple[LogEntry, ...]
     commit: int
     sent_ms: float
+    leaving: tuple[Replica, ...] = ()
 
 
 @message
@@ -253,7 +260,8 @@
 class AppendReply:
     """Reply to Append; ``match`` is the durable matching index, or the index to try next.
 
-    ``wall_ms`` is the wall time of the sender, or -1 if it is unknown.
+    ``wall_ms`` is the wall time of the sender, or -1 if it is unknown. ``leaving`` tells that the
+    node of the sender stops.
     """
 
     route: LogRoute
@@ -262,6 +270,7 @@
     match: int
     sent_ms: float
     wall_ms: float = -1.0
+    leaving: bool = False
 
 
 @message
--- a/packages/core/src/goldcrestridge_core/replication.py
+++ b/packages/core/src/goldcrestridge_core/replication.py
@@ -24,19 +24,27 @@
     state.leader_since_ms = now_ms
     state.heartbeat_at_ms = now_ms
     state.emit("log.leader", term=state.term, node=state.own.node)
-    track_peers(state)
+    track_peers(state, now_ms)
+    if state.last_leader in state.peers:
+        # The former leader has been silent for longer than this one leads.
+        state.peers[state.last_leader].heard_ms = state.last_contact_ms
     state.term_start = propose(state, EntryKind.BARRIER, b"", now_ms)
 
 
-def track_peers(state: LogState) -> None:
-    """Track progress for the other replicas of the membership, and for no others."""
-    others = [
-        replica
-        for replica in state.membership.voters + state.membership.learners
-        if replica != state.own
-    ]
+def track_peers(state: LogState, now_ms: float) -> None:
+    """Track progress for the other replicas of the membership and those that were removed."""
+    members = state.membership.voters + state.membership.learners
+    others = [replica for replica in (*members, *state.removed) if replica != state.own]
     next_index = max(1, state.entries.last_index)  # Send at least one entry as a probe.
-    state.peers = {replica: state.peers.get(replica) or Progress(next_index) for replica in others}
+    state.peers = {
+        replica: state.peers.get(replica) or Progress(next_index, now_ms) for replica in others
+    }
+
+
+def _leaving(state: LogState) -> tuple[Replica, ...]:
+    """Return the replicas of the membership whose nodes stop, in membership order."""
+    members = state.membership.voters + state.membership.learners
+    return tuple(replica for replica in members if replica in state.leaving)
 
 
 def propose(state: LogState, kind: EntryKind, data: bytes, now_ms: float) -> int:
@@ -44,7 +52,7 @@
     index = state.entries.last_index + 1
     state.append(LogEntry(index, state.term, kind, next_stamp_ms(state, now_ms), data))
     if kind is EntryKind.MEMBERSHIP:
-        track_peers(state)
+        track_peers(state, now_ms)
     return index
 
 
@@ -60,13 +68,12 @@
 
 def replicate(state: LogState, now_ms: float, heartbeat: bool = False) -> None:
     """Send missing entries to each replica, and a heartbeat to all if requested."""
+    leaving = _leaving(state)
     for replica, peer in state.peers.items():
         _send_entries(state, replica, peer, now_ms)
         if heartbeat:
-            state.send(
-                replica,
-                Append(state.route(replica), state.term, 0, 0, (), state.commit, now_ms),
-            )
+            route = state.route(replica)
+            state.send(replica, Append(route, state.term, 0, 0, (), state.commit, now_ms, leaving))
 
 
 def _send_entries(state: LogState, replica: Replica, peer: Progress, now_ms: float) -> None:
@@ -93,7 +100,16 @@
     prev_index = peer.next_index - 1
     state.send(
         replica,
-        Append(route, state.term, prev_index, prev_term, entries, state.commit, now_ms),
+        Append(
+            route,
+            state.term,
+            prev_index,
+            prev_term,
+            entries,
+            state.commit,
+            now_ms,
+            _leaving(state),
+        ),
     )
     peer.unacked_last = entries[-1].index
     peer.unacked_ms = now_ms
@@ -106,6 +122,8 @@
     if not accept_leader(state, message, now_ms):
         state.send(source, AppendReply(state.route(source), state.term, False, 0, message.sent_ms))
         return
+    # The leader may not know yet that this node was started again.
+    state.leaving = {*message.leaving} - {state.own} | state.leaving & {state.own}
     if not _prefix_matches(state, message):
         hint = _conflict_hint(state, message.prev_index)
         state.send(source, _append_reply(state, source, False, hint, message.sent_ms, now_ms))
@@ -152,7 +170,8 @@
 ) -> AppendReply:
     """Return an append reply that carries this replica's wall time, or -1 if unknown."""
     wall_ms = -1.0 if state.wall_offset_ms is None else now_ms + state.wall_offset_ms
-    return AppendReply(state.route(source), state.term, accepted, match, sent_ms, wall_ms)
+    leaving = state.own in state.leaving
+    return AppendReply(state.route(source), state.term, accepted, match, sent_ms, wall_ms, leaving)
 
 
 def acknowledge(state: LogState, now_ms: float) -> None:
@@ -166,6 +185,15 @@
     state.ack_pending = match < state.verified
 
 
+def on_leave(state: LogState, now_ms: float) -> None:
+    """Tell the leader that this node stops."""
+    state.leaving.add(state.own)
+    state.emit("log.leaving", node=state.own.node)
+    if state.position is not Position.LEADER and state.leader_sent_ms >= 0.0:
+        state.ack_pending = True
+        acknowledge(state, now_ms)
+
+
 def on_append_reply(state: LogState, message: AppendReply, now_ms: float) -> None:
     """Update the progress of a replica, advance the commit index and send more entries."""
     if message.term > state.term:
@@ -174,6 +202,10 @@
     peer = state.peers.get(message.route.source)
     if state.position is not Position.LEADER or message.term != state.term or peer is None:
         return
+    if message.leaving:
+        state.leaving.add(message.route.source)
+    elif message.sent_ms > peer.acked_ms:
+        state.leaving.discard(message.route.source)
     peer.acked_ms = max(peer.acked_ms, message.sent_ms)
     if message.wall_ms >= 0.0:
         peer.wall_offset_ms = message.wall_ms - now_ms
@@ -216,7 +248,9 @@
         peer.heartbeats_since_hold += 1
         nearly_caught_up = peer.match >= peer.catch_up_target
         peer.holds_commit = (
-            nearly_caught_up and peer.heartbeats_since_hold >= state.options.promotion_heartbeats
+            peer.promotion_due
+            and nearly_caught_up
+            and peer.heartbeats_since_hold >= state.options.promotion_heartbeats
         )
         if peer.holds_commit:
             peer.heartbeats_since_hold = 0
--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -19,6 +19,7 @@
 from goldcrestridge_core.control import (
     ControlIdentity,
     ControlNode,
+    HandoverDone,
     ReplicaClosed,
     ReplicaOpened,
     read_document,
@@ -33,7 +34,7 @@
 )
 from goldcrestridge_core.log import open_log
 from goldcrestridge_core.log_state import LogOptions
-from goldcrestridge_core.log_types import STORAGE_EFFECTS, LogFailed, WallTime
+from goldcrestridge_core.log_types import STORAGE_EFFECTS, LeaveLog, LogFailed, WallTime
 from goldcrestridge_core.queries import QueryDone
 from goldcrestridge_core.replica import ControlReplica
 from goldcrestridge_core.scale_types import ScaleBounds
@@ -69,6 +70,9 @@
 LEADER_CHECK_MS = 50.0
 WALL_CLOCK_INTERVAL_MS = 1_000.0
 REOPEN_INTERVAL_MS = 500.0
+# Share of the grace time in which a spare replica may take the place of this one. It covers an
+# election, in case the leader is lost at the same time.
+HANDOVER_SHARE = 0.6
 # Time for the last messages and responses to be sent before the process ends.
 LINGER_MS = 100.0
 WRITE_QUEUE_BATCHES = 1_024  # Never filled: the log has at most one batch in flight.
@@ -117,6 +121,7 @@
     _pending: PendingRequests = field(init=False)
     _write_sender: Any = None
     _stop: anyio.Event = field(factory=anyio.Event)
+    _handed_over: anyio.Event = field(factory=anyio.Event)
     _boot_id: str = field(factory=lambda: secrets.token_hex(4))
     _request_count: int = 0
     _reads: SharedCall[VersionedDocument | None] = field(init=False)
@@ -173,6 +178,8 @@
                 self._pending.resolve(proposal_id, result)
             case QueryDone(query_id=query_id, result=result):
                 self._pending.resolve(query_id, result)
+            case HandoverDone():
+                self._handed_over.set()
             case CallPlatform():
                 self._calls.start_soon(self._call_platform, effect)
 
@@ -229,8 +236,10 @@
     # Handlers for signals and for changes of the settings file.
 
     def _terminate(self) -> None:
-        self.draining = True
-        self._stop.set()
+        if not self.draining:
+            self.draining = True
+            self.driver.post(LeaveLog())
+            self._stop.set()
 
     def _reload(self) -> None:
         settings = self.hooks.reload()
@@ -266,10 +275,19 @@
             await self._stop.wait()
             self._log.info("node_stopping")
             stop_serving.set()
+            await self._hand_over()
             await anyio.sleep(LINGER_MS / MS_PER_SECOND)
             self._log.info("node_stopped")
             tasks.cancel_scope.cancel()
 
+    async def _hand_over(self) -> None:
+        """Wait until a spare, if there is one, has taken the place of the replica."""
+        began_ms = self.clock.now_ms()
+        with anyio.move_on_after(HANDOVER_SHARE * self.settings.grace_ms / MS_PER_SECOND):
+            await self._handed_over.wait()
+        took_ms = round(self.clock.now_ms() - began_ms)
+        self._log.info("handover_ended", complete=self._handed_over.is_set(), took_ms=took_ms)
+
     async def _supervise_replica(self, path: Path) -> None:
         """Run the replica; open its data folder again after a failure."""
         while True:
--- a/packages/node/src/goldcrestridge_node/role_settings.py
+++ b/packages/node/src/goldcrestridge_node/role_settings.py
@@ -52,9 +52,10 @@
 
     ``node`` is the address at which the node receives messages of other nodes, and ``seeds`` are
     the initial control nodes. ``bootstrap`` is true only at the first start of a deployment.
-    ``target_voters`` is the number of voting replicas that the log maintains. ``holder`` names this
-    VM in calls to the platform. Its duties are held for ``duty_lease_ms``: usage reports, unless
-    ``usage_window_ms`` is 0, and orders of upstreams if ``orders_upstreams`` is true.
+    ``target_voters`` is the number of voting replicas that the log maintains. ``grace_ms`` is the
+    time from SIGTERM until the process is killed. ``holder`` names this VM in calls to the
+    platform. Its duties are held for ``duty_lease_ms``: usage reports, unless ``usage_window_ms``
+    is 0, and orders of upstreams if ``orders_upstreams`` is true.
     ``limits`` bounds what the process holds for operators.
     """
 
@@ -64,6 +65,7 @@
     seeds: tuple[NodeId, ...]
     bootstrap: bool
     target_voters: int
+    grace_ms: float
     data_folder: Path | None = None
     holder: str = ""
     duty_lease_ms: float = 0.0
--- a/tests/core/control_net.py
+++ b/tests/core/control_net.py
@@ -15,6 +15,7 @@
 from goldcrestridge_core.control import (
     ControlIdentity,
     ControlNode,
+    HandoverDone,
     ReplicaClosed,
     ReplicaOpened,
     read_document,
@@ -26,7 +27,14 @@
 from goldcrestridge_core.log import open_log
 from goldcrestridge_core.log_records import recover
 from goldcrestridge_core.log_state import LogOptions
-from goldcrestridge_core.log_types import LogSynced, Replica, TruncateLog, WriteLog, WriteSnapshot
+from goldcrestridge_core.log_types import (
+    LeaveLog,
+    LogSynced,
+    Replica,
+    TruncateLog,
+    WriteLog,
+    WriteSnapshot,
+)
 from goldcrestridge_core.permits import Permits
 from goldcrestridge_core.queries import QueryDone
 from goldcrestridge_core.rate_limits import RateLimits
@@ -46,6 +54,9 @@
 
 DELAY_MS = (0.5, 2.0)
 SYNC_MS = 3.0
+# A process that was told to stop hands its replica over within this time, and ends a little later.
+HANDOVER_MS = 4_800.0
+LINGER_MS = 100.0
 OPTIONS = LogOptions(heartbeat_ms=200.0, election_timeout_ms=800.0, target_voters=3)
 
 
@@ -87,6 +98,8 @@
     disks: dict[NodeId, Disk] = field(factory=dict)
     cut_links: set[frozenset[NodeId]] = field(factory=set)
     stopped: set[NodeId] = field(factory=set)
+    # Nodes that stop, with the time at which they end whether they are replaced or not.
+    stopping: dict[NodeId, float] = field(factory=dict)
     answers: dict[str, Any] = field(factory=dict)
     effects: list[tuple[NodeId, Any]] = field(factory=list)
     _queue: list[tuple[float, int, NodeId, int, Any]] = field(factory=list)
@@ -165,8 +178,19 @@
         for node in self.nodes.keys() - self.stopped - set(but):
             self.post(node, ControlAddresses(seeds))
 
+    def terminate(self, node: NodeId) -> None:
+        """Stop a node as SIGTERM does; it ends by itself."""
+        self.stopping[node] = self.now_ms + HANDOVER_MS + LINGER_MS
+        self.post(node, LeaveLog())
+
+    def _end_stopping(self) -> None:
+        for node, end_ms in list(self.stopping.items()):
+            if self.now_ms >= end_ms:
+                self.kill(node)
+
     def kill(self, node: NodeId, wipe: bool = False) -> None:
         """Crash a node; ``wipe`` also erases its disk."""
+        self.stopping.pop(node, None)
         self.stopped.add(node)
         self._incarnations[node] += 1
         if wipe:
@@ -239,7 +263,9 @@
             else:
                 self.now_ms = max(self.now_ms, timer_ms)
                 self.post(timer_node, Tick())
+            self._end_stopping()
         self.now_ms = end_ms
+        self._end_stopping()
 
     def _next_timer(self) -> tuple[float, NodeId]:
         timers = [
@@ -277,6 +303,8 @@
                     self._schedule(SYNC_MS, node, LogSynced(token))
                 case TruncateLog():
                     pass
+                case HandoverDone():
+                    self.stopping[node] = self.now_ms + LINGER_MS
                 case UsageReplied(reply=reply, asked_ms=asked_ms) if node in self._counters:
                     self._counters[node].apply(reply, asked_ms, self.now_ms)
                 case ProposalDone(proposal_id=name, result=result):
