Answer a request whose upstream sends a status that HTTP does not have

A request that may be repeated was not sent to another upstream.

Cause: the parser takes any status from 200 to 999. The relay passed it on, and the server for callers has no such status, so the response failed when it was written.

Change: a connection to an upstream raises InvalidStatusError outside of 200 to 599, for both interfaces. The attempt may have run the request, counts against the upstream, and is retried as others are.

--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -27,6 +27,10 @@
 MAX_PROCESS_CONNECTIONS = 1_024
 
 
+# The statuses of final responses (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
+
+
 def _ignore_loss() -> None:
     """Do nothing about a lost connection."""
 
@@ -42,6 +46,10 @@
         self.refused = refused
 
 
+class InvalidStatusError(httpcore.RemoteProtocolError):
+    """Raised for a response whose status is not that of a final response."""
+
+
 class UpstreamConnection(httpcore.AsyncHTTP11Connection):
     """A connection that is not reused after surplus bytes or past the upstream's idle limit.
 
@@ -62,6 +70,16 @@
             return not self.reused
         return answered_id == request_id
 
+    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
+        """Send a request and return the response; raise the exceptions of httpcore.
+
+        A status that cannot be passed on says nothing about the request, nor do its headers.
+        """
+        response = await super().handle_async_request(request)
+        if response.status not in FINAL_STATUSES:
+            raise InvalidStatusError(f"The response has the status {response.status}.")
+        return response
+
     async def body(self) -> AsyncGenerator[bytes, None]:
         """Yield the body of the response; what arrived together is yielded together.
 
--- a/packages/node/src/goldcrestridge_node/dispatch.py
+++ b/packages/node/src/goldcrestridge_node/dispatch.py
@@ -18,6 +18,7 @@
     MAX_PROCESS_CONNECTIONS,
     ConnectFailedError,
     ConnectionPool,
+    InvalidStatusError,
     ProcessConnections,
     UpstreamConnection,
 )
@@ -230,6 +231,8 @@
             return FailedAttempt(
                 AttemptOutcome.UNKNOWN, f"No response head within {timeout_ms:.0f} ms."
             )
+        except InvalidStatusError as exc:
+            return FailedAttempt(AttemptOutcome.UNKNOWN, str(exc))
         except CONNECTION_ERRORS as exc:
             return FailedAttempt(
                 AttemptOutcome.UNKNOWN,
