Answer a request that is blocked between the head and the first event

Callers saw: no answer of the router to a request whose attempt was cancelled because other crashes blocked its prompt, if its upstream had sent the head by then.

Cause: the attempt kept the response as its result although forwarding it had been cancelled, so it counted as answered and nothing was sent to the caller.

Change: the result is set once the response was forwarded; until then the attempt counts as cancelled.

Evidence: found while the owner of "may have run" was traced; the three cases of test_a_request_that_is_blocked_between_the_head_and_the_first_event_is_answered failed before.

--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -328,7 +328,7 @@
         with self.crashes.attempt():
             sent = True  # An attempt that is cancelled may have been.
             try:
-                result = await self.gateway.dependencies.dispatcher.send(
+                answer = await self.gateway.dependencies.dispatcher.send(
                     self.request,
                     instance,
                     self._build_request_head(instance),
@@ -337,13 +337,15 @@
                     self.forwarding.begin_attempt,
                 )
                 sent = (
-                    isinstance(result, UpstreamResponse)
-                    or result.outcome is not AttemptOutcome.NOT_SENT
+                    isinstance(answer, UpstreamResponse)
+                    or answer.outcome is not AttemptOutcome.NOT_SENT
                 )
             finally:
                 self._settle_retry(sent)
-            if isinstance(result, UpstreamResponse):
-                result = await self._forward(result)
+            if isinstance(answer, UpstreamResponse):
+                result = await self._forward(answer)
+            else:
+                result = answer
         return result or FailedAttempt(
             self.forwarding.cancelled_outcome(),
             "The attempt was cancelled, since its prompt was blocked.",
--- a/tests/node/test_gateway_request_crashes.py
+++ b/tests/node/test_gateway_request_crashes.py
@@ -7,10 +7,14 @@
 import anyio
 import pytest
 from tests.node.crashing_pool import CLOSE, RESTART_MS, CrashingPool
-from tests.node.gateway_helpers import UpstreamExchange, running_gateway
+from tests.node.gateway_helpers import UpstreamExchange, running_gateway, scripted
 
 from goldcrestridge_core.clock import MS_PER_SECOND
 from goldcrestridge_core.routes import EngineLimits
+from goldcrestridge_node.dispatch import FailedAttempt, UpstreamResponse
+from goldcrestridge_node.refusals import Refusal
+from goldcrestridge_node.relay import Relay
+from goldcrestridge_node.request_crashes import RequestCrashes
 
 pytestmark = pytest.mark.anyio
 
@@ -98,3 +102,36 @@
         await anyio.sleep(2 * RESTART_MS / MS_PER_SECOND)
     found = [line for line in running.log_lines if line["event"] == "upstream_crashed"]
     assert len(found) == pool.crashes == 2
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/resume/x", "/read/x"])
+async def test_a_request_that_is_blocked_between_the_head_and_the_first_event_is_answered(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a cancelled attempt that counts as answered, so that the caller gets nothing.
+    forwarding, forward = anyio.Event(), Relay._forward
+
+    async def begin(exchange: UpstreamExchange) -> None:
+        await exchange.stream(end=False)
+        await anyio.sleep_forever()
+
+    async def observe(relay: Relay, response: UpstreamResponse) -> UpstreamResponse | FailedAttempt:
+        forwarding.set()
+        return await forward(relay, response)
+
+    monkeypatch.setattr(Relay, "_forward", observe)
+
+    async with running_gateway(scripted("a", begin)) as running:
+        answers: list[int] = []
+
+        async def call() -> None:
+            answers.append((await running.call(path)).status)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call)
+            with anyio.fail_after(10):
+                await forwarding.wait()
+            blocked = Refusal(503, "request_blocked", "The request has not run.")
+            monkeypatch.setattr(RequestCrashes, "refusal", lambda _crashes: blocked)
+            running.gateway.cancel_blocked()
+        assert answers == [502]
