Count incomplete events of streams, and read less of a response at once

Callers saw: nothing yet; other operators' process ran out of memory under a server that sent bytes without end, and the requests of all its callers ended.

Cause: an event of a stream is held until it is 1 MiB long, in no count. Each connection to an upstream held up to 320 KB more, and its parser 64 KB.

Change: an incomplete event beyond 8 KiB is reserved like other memory; without room the attempt ends. Responses leave 4% of the memory to further requests. A connection reads 32 KiB at once and pauses at 32 KiB.

--- a/packages/core/src/goldcrestridge_core/process_limits.py
+++ b/packages/core/src/goldcrestridge_core/process_limits.py
@@ -15,6 +15,9 @@
 HELD_SHARE = 0.7
 # At least one request with the largest body of the platform is served, however small the VM is.
 MIN_HELD_BYTES = 12_000_000
+# Share of the held memory that responses of upstreams leave to further requests. A request with the
+# largest body and a response of 1 MiB still fit into the share of one workspace.
+MARGIN_SHARE = 0.04
 # Memory of the objects of one open connection.
 CONNECTION_BYTES = 12_288
 # Share of the held memory that connections without a request may take.
@@ -38,7 +41,8 @@
 
     ``connections`` bounds the connections of callers, of which ``listener_connections`` are
     guaranteed to each listener. ``upstream_connections`` bounds those to upstreams. ``held_bytes``
-    bounds the memory that is held for callers.
+    bounds the memory that is held for callers, of which responses leave ``margin_bytes`` to further
+    requests.
     """
 
     connections: int
@@ -46,6 +50,11 @@
     upstream_connections: int
     held_bytes: int
 
+    @property
+    def margin_bytes(self) -> int:
+        """Return the memory that responses leave to further requests."""
+        return int(MARGIN_SHARE * self.held_bytes)
+
 
 def process_limits(
     memory_bytes: int | None = None, descriptors: int | None = None
--- a/packages/node/src/goldcrestridge_node/caller_connection.py
+++ b/packages/node/src/goldcrestridge_node/caller_connection.py
@@ -148,6 +148,11 @@
         self._account()
         return True
 
+    def leaves_margin(self, size: int) -> bool:
+        """Tell whether further requests still have room if ``size`` more bytes are reserved."""
+        size += self.table.limits.margin_bytes
+        return self.table.ledger.owner_fits(self._key, size) and self.table.make_room(size)
+
     def assign(self, workspace: str) -> None:
         """Count the memory of the request in progress for a workspace."""
         self.table.ledger.assign(self._key, workspace)
--- a/packages/node/src/goldcrestridge_node/exchange.py
+++ b/packages/node/src/goldcrestridge_node/exchange.py
@@ -101,6 +101,10 @@
         self.held_bytes += size
         return True
 
+    def reserve_response(self, size: int) -> bool:
+        """Reserve memory for a part of the response, as long as further requests have room."""
+        return self.conn.leaves_margin(size) and self.reserve(size)
+
     def release(self) -> None:
         """Release the memory that was reserved."""
         self.conn.release(self.held_bytes)
--- a/packages/node/src/goldcrestridge_node/network.py
+++ b/packages/node/src/goldcrestridge_node/network.py
@@ -16,14 +16,19 @@
 import httpcore
 
 # Reading from the socket pauses while this much is buffered, so that a slow caller slows its
-# upstream down instead of filling the memory of this node.
-MAX_BUFFERED_BYTES = 65_536
+# upstream down instead of filling the memory of this node. No more than this is read at once, so
+# that a connection holds twice as much at most.
+MAX_BUFFERED_BYTES = 32_768
 
 
-class _Connection(asyncio.Protocol):
-    """Buffer the received bytes and wake the one reader and the one writer."""
+class _Connection(asyncio.BufferedProtocol):
+    """Buffer the received bytes and wake the one reader and the one writer.
 
-    def __init__(self) -> None:
+    ``read_buffer`` is shared, since its bytes are copied out at once.
+    """
+
+    def __init__(self, read_buffer: memoryview) -> None:
+        self._read_buffer = read_buffer
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.ended = False  # No more bytes will arrive.
@@ -38,9 +43,13 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffer received bytes and wake the reader."""
-        self.buffer += data
+        self.buffer += self._read_buffer[:nbytes]
         if len(self.buffer) >= MAX_BUFFERED_BYTES and self.transport is not None:
             self._reading_paused = True
             self.transport.pause_reading()
@@ -171,6 +180,9 @@
 class NetworkBackend(httpcore.AsyncNetworkBackend):
     """Open TCP connections for httpcore in the running event loop."""
 
+    def __init__(self) -> None:
+        self._read_buffer = memoryview(bytearray(MAX_BUFFERED_BYTES))
+
     async def connect_tcp(
         self,
         host: str,
@@ -184,7 +196,9 @@
         loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(timeout):
-                _, conn = await loop.create_connection(_Connection, host, port, local_addr=local)
+                _, conn = await loop.create_connection(
+                    lambda: _Connection(self._read_buffer), host, port, local_addr=local
+                )
         except TimeoutError as exc:
             raise httpcore.ConnectTimeout(str(exc)) from exc
         except OSError as exc:
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -52,6 +52,8 @@
 LACKS_MEMORY = "this node has no memory left for the response"
 # A longer event is taken for bytes that hold none.
 MAX_EVENT_BYTES = 1_048_576
+# An incomplete event up to this length is held without a reservation.
+SHORT_EVENT_BYTES = 8_192
 
 
 @define(eq=False)
@@ -70,6 +72,7 @@
     # Set once the caller holds events of the stream.
     _origin: StreamOrigin | None = None
     _began: bool = False  # The current attempt brought an event.
+    _event_bytes: int = 0  # Length of the longest incomplete event.
     _lacks_memory: bool = False  # A response did not fit, and the next one would not either.
     _arrived: bool = False  # An attempt was sent, so that each further one is a retry.
     _splitter: EventSplitter = field(init=False)
@@ -468,7 +471,7 @@
         size = 0
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
-                if not self.exchange.reserve(len(chunk)):
+                if not self.exchange.reserve_response(len(chunk)):
                     self._lacks_memory = True
                     return FailedAttempt(AttemptOutcome.UNKNOWN, LACKS_MEMORY, upstream_fault=False)
                 parts.append(chunk)
@@ -556,8 +559,9 @@
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
                 events = self._splitter.feed(chunk)
-                if len(self._splitter.remainder) > MAX_EVENT_BYTES:
-                    raise IncompleteResponseError("an event is too long")
+                if not self._reserve_event():
+                    self._lacks_memory = True
+                    return FailedAttempt(AttemptOutcome.UNKNOWN, LACKS_MEMORY, upstream_fault=False)
                 if events:
                     await self._write_events(response, events)
         remainder = self._splitter.remainder
@@ -575,6 +579,20 @@
         await self.exchange.write(remainder, more=False)
         return response
 
+    def _reserve_event(self) -> bool:
+        """Reserve memory for an incomplete event; return False if the process has none left.
+
+        Raise IncompleteResponseError if it is too long.
+        """
+        size = len(self._splitter.remainder)
+        if size > MAX_EVENT_BYTES:
+            raise IncompleteResponseError("an event is too long")
+        more = size - max(self._event_bytes, SHORT_EVENT_BYTES)
+        if more > 0 and not self.exchange.reserve_response(more):
+            return False
+        self._event_bytes = max(self._event_bytes, size)
+        return True
+
     async def _write_events(self, response: UpstreamResponse, events: bytes) -> None:
         self.crashes.record_event()
         self._record_read(response)
