Let other requests go on beside responses that take long to parse

Cause: interim responses were read without a bound, and all that a connection had buffered was parsed without a pause, about 20 us for each head or chunk. With many such responses one round of the event loop took many seconds.

Change: more than 32 interim responses are a failure of the upstream. A connection that has parsed 64 parts of a body waits for its turn; one goes on in each round of the event loop.

--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -9,9 +9,11 @@
 import anyio
 import h11
 import httpcore
+from anyio.lowlevel import checkpoint
 from attrs import Factory, define, field
 
 from goldcrestridge_core.clock import MS_PER_SECOND, Clock
+from goldcrestridge_node.network import MAX_BUFFERED_BYTES
 
 # The kernel detects a peer that stops responding without a reset within 3 s.
 KEEPALIVE_OPTIONS: tuple[tuple[int, int, int], ...] = (
@@ -29,6 +31,10 @@
 
 # The statuses of final responses (RFC 9110, section 15).
 FINAL_STATUSES = range(200, 600)
+# Interim responses (1xx) before one final response.
+MAX_INTERIM_RESPONSES = 32
+# Parts of a body that are parsed at once. Each takes about 20 us, however short it is.
+MAX_PARTS_AT_ONCE = 64
 
 
 def _ignore_loss() -> None:
@@ -50,18 +56,39 @@
     """Raised for a response whose status is not that of a final response."""
 
 
+@define(eq=False)
+class Turns:
+    """Let the tasks that have much to parse go on one after the other.
+
+    One of them goes on in each iteration of the event loop, so that any number of them leaves the
+    other tasks of the process their share.
+    """
+
+    _lock: anyio.Lock = field(init=False, factory=anyio.Lock)
+
+    async def take(self) -> None:
+        """Wait for the next turn."""
+        async with self._lock:
+            await checkpoint()
+
+
 class UpstreamConnection(httpcore.AsyncHTTP11Connection):
     """A connection that is not reused after surplus bytes or past the upstream's idle limit.
 
     ``idle_limit_ms`` is None if the upstream reported no limit, and 0 if it closes the connection.
     ``reused`` tells whether it has carried an earlier exchange. An upstream can send a second copy
     of that answer late, so the answer to a later request must name its request, and a connection
-    whose answer named none is not reused. ``opened_ms`` is when it had been opened.
+    whose answer named none is not reused. ``opened_ms`` is when it had been opened. ``turns`` is
+    shared by all connections of a process.
     """
 
+    # What the parser gets at once, beside what the network stream holds.
+    READ_NUM_BYTES = MAX_BUFFERED_BYTES
     idle_limit_ms: float | None = None
     reused: bool = False
     opened_ms: float = math.inf
+    turns: Turns
+    _interim_responses: int = 0
 
     def accepts(self, answered_id: bytes | None, request_id: bytes) -> bool:
         """Return whether an answer belongs to a request; ``answered_id`` is the one it names."""
@@ -75,16 +102,33 @@
 
         A status that cannot be passed on says nothing about the request, nor do its headers.
         """
+        self._interim_responses = 0
         response = await super().handle_async_request(request)
         if response.status not in FINAL_STATUSES:
             raise InvalidStatusError(f"The response has the status {response.status}.")
         return response
 
-    async def body(self) -> AsyncGenerator[bytes, None]:
+    async def _receive_event(
+        self,
+        timeout: float | None = None,  # noqa: ASYNC109 (the interface of httpcore)
+    ) -> h11.Event | type[h11.PAUSED]:
+        """Return the next event; raise RemoteProtocolError after too many interim responses.
+
+        They are read without a wait while the upstream sends them without end.
+        """
+        event = await super()._receive_event(timeout)
+        if isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                raise httpcore.RemoteProtocolError("There are too many interim responses.")
+        return event
+
+    async def body(self, timeout_s: float | None = None) -> AsyncGenerator[bytes, None]:
         """Yield the body of the response; what arrived together is yielded together.
 
-        Raise the exceptions of httpcore if the connection breaks. The response still has to be
-        closed. This passes an event on with a third of the calls that the stream of httpcore makes.
+        Raise the exceptions of httpcore if the connection breaks, or if nothing arrives for
+        ``timeout_s``. The response still has to be closed. This passes an event on with a third of
+        the calls that the stream of httpcore makes.
         """
         state, parts = self._h11_state, []
         while True:
@@ -94,13 +138,17 @@
                 raise httpcore.RemoteProtocolError(str(exc)) from exc
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                if len(parts) >= MAX_PARTS_AT_ONCE:
+                    yield b"".join(parts)
+                    parts = []
+                    await self.turns.take()
                 continue
             if parts:
                 yield b"".join(parts)
                 parts = []
             if event is not h11.NEED_DATA:
                 return
-            state.receive_data(await self._network_stream.read(self.READ_NUM_BYTES))
+            state.receive_data(await self._network_stream.read(self.READ_NUM_BYTES, timeout_s))
 
     def is_clean(self) -> bool:
         """Tell whether the last exchange ended properly and left no unread bytes."""
@@ -119,6 +167,7 @@
     open: int = 0
     _pools: list[ConnectionPool] = field(init=False, factory=list)
     permits: anyio.Semaphore = field(init=False)
+    turns: Turns = field(init=False, factory=Turns)
 
     def __attrs_post_init__(self) -> None:
         """Create the semaphore that bounds the connections in use."""
@@ -288,4 +337,5 @@
         self.opened += 1
         conn = UpstreamConnection(self.origin, stream)
         conn.opened_ms = self.clock.now_ms()
+        conn.turns = self.process.turns
         return conn
--- a/packages/node/src/goldcrestridge_node/upstream.py
+++ b/packages/node/src/goldcrestridge_node/upstream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterable, AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
 import httpcore
@@ -257,12 +257,17 @@
                     "The answer is not known to be that of this call.",
                     rest_ms(response.status, lower_names(response.headers)),
                 )
-            await self._report_response(start, response, resumes)
+            chunks = conn.body(timeout["read"])
+            await self._report_response(start, response, chunks, resumes)
         finally:
             await response.aclose()
 
     async def _report_response(
-        self, start: StartAttempt, response: httpcore.Response, resumes: bool
+        self,
+        start: StartAttempt,
+        response: httpcore.Response,
+        chunks: AsyncIterator[bytes],
+        resumes: bool,
     ) -> None:
         all_headers = response_headers(response.headers)
         headers = tuple(pair for pair in all_headers if pair[0] != UPSTREAM_ID_HEADER)
@@ -285,8 +290,6 @@
                 rest_ms(response.status, headers),
             )
         )
-        assert isinstance(response.stream, AsyncIterable)
-        chunks = aiter(response.stream)
         if events:
             await self._report_stream(start, chunks, resumes)
         else:
--- a/tests/crowds/test_platform_crowds.py
+++ b/tests/crowds/test_platform_crowds.py
@@ -15,6 +15,7 @@
 from tests.crowds.vm import (
     CALLERS,
     CONTROL_METRICS,
+    DESCRIPTORS_FOR_THOUSANDS,
     DIRECTORY,
     ENTRY_METRICS,
     FIRST_PEER_PORT,
@@ -30,7 +31,6 @@
 # All bytes of a crowd together are far more than the memory of the VM.
 CROWD_BYTES = 300_000_000
 FEW, MANY, HUNDREDS = 8, 150, 600
-DESCRIPTORS_FOR_THOUSANDS = 4_100
 
 
 def usual_request(size: int, body: bytes = b"x" * 500) -> bytes:
--- a/tests/crowds/vm.py
+++ b/tests/crowds/vm.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import re
 import socket
 import subprocess
 import sys
@@ -38,7 +39,11 @@
 MEMORY_MB = 88
 MAX_DESCRIPTORS = 400
 RESERVED_DESCRIPTORS = 200
+DESCRIPTORS_FOR_THOUSANDS = 4_100
 HOST, KEY = "crowds.example", "a-key-of-the-workspace"
+# A service with one upstream that the test starts, which may send bytes without end.
+FAULTY = "faulty"
+FAULTY_TIMEOUT_MS = 4_000
 WAIT_S = 60.0
 POLL_S = 0.1
 REQUEST_TIMEOUT_S = 20.0
@@ -67,13 +72,17 @@
         "sticky": False,
         "resumable": False,
     }
-    service = {
-        "name": "app",
-        "health_path": "/healthz",
-        "max_conns": 100,
-        "protocol": "h1",
-        "tls": False,
+    faulty = {
+        "name": "faulty",
+        "path_prefix": "/faulty/",
+        "service": FAULTY,
+        "timeout_ms": FAULTY_TIMEOUT_MS,
     }
+    stream = {"name": "stream", "path_prefix": "/stream/", "kind": "streaming"}
+    services = [
+        {"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": False}
+        for name in ("app", FAULTY)
+    ]
     limits = {
         "max_header_bytes": 16_384,
         "max_body_bytes": LARGEST_BODY_BYTES,
@@ -82,8 +91,8 @@
     }
     value = {
         "version": version,
-        "routes": [route],
-        "services": [service],
+        "routes": [route, {**route, **faulty}, {**route, **faulty, **stream}],
+        "services": services,
         "limits": limits,
         "tenants": tenants,
     }
@@ -92,9 +101,14 @@
 
 @define(eq=False)
 class Platform:
-    """The list of upstreams and one upstream, whose answers have the size that the query names."""
+    """The list of upstreams and one upstream, whose answers have the size that the query names.
+
+    ``faulty`` returns the bytes with which the upstream of the other service begins an answer to a
+    request id, and those that it sends after them without end.
+    """
 
     ip: str
+    faulty: Callable[[bytes], tuple[bytes, bytes]] = lambda _request_id: (b"", b"")
     _loop: asyncio.AbstractEventLoop = field(factory=asyncio.new_event_loop)
     _thread: threading.Thread | None = None
 
@@ -105,6 +119,7 @@
         async def serve() -> None:
             await asyncio.start_server(self._serve_list, self.ip, PLATFORM)
             await asyncio.start_server(self._serve_upstream, self.ip, UPSTREAM)
+            await asyncio.start_server(self._serve_faulty, self.ip, UPSTREAM + 1)
             started.set()
 
         def run() -> None:
@@ -140,7 +155,8 @@
             "cold_left_ms": 0,
             "born": 1,
         }
-        body = json.dumps({"instances": [entry], "next": None}).encode()
+        other = {"id": "i-2", "service": FAULTY, "address": f"{self.ip}:{UPSTREAM + 1}"}
+        body = json.dumps({"instances": [entry, {**entry, **other}], "next": None}).encode()
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
@@ -148,6 +164,19 @@
                 await writer.drain()
         writer.close()
 
+    async def _serve_faulty(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            named = re.search(rb"(?i)x-goldcrestridge-request-id: (\S+)", head)
+            first, endless = self.faulty(named[1] if named else b"")
+            writer.write(first)
+            while endless:
+                writer.write(endless)
+                await writer.drain()
+        writer.close()
+
     async def _serve_upstream(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -371,7 +400,7 @@
         network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
         ips = tuple(f"{network}.{number}" for number in range(1, count + 1))
         with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
-            for ip, port in itertools.product(ips, (*PORTS, PLATFORM, UPSTREAM)):
+            for ip, port in itertools.product(ips, (*PORTS, PLATFORM, UPSTREAM, UPSTREAM + 1)):
                 stack.enter_context(socket.socket()).bind((ip, port))
             return ips
     raise OSError("no free addresses")
@@ -379,11 +408,14 @@
 
 @contextlib.contextmanager
 def running_vm(
-    folder: Path, workspaces: int = 1, descriptors: int = MAX_DESCRIPTORS
+    folder: Path,
+    workspaces: int = 1,
+    descriptors: int = MAX_DESCRIPTORS,
+    faulty: Callable[[bytes], tuple[bytes, bytes]] = lambda _request_id: (b"", b""),
 ) -> Iterator[Vm]:
     """Run a VM and its two neighbours with their first version in force."""
     *ips, platform_ip = free_ips(4)
-    platform = Platform(platform_ip)
+    platform = Platform(platform_ip, faulty)
     platform.start()
     vms = [
         Vm(folder / f"vm-{number}", tuple(ips), platform_ip, number, descriptors)
