Release the lock of a data folder whose identity cannot be written

Operators saw: changes that stay refused or unanswered after disks had been full in turn, while all processes run (other operators' report).

Cause: open_folder closes its lock for StorageError and not for OSError. An empty disk that is full when its folder is opened first leaves the lock held, and each later attempt of the same process says "locked by another process". The replica never comes back; with the next one that fails in this way the quorum is lost.

Change: the lock is released whatever the failure is.

--- a/packages/node/src/goldcrestridge_node/disk.py
+++ b/packages/node/src/goldcrestridge_node/disk.py
@@ -310,8 +310,8 @@
         raise StorageError(f"The data folder {path} is locked by another process.") from exc
     try:
         replica = _read_identity(path, node)
-    except StorageError:
-        os.close(lock_fd)
+    except BaseException:
+        os.close(lock_fd)  # The folder is opened again, once its disk has room for an identity.
         raise
     return Folder(path, replica, lock_fd, segment_bytes)
 
