Keep the last segment open until the next one exists

Operators would see: a control process that ends when a disk is full just as a log segment ends, or a connection of it that is closed for no reason.

Cause: the full segment was closed before the next one was created. If the disk refused that, the folder was closed with a descriptor that it did not own any more: EBADF, which left the lock held and ended the process, or the descriptor of something opened since.

Change: the next segment is opened first. Closing a folder always releases the lock, and an error while it is closed is logged as the other failures of a folder are.

Evidence: test_a_folder_is_usable_again_once_its_disk_has_room failed with EBADF before.

--- a/packages/node/src/goldcrestridge_node/control_process.py
+++ b/packages/node/src/goldcrestridge_node/control_process.py
@@ -293,13 +293,12 @@
         while True:
             try:
                 folder = disk.open_folder(path, self.settings.node)
-            except (OSError, StorageError) as exc:
-                self._log.info("folder_unusable", reason=str(exc))
-            else:
                 try:
                     await self._run_replica(folder)
                 finally:
                     folder.close()
+            except (OSError, StorageError) as exc:
+                self._log.info("folder_unusable", reason=str(exc))
             await anyio.sleep(REOPEN_INTERVAL_MS / MS_PER_SECOND)
 
     async def _run_replica(self, folder: disk.Folder) -> None:
--- a/packages/node/src/goldcrestridge_node/disk.py
+++ b/packages/node/src/goldcrestridge_node/disk.py
@@ -81,10 +81,12 @@
 
     def close(self) -> None:
         """Close the files and release the lock."""
-        if self.fd >= 0:
-            os.close(self.fd)
-        os.close(self.lock_fd)
-        self.fd = -1
+        fd, self.fd = self.fd, -1
+        try:
+            if fd >= 0:
+                os.close(fd)
+        finally:
+            os.close(self.lock_fd)
 
     def perform(self, effect: StorageEffect) -> None:
         """Perform an effect; after a failure, this and all later calls raise StorageError."""
@@ -128,10 +130,11 @@
         """Start a segment with the hard state, since older segments may be removed."""
         number = self.segments[-1].number + 1 if self.segments else 1
         segment = Segment(number, self.path / f"log-{number:012d}")
+        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
+        fd = os.open(segment.path, flags, 0o600)
         if self.fd >= 0:
             os.close(self.fd)
-        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
-        self.fd = os.open(segment.path, flags, 0o600)
+        self.fd = fd
         self.size = 0
         self.segments.append(segment)
         self._append_frame((self.hard_state,) if self.hard_state is not None else ())
