Leave no temporary files on a full disk, and sync the identity at each start

An identity whose folder could not be synced counted as durable at the next attempt, so that a loss of power could leave log files without an identity; such a folder is never usable.

Change: one function writes a file whole or removes it, leftovers of a crash are removed when the folder is loaded, and the folder of the identity is synced at each start.

--- a/packages/node/src/goldcrestridge_node/disk.py
+++ b/packages/node/src/goldcrestridge_node/disk.py
@@ -143,16 +143,9 @@
     def _write_snapshot(self, snapshot: Snapshot) -> None:
         """Write and sync a snapshot, rename it to its final name and remove older ones."""
         final = self.path / f"snapshot-{snapshot.index:020d}"
-        temporary = self.path / "snapshot.tmp"
         payload = codec.encode(snapshot)
-        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
-        try:
-            _write_all(fd, HEADER.pack(MAGIC, len(payload), zlib.crc32(payload)))
-            _write_all(fd, payload)
-            self._sync(fd, HEADER.size + len(payload))
-        finally:
-            os.close(fd)
-        os.rename(temporary, final)
+        header = HEADER.pack(MAGIC, len(payload), zlib.crc32(payload))
+        _replace_file(final, self.path / "snapshot.tmp", (header, payload), self._sync)
         self._sync_directory()
         for path in sorted(self.path.glob("snapshot-*")):
             if path < final:
@@ -172,11 +165,7 @@
 
     def _sync_directory(self) -> None:
         """Sync the directory, so that new file names survive a crash."""
-        fd = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        try:
-            self._sync(fd, 0)
-        finally:
-            os.close(fd)
+        _sync_folder(self.path, lambda fd: self._sync(fd, 0))
 
     def load(self) -> Recovered:
         """Read the snapshot and the segments, and remove a torn tail.
@@ -186,6 +175,8 @@
         """
         if self.segments:
             raise StorageError(f"The data folder {self.path} was already loaded.")
+        for leftover in self.path.glob("*.tmp"):
+            leftover.unlink()  # Of a write that a crash has cut short.
         snapshot = self._load_snapshot()
         paths = sorted(self.path.glob("log-*"))
         self.segments = [Segment(int(path.name[4:]), path) for path in paths]
@@ -242,15 +233,7 @@
         The data goes to a new file: after a failed sync, pages of the old file may be in memory
         but not on the disk, and another sync of that file would report success.
         """
-        temporary = self.path / "segment.tmp"
-        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
-        fd = os.open(temporary, flags, 0o600)
-        try:
-            _write_all(fd, data)
-            self._sync(fd, len(data))
-        finally:
-            os.close(fd)
-        os.rename(temporary, path)
+        _replace_file(path, self.path / "segment.tmp", (data,), self._sync)
         self._sync_directory()
 
 
@@ -298,6 +281,37 @@
         view = view[os.write(fd, view) :]
 
 
+def _replace_file(
+    path: Path, temporary: Path, parts: tuple[bytes, ...], sync: Callable[[int, int], None]
+) -> None:
+    """Write a file whole or not at all; the folder has to be synced afterwards.
+
+    ``sync`` is called with the descriptor and the size. A file that could not be written is
+    removed, since it takes up room on a disk that is full.
+    """
+    try:
+        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        try:
+            for part in parts:
+                _write_all(fd, part)
+            sync(fd, sum(map(len, parts)))
+        finally:
+            os.close(fd)
+        os.rename(temporary, path)
+    except OSError:
+        temporary.unlink(missing_ok=True)
+        raise
+
+
+def _sync_folder(path: Path, sync: Callable[[int], None]) -> None:
+    """Sync a folder, so that the names in it survive a loss of power."""
+    fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        sync(fd)
+    finally:
+        os.close(fd)
+
+
 def open_folder(path: Path, node: NodeId, segment_bytes: int = SEGMENT_BYTES) -> Folder:
     """Create a data folder if it is missing, and lock it.
 
@@ -326,23 +340,23 @@
         name, _, incarnation = identity.read_text(encoding="utf-8").strip().partition("\n")
         if name != node or not incarnation:
             raise StorageError(f"The data folder {path} belongs to node {name!r}, not {node!r}.")
+        _sync_identity(path)  # An earlier attempt may have failed before this.
         return Replica(node, incarnation)
     if any(path.glob("log-*")) or any(path.glob("snapshot-*")):
         raise StorageError(f"The data folder {path} has log files but no identity.")
     replica = Replica(node, secrets.token_hex(16))
-    temporary = path / "identity.tmp"
-    with temporary.open("w", encoding="utf-8") as file:
-        file.write(f"{replica.node}\n{replica.incarnation}\n")
-        file.flush()
-        os.fsync(file.fileno())
-    os.rename(temporary, identity)
-    for folder in (path, path.parent):
-        fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        os.fsync(fd)
-        os.close(fd)
+    text = f"{replica.node}\n{replica.incarnation}\n"
+    _replace_file(identity, path / "identity.tmp", (text.encode(),), lambda fd, _size: os.fsync(fd))
+    _sync_identity(path)
     return replica
 
 
+def _sync_identity(path: Path) -> None:
+    """Make the identity of a folder, and the folder itself, survive a loss of power."""
+    for folder in (path, path.parent):
+        _sync_folder(folder, os.fsync)
+
+
 async def perform_effects(
     folder: Folder,
     effects: ObjectReceiveStream[StorageEffect],
--- a/tests/core/control_net.py
+++ b/tests/core/control_net.py
@@ -29,6 +29,7 @@
 from goldcrestridge_core.log_state import LogOptions
 from goldcrestridge_core.log_types import (
     LeaveLog,
+    LogFailed,
     LogSynced,
     Replica,
     TruncateLog,
@@ -207,6 +208,18 @@
         """Close a node's replica, as after a failed write."""
         self.post(node, ReplicaClosed())
 
+    def fill_disk(self, node: NodeId) -> None:
+        """Let the write in progress fail, after which the replica is closed until it is opened."""
+        if node in self.disks:
+            self.disks[node].lose_power(self.now_ms)
+        self.post(node, LogFailed("the disk is full"))
+        self.fail_disk(node)
+        # What was being written is never reported as synced.
+        self._queue = [
+            item for item in self._queue if item[2] != node or not isinstance(item[4], LogSynced)
+        ]
+        heapq.heapify(self._queue)
+
     def open_again(self, node: NodeId) -> None:
         """Open the replica of a running node with the contents of its disk."""
         self._open_replica(node, self.nodes[node])
