--- a/tests/crowds/test_endless_upstreams.py
+++ b/tests/crowds/test_endless_upstreams.py
@@ -96,3 +96,29 @@
         print(f"{sum(served)} of {len(served)} ordinary requests were served")
         assert all(served)
         vm.wait_serving()
+
+
+LIST_SHAPES = {
+    "interim heads": (b"", fill(b"HTTP/1.1 103 Early Hints\r\n\r\n")),
+    "a header line": (b"HTTP/1.1 200 OK\r\nx-a: ", fill(b"a")),
+    "noise": (b"", fill(b"\x00\xff\r\n")),
+    "single bytes": (b"HTTP/1.1 200 OK\r\n%b\r\n" % CHUNKED, fill(b"1\r\n[\r\n")),
+    "a body": (b"HTTP/1.1 200 OK\r\n\r\n", fill(b"[")),
+    "entries": (b'HTTP/1.1 200 OK\r\n\r\n{"instances":[{}', fill(b',{"id":"i"}')),
+}
+
+
+@pytest.mark.parametrize("shape", LIST_SHAPES)
+def test_a_list_without_end_does_not_hold_up_operators_and_callers(
+    tmp_path: Path, shape: str
+) -> None:
+    # Guards against a leader that keeps all bytes of the list, or does nothing else meanwhile.
+    with running_vm(tmp_path) as vm:
+        assert vm.platform is not None
+        vm.platform.endless_list = LIST_SHAPES[shape]
+        served: list[bool] = []
+        serve_ordinary(vm, served)
+        assert all(served)
+        vm.replace(2, 1)
+        vm.wait_serving()
+        vm.check()
--- a/tests/crowds/vm.py
+++ b/tests/crowds/vm.py
@@ -104,11 +104,13 @@
     """The list of upstreams and one upstream, whose answers have the size that the query names.
 
     ``faulty`` returns the bytes with which the upstream of the other service begins an answer to a
-    request id, and those that it sends after them without end.
+    request id, and those that it sends after them without end. ``endless_list`` are the same for
+    the list, once it is set.
     """
 
     ip: str
     faulty: Callable[[bytes], tuple[bytes, bytes]] = lambda _request_id: (b"", b"")
+    endless_list: tuple[bytes, bytes] | None = None
     _loop: asyncio.AbstractEventLoop = field(factory=asyncio.new_event_loop)
     _thread: threading.Thread | None = None
 
@@ -160,6 +162,8 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
+                if self.endless_list is not None:
+                    await _write_endless(writer, *self.endless_list)
                 writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body))
                 await writer.drain()
         writer.close()
@@ -170,11 +174,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             head = await reader.readuntil(b"\r\n\r\n")
             named = re.search(rb"(?i)x-goldcrestridge-request-id: (\S+)", head)
-            first, endless = self.faulty(named[1] if named else b"")
-            writer.write(first)
-            while endless:
-                writer.write(endless)
-                await writer.drain()
+            await _write_endless(writer, *self.faulty(named[1] if named else b""))
         writer.close()
 
     async def _serve_upstream(
@@ -204,6 +204,14 @@
         writer.close()
 
 
+async def _write_endless(writer: asyncio.StreamWriter, first: bytes, endless: bytes) -> None:
+    """Write bytes without end; raise OSError once the connection is closed."""
+    writer.write(first)
+    while endless:
+        writer.write(endless)
+        await writer.drain()
+
+
 @frozen
 class Usage:
     """Highest resident memory in megabytes, and highest number of descriptors seen."""
@@ -266,6 +274,7 @@
     number: int = 0
     descriptors: int = MAX_DESCRIPTORS
     memory_mb: int = MEMORY_MB
+    platform: Platform | None = None
     processes: dict[str, Observed] = field(factory=dict)
 
     @property
@@ -418,7 +427,14 @@
     platform = Platform(platform_ip, faulty)
     platform.start()
     vms = [
-        Vm(folder / f"vm-{number}", tuple(ips), platform_ip, number, descriptors)
+        Vm(
+            folder / f"vm-{number}",
+            tuple(ips),
+            platform_ip,
+            number,
+            descriptors,
+            platform=platform,
+        )
         for number in range(len(ips))
     ]
     try:
@@ -430,7 +446,7 @@
         vms[0].wait_serving()
         yield vms[0]
         for vm in vms[1:]:
-            assert all(observed.alive for observed in vm.processes.values())
+            vm.check()
     finally:
         for vm in vms:
             vm.stop()
