Count responses of upstreams apart from the requests of their workspace

Cause: responses count into the share of the memory that the requests of a workspace may hold. If the first of them fill it before the other requests have begun, those and all further ones exceed the share until the responses time out. The margin that responses leave holds only for the requests that have begun.

Change: the ledger counts responses by themselves. Those to one workspace may hold a quarter of the memory; the half for its requests is left to them.

Evidence: test_responses_leave_the_requests_of_their_workspace_their_share needs the new calls.

--- a/packages/core/src/goldcrestridge_core/connection_ledger.py
+++ b/packages/core/src/goldcrestridge_core/connection_ledger.py
@@ -20,8 +20,10 @@
 MIN_STALLED_MS = 500.0
 # A caller that takes fewer bytes than this has not gone on reading.
 MIN_PROGRESS_BYTES = 4_096
-# Share of the memory that the requests of one workspace may hold.
+# Shares of the memory that the requests of one workspace may hold, and responses to them. Faulty
+# responses leave the further requests of their workspace their share.
 OWNER_SHARE = 0.5
+OWNER_RESPONSE_SHARE = 0.25
 # Memory is freed down to this share of the limit, so that victims are not sought at each request.
 FREED_SHARE = 0.9
 
@@ -51,13 +53,15 @@
     """One connection, and since when it waits without any progress.
 
     ``ahead_ms`` is since when requests have been sent ahead on it, or None. ``owner`` is the
-    workspace of its request, empty if there is none.
+    workspace of its request, empty if there is none. ``response_bytes`` is the part of
+    ``held_bytes`` that a response of an upstream takes.
     """
 
     listener: str
     phase: Phase
     since_ms: float
     held_bytes: int = 0
+    response_bytes: int = 0
     ahead_ms: float | None = None
     owner: str = ""
 
@@ -81,7 +85,9 @@
     held_bytes: int = 0
     _entries: dict[int, _Entry] = field(factory=dict)
     _counts: Counter[str] = field(factory=Counter)
-    _owned_bytes: Counter[str] = field(factory=Counter)
+    # By workspace, without and with the responses of upstreams alone.
+    _request_bytes: Counter[str] = field(factory=Counter)
+    _response_bytes: Counter[str] = field(factory=Counter)
     # By listener and phase, in the order in which the connections entered the phase.
     _waiting: dict[tuple[str, Phase], dict[int, None]] = field(factory=dict)
 
@@ -116,12 +122,17 @@
             self._set_owner(entry, "")
             self._waiting.get((entry.listener, entry.phase), {}).pop(key, None)
 
-    def update(self, key: int, phase: Phase, held_bytes: int, now_ms: float) -> None:
-        """Record what a connection waits for and the memory that it holds."""
+    def update(
+        self, key: int, phase: Phase, held_bytes: int, now_ms: float, response_bytes: int = 0
+    ) -> None:
+        """Record what a connection waits for and the memory that it holds.
+
+        ``response_bytes`` is the part of ``held_bytes`` that a response of an upstream takes.
+        """
         entry = self._entries.get(key)
         if entry is None or entry.phase is Phase.CLOSING:
             return
-        self._hold(entry, held_bytes)
+        self._hold(entry, held_bytes, response_bytes)
         if phase is not entry.phase:
             self._waiting[entry.listener, entry.phase].pop(key, None)
             self._waiting.setdefault((entry.listener, phase), {})[key] = None
@@ -155,7 +166,15 @@
         entry = self._entries.get(key)
         if entry is None or not entry.owner:
             return True
-        return self._owned_bytes[entry.owner] + size <= OWNER_SHARE * self.limits.held_bytes
+        return self._request_bytes[entry.owner] + size <= OWNER_SHARE * self.limits.held_bytes
+
+    def response_fits(self, key: int, size: int) -> bool:
+        """Tell whether responses to the workspace of a connection may hold ``size`` more bytes."""
+        entry = self._entries.get(key)
+        if entry is None or not entry.owner:
+            return True
+        limit = OWNER_RESPONSE_SHARE * self.limits.held_bytes
+        return self._response_bytes[entry.owner] + size <= limit
 
     def is_full(self) -> bool:
         """Tell whether no more memory may be held."""
@@ -197,23 +216,23 @@
             if now_ms - self._entries[key].since_ms >= limit_ms
         )
 
-    def _hold(self, entry: _Entry, held_bytes: int) -> None:
-        change = held_bytes - entry.held_bytes
-        entry.held_bytes = held_bytes
-        self.held_bytes += change
-        if entry.owner:
-            self._owned_bytes[entry.owner] += change
+    def _hold(self, entry: _Entry, held_bytes: int, response_bytes: int = 0) -> None:
+        self.held_bytes += held_bytes - entry.held_bytes
+        owner = entry.owner
+        self._set_owner(entry, "")
+        entry.held_bytes, entry.response_bytes = held_bytes, response_bytes
+        self._set_owner(entry, owner)
 
     def _set_owner(self, entry: _Entry, owner: str) -> None:
         if entry.owner == owner:
             return
-        if entry.owner:
-            self._owned_bytes[entry.owner] -= entry.held_bytes
-            if not self._owned_bytes[entry.owner]:
-                del self._owned_bytes[entry.owner]
+        for name, sign in ((entry.owner, -1), (owner, 1)):
+            if name:
+                self._request_bytes[name] += sign * (entry.held_bytes - entry.response_bytes)
+                self._response_bytes[name] += sign * entry.response_bytes
+        if entry.owner and not self._request_bytes[entry.owner]:
+            del self._request_bytes[entry.owner], self._response_bytes[entry.owner]
         entry.owner = owner
-        if owner:
-            self._owned_bytes[owner] += entry.held_bytes
 
     def waits_ms(self, key: int, now_ms: float) -> float:
         """Return for how long a connection has waited without any progress."""
--- a/packages/core/src/goldcrestridge_core/process_limits.py
+++ b/packages/core/src/goldcrestridge_core/process_limits.py
@@ -15,8 +15,7 @@
 HELD_SHARE = 0.7
 # At least one request with the largest body of the platform is served, however small the VM is.
 MIN_HELD_BYTES = 12_000_000
-# Share of the held memory that responses of upstreams leave to further requests. A request with the
-# largest body and a response of 1 MiB still fit into the share of one workspace.
+# Share of the held memory that responses of upstreams leave to further requests.
 MARGIN_SHARE = 0.04
 # Memory of the objects of one open connection.
 CONNECTION_BYTES = 12_288
--- a/packages/node/src/goldcrestridge_node/caller_connection.py
+++ b/packages/node/src/goldcrestridge_node/caller_connection.py
@@ -92,6 +92,7 @@
         self._completing = False
         self._deferred = False  # A request that was sent ahead waits for its turn.
         self._reserved_bytes = 0
+        self._response_bytes = 0  # The part that was reserved for a response.
         self._unsent_bytes = 0
 
     def shutdown(self) -> None:
@@ -148,18 +149,25 @@
         self._account()
         return True
 
-    def leaves_margin(self, size: int) -> bool:
-        """Tell whether further requests still have room if ``size`` more bytes are reserved."""
-        size += self.table.limits.margin_bytes
-        return self.table.ledger.owner_fits(self._key, size) and self.table.make_room(size)
+    def reserve_response(self, size: int) -> bool:
+        """Reserve memory for a part of the response, as long as further requests have room."""
+        if not self.table.ledger.response_fits(self._key, size) or not self.table.make_room(
+            size + self.table.limits.margin_bytes
+        ):
+            return False
+        self._reserved_bytes += size
+        self._response_bytes += size
+        self._account()
+        return True
 
     def assign(self, workspace: str) -> None:
         """Count the memory of the request in progress for a workspace."""
         self.table.ledger.assign(self._key, workspace)
 
     def release(self, size: int) -> None:
-        """Release reserved memory."""
+        """Release reserved memory of the request and of its response."""
         self._reserved_bytes -= size
+        self._response_bytes = 0
         self._account()
 
     def take_progress(self) -> int:
@@ -279,7 +287,7 @@
             phase = Phase.RECEIVING
         else:
             phase = Phase.SILENT if cycle is None else Phase.IDLE
-        self.table.update(self._key, phase, held)
+        self.table.update(self._key, phase, held, self._response_bytes)
 
     def _start_head_timer(self) -> None:
         if self._head_timer is None:
--- a/packages/node/src/goldcrestridge_node/caller_table.py
+++ b/packages/node/src/goldcrestridge_node/caller_table.py
@@ -81,9 +81,9 @@
         self._connections.pop(key, None)
         self.ledger.close(key)
 
-    def update(self, key: int, phase: Phase, held_bytes: int) -> None:
+    def update(self, key: int, phase: Phase, held_bytes: int, response_bytes: int) -> None:
         """Record what a connection waits for and holds; close others if that is too much."""
-        self.ledger.update(key, phase, held_bytes, self.clock.now_ms())
+        self.ledger.update(key, phase, held_bytes, self.clock.now_ms(), response_bytes)
         if self.ledger.is_full():
             self.make_room(0)
 
--- a/packages/node/src/goldcrestridge_node/exchange.py
+++ b/packages/node/src/goldcrestridge_node/exchange.py
@@ -103,7 +103,10 @@
 
     def reserve_response(self, size: int) -> bool:
         """Reserve memory for a part of the response, as long as further requests have room."""
-        return self.conn.leaves_margin(size) and self.reserve(size)
+        if not self.conn.reserve_response(size):
+            return False
+        self.held_bytes += size
+        return True
 
     def release(self) -> None:
         """Release the memory that was reserved."""
--- a/tests/core/test_connection_ledger.py
+++ b/tests/core/test_connection_ledger.py
@@ -16,6 +16,7 @@
     MIN_IDLE_MS,
     MIN_SILENT_MS,
     MIN_STALLED_MS,
+    OWNER_RESPONSE_SHARE,
     OWNER_SHARE,
     ConnectionLedger,
     Phase,
@@ -258,3 +259,26 @@
     limits = process_limits(memory_mb * 1_000_000, 3_900)
     assert limits.connections >= 500
     assert limits.held_bytes >= 2 * 4_194_304
+
+
+def test_responses_leave_the_requests_of_their_workspace_their_share() -> None:
+    # Guards against refused requests of a workspace while responses of a faulty upstream fill the
+    # memory that it may hold.
+    ledger = ConnectionLedger(LIMITS)
+    for key in (1, 2):
+        assert ledger.open(key, "callers", 0.0).accepted
+        ledger.assign(key, "w")
+    limit = int(OWNER_RESPONSE_SHARE * LIMITS.held_bytes)
+    assert ledger.response_fits(1, limit)
+    ledger.update(1, Phase.RUNNING, 100 + limit, 0.0, limit)
+    assert not ledger.response_fits(2, 1)
+    assert ledger.owner_fits(2, int(OWNER_SHARE * LIMITS.held_bytes) - 100)
+    assert not ledger.owner_fits(2, int(OWNER_SHARE * LIMITS.held_bytes) - 99)
+    ledger.update(1, Phase.IDLE, 100, 0.0)
+    assert ledger.response_fits(2, limit)
+    ledger.assign(2, "other")
+    ledger.update(2, Phase.RUNNING, limit, 0.0, limit)
+    ledger.assign(1, "w")
+    assert ledger.response_fits(1, limit)
+    ledger.close(2)
+    assert ledger.held_bytes == 100
