--- a/tests/node/test_gateway_memory.py
+++ b/tests/node/test_gateway_memory.py
@@ -28,11 +28,8 @@
 ) -> None:
     # Guards against work that is run again where it fits no better, against "not run" for a request
     # that has run, and against sound upstreams that are avoided.
-    reserve = CallerConnection.reserve
     with monkeypatch.context() as patch:
-        patch.setattr(
-            CallerConnection, "reserve", lambda conn, size: size < 100 and reserve(conn, size)
-        )
+        patch.setattr(CallerConnection, "reserve_response", lambda _conn, _size: False)
         async with running_gateway(scripted("a", large), scripted("b", large)) as running:
             refused = await running.call("/read/x")
             assert refused.status == 502
