--- a/packages/node/src/goldcrestridge_node/connections.py
+++ b/packages/node/src/goldcrestridge_node/connections.py
@@ -27,13 +27,11 @@
 
 # Connections to upstreams of a process that sets no other bound.
 MAX_PROCESS_CONNECTIONS = 1_024
-
-
 # The statuses of final responses (RFC 9110, section 15).
 FINAL_STATUSES = range(200, 600)
 # Interim responses (1xx) before one final response.
 MAX_INTERIM_RESPONSES = 32
-# Parts of a body that are parsed at once. Each takes about 20 us, however short it is.
+# Parts of a body that are parsed at once. One of a single byte takes as long as a large one.
 MAX_PARTS_AT_ONCE = 64
 
 
@@ -124,7 +122,7 @@
         return event
 
     async def body(self, timeout_s: float | None = None) -> AsyncGenerator[bytes, None]:
-        """Yield the body of the response; what arrived together is yielded together.
+        """Yield the body of the response; what arrived together is mostly yielded together.
 
         Raise the exceptions of httpcore if the connection breaks, or if nothing arrives for
         ``timeout_s``. The response still has to be closed. This passes an event on with a third of
