Review case 15: an exchange of weights ends the take-up of all streams

Cause: a stream goes on only where the weights are those of its origin; the users name the software version alone.

--- a/review/lib3/stand.py
+++ b/review/lib3/stand.py
@@ -318,10 +318,13 @@
         await asyncio.sleep(first_s)
         more = {"content-type": "text/event-stream", "transfer-encoding": "chunked"}
         writer.write(run.server.head(200, run.request_id, more))
+        weights = run.server.weights
         for number in range(start, first_id + events):
             if number > start:
                 await asyncio.sleep(gap_s)
-            data = f"id: {number}\ndata: {run.target} {number} {run.server.version}\n\n".encode()
+            changed = f"{X}weights-version: {run.server.weights}\n" if run.server.weights != weights else ""
+            weights = run.server.weights
+            data = f"{changed}id: {number}\ndata: {run.target} {number} {run.server.version}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
