Name in the request log which stream a caller takes up, and where it goes on

Cause: the line of a request named the attempt whose stream is taken up, but not the last event that the caller holds, nor the origin that was found, nor the event after which an attempt goes on. A request that was taken for a new stream looked the same as one that went on. Change: last_event_id, origin and sent_after, each bounded in length.

--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -91,7 +91,7 @@
         request_id = RequestId(head.request_id.decode("latin-1"))
         exchange = Exchange(scope, receive, send, request_id, self.options, whole_seconds=False)
         record = RequestRecord(request_id, self.dependencies.clock.now_ms())
-        record.resumed_request_id = head.resumed_request_id
+        record.set_take_up(head.last_event_id, head.resumed_request_id)
         self.in_flight += 1
         try:
             await self._serve(exchange, head, record)
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -151,6 +151,7 @@
             self.admitted.service,
         )
         found: OriginFound = await deps.origins.ask(ticket, event)
+        self.record.set_origin(found)
         if found.origin is not None and self._admit_to_origin(found.origin):
             # The caller may name this attempt when it takes the stream up once more.
             self._origin = evolve(found.origin, request_id=self.record.request_id)
@@ -297,7 +298,7 @@
         placement = self.gateway.dependencies.placement
         started_ms = self._now_ms
         placement.record_start(instance)
-        self.record.versions.append(instance.version)
+        self.record.add_start(instance.version, self._splitter.last_id, self.admitted.route.streams)
         result: UpstreamResponse | FailedAttempt | None = None
         try:
             result = await self._send(instance)
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from goldcrestridge_core.engine_types import EngineFound
+from goldcrestridge_core.stream_origins import OriginFound
 from goldcrestridge_core.types import Count
 from goldcrestridge_core.upstream_notices import Avoidance
 from goldcrestridge_core.window_budget import BudgetState
@@ -15,6 +16,8 @@
 
 # Bounds the length of a log line during the release of a large service.
 MAX_AVOIDED = 4
+# Bounds the length of a log line for long ids of events.
+MAX_LOGGED_ID_CHARS = 40
 # Bounds the length of a log line for long prompts.
 MAX_LOGGED_PARTS = 16
 
@@ -24,8 +27,11 @@
     """How one request was handled; times are monotonic milliseconds.
 
     ``routes_version`` and ``routes_age_ms`` are the version of the routes that were applied and the
-    time since their confirmation. ``resumed_request_id`` names the attempt whose stream the caller
-    takes up. ``versions`` holds the software version of the upstream of each attempt that was sent.
+    time since their confirmation. ``last_event_id`` is the last event that the caller says it
+    holds, or None if it begins a stream; ``resumed_request_id`` names the attempt that brought the
+    first one. ``origin`` is the instance and version that began the stream, as far as they were
+    found. ``versions`` holds the software version of the upstream of each attempt that was sent,
+    ``sent_after`` the event after which each of them goes on, or None if it begins the stream.
     ``avoided`` holds the upstreams that were passed over because they leave or rest. ``body_ends``
     holds the framing of each response that was read, with the bytes after its last event.
     ``fetches`` holds the engine from which each attempt got shared parts, with their tokens.
@@ -49,8 +55,11 @@
     output_tokens: int = 0
     attempts: list[str] = field(factory=list)
     admissions: list[str] = field(factory=list)
+    last_event_id: str | None = None
     resumed_request_id: str = ""
+    origin: str = ""
     versions: list[str] = field(factory=list)
+    sent_after: list[str | None] = field(factory=list)
     avoided: list[str] = field(factory=list)
     body_ends: list[str] = field(factory=list)
     fetches: list[str] = field(factory=list)
@@ -92,6 +101,25 @@
         """Add the engine that hands over shared parts of the prompt."""
         self.fetches.append(f"{source} {tokens} tokens")
 
+    def add_start(self, version: str, after: int | None, streams: bool) -> None:
+        """Add the start of an attempt at a version; a stream goes on after the event ``after``."""
+        self.versions.append(version)
+        if streams:
+            self.sent_after.append(_shorten(after))
+
+    def set_take_up(self, last_event_id: int | None, resumed_request_id: str) -> None:
+        """Name the stream that the caller takes up, and the last event of it that it holds."""
+        self.last_event_id = _shorten(last_event_id)
+        self.resumed_request_id = resumed_request_id
+
+    def set_origin(self, found: OriginFound) -> None:
+        """Name the origin of the stream that the caller takes up, or why there is none."""
+        origin = found.origin
+        if origin is not None:
+            self.origin = f"{origin.instance or 'any instance'} {origin.version or 'unproven'}"
+        else:
+            self.origin = "unknown" if found.complete else "not found in time"
+
     def set_avoided(self, avoided: list[Avoidance]) -> None:
         """Name the upstreams that are passed over, at most MAX_AVOIDED of them."""
         self.avoided = [str(item) for item in avoided[:MAX_AVOIDED]]
@@ -165,6 +193,13 @@
             longest_gap_ms=round(record.longest_gap_ms, 1),
             target_ms=round(record.target_ms),
             max_gap_ms=round(record.max_gap_ms),
+            last_event_id=record.last_event_id,
             resumed_request_id=record.resumed_request_id,
+            origin=record.origin,
+            sent_after=record.sent_after,
             retry_budget=record.retry_budget,
         )
+
+
+def _shorten(event_id: int | None) -> str | None:
+    return None if event_id is None else str(event_id)[:MAX_LOGGED_ID_CHARS]
