Take a stream up after the event 0, too

Cause: whether a request takes a stream up was decided by the truth of the id, apart from the position of the stream that the head to the upstream names. The id 0 counted as none, no origin was looked up, and any upstream was chosen, while Last-Event-Id was passed on to it. Change: the position of the stream is the one owner of the fact, and None its only value for a stream that begins.

--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -97,7 +97,7 @@
             self._engine.end()
 
     async def _run(self) -> None:
-        if self._takes_up_stream and not await self._find_origin():
+        if self._continues_stream and not await self._find_origin():
             return
         while True:
             instance = await self._select_instance()
@@ -137,9 +137,9 @@
         return self.gateway.may_finish(self.admitted.route, left_ms)
 
     @property
-    def _takes_up_stream(self) -> bool:
-        """Tell whether the caller holds events of the stream already."""
-        return self.admitted.route.streams and bool(self.request.caller_head.last_event_id)
+    def _continues_stream(self) -> bool:
+        """Tell whether the caller holds events of the stream, from this attempt or earlier ones."""
+        return self.admitted.route.streams and self._splitter.last_id is not None
 
     async def _find_origin(self) -> bool:
         """Find the origin of the stream that the caller takes up, or refuse the request."""
--- a/tests/node/test_gateway_take_ups.py
+++ b/tests/node/test_gateway_take_ups.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import MutableMapping
 from typing import Any
 
 import httpcore
 import pytest
+from attrs import define, evolve, field
 from tests.node.gateway_helpers import (
+    KEY,
     RunningGateway,
     UpstreamExchange,
     event,
@@ -16,6 +19,9 @@
     scripted,
 )
 
+from goldcrestridge_core.routes import EngineLimits
+from goldcrestridge_lab.soak_net import CONNECTION_ERRORS, read_chunk, read_head
+
 pytestmark = pytest.mark.anyio
 
 
@@ -58,3 +64,157 @@
     assert (taken_up["origin"], taken_up["sent_after"]) == ("a v1", ["1"])
     assert (refused["resumed_request_id"], refused["origin"]) == ("unheard", "unknown")
     assert refused["sent_after"] == []
+
+
+@define
+class Series:
+    """A stream as upstreams send it: a series of events with these ids.
+
+    An upstream goes on after the event that Last-Event-Id names. It breaks the connection after as
+    many events as ``breaks`` holds for the request, and ends the stream if it holds no more.
+    """
+
+    ids: tuple[int, ...]
+    breaks: list[int] = field(factory=list)
+
+    async def send(self, exchange: UpstreamExchange) -> None:
+        """Send the events of one attempt."""
+        after = exchange.headers.get("last-event-id")
+        left = [event(number) for number in self.ids if after is None or number > int(after)]
+        if not self.breaks:
+            await exchange.stream(*left)
+            return
+        await exchange.stream(*left[: self.breaks.pop(0)], end=False)
+        await asyncio.sleep(0.05)
+        exchange.reset()
+
+
+@define(eq=False)
+class CallerOfStream:
+    """A caller that takes its stream up with the last event that it holds, as callers do."""
+
+    running: RunningGateway
+    body: bytes = b""
+    attempts: list[str] = field(factory=list)
+
+    async def call(self, resumes: str = "") -> int:
+        """Make the next attempt; return the status, or 0 if the connection broke."""
+        self.attempts.append(f"attempt {len(self.attempts)}")
+        headers = {"x_goldcrestridge_request_id": self.attempts[-1]}
+        held = re.findall(rb"id: (\d+)\n", self.body)
+        if held:
+            headers |= {"last_event_id": held[-1].decode(), "resumes": resumes}
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.running.port)
+        lines = [
+            "POST /resume/x HTTP/1.1",
+            "Host: h",
+            f"X-Api-Key: {KEY}",
+            "X-Goldcrestridge-Deadline-Ms: 2000",
+            "Content-Length: 0",
+            *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        try:
+            head = await read_head(reader)
+            status = int(head.start_line[1])
+            if status == 200:
+                while chunk := await read_chunk(reader):
+                    self.body += chunk
+            return status
+        except CONNECTION_ERRORS:
+            return 0
+        finally:
+            writer.close()
+
+
+def versions_used(running: RunningGateway) -> list[str]:
+    """Return the version of the upstream of each attempt that was sent, in order."""
+    return [version for line in request_lines(running) for version in line["versions"]]
+
+
+# The first ids that a series can begin with.
+FIRST_IDS = (0, 1, 7, 2**53, 2**64, 10**24)
+
+
+@pytest.mark.parametrize("first", FIRST_IDS)
+@pytest.mark.parametrize("engine", [None, EngineLimits(24, 100_000)])
+async def test_a_stream_is_taken_up_at_its_version_whatever_the_id_of_its_first_event(
+    first: int, engine: EngineLimits | None
+) -> None:
+    # Guards against the id 0 that counts as none: the stream goes on at any software version.
+    series = Series((first, first + 1, first + 5))
+    old = scripted("a", series.send, version="v1")
+    others = [scripted(f"b{number}", series.send, version="v2") for number in range(4)]
+    async with running_gateway(old, *others, engine=engine) as running:
+        for _ in range(4):
+            running.list_upstreams([old])
+            series.breaks = [1]
+            caller = CallerOfStream(running)
+            assert await caller.call() == 0
+            running.list_upstreams([old, *others])
+            running.gateway.dependencies.placement.record_success(old.instance(), 0.0)
+            assert await caller.call(resumes=caller.attempts[0]) == 200
+            assert caller.body == b"".join(map(event, series.ids))
+        assert versions_used(running) == ["v1"] * 8
+
+
+@pytest.mark.parametrize("first", FIRST_IDS)
+@pytest.mark.parametrize("named", [0, 1])
+async def test_a_stream_is_taken_up_again_after_an_attempt_that_brought_no_event(
+    first: int, named: int
+) -> None:
+    # Guards against a third attempt whose origin is not found under the first or the last attempt,
+    # so that it goes on at any software version.
+    series = Series((first, first + 1))
+    old = scripted("a", series.send, version="v1")
+    others = [scripted(f"b{number}", series.send, version="v2") for number in range(4)]
+    async with running_gateway(old, *others) as running:
+        running.list_upstreams([old])
+        caller = CallerOfStream(running)
+        series.breaks = [1, 0]
+        assert await caller.call() == 0
+        assert await caller.call(resumes=caller.attempts[0]) != 200
+        running.list_upstreams([old, *others])
+        running.gateway.dependencies.placement.record_success(old.instance(), 0.0)
+        assert await caller.call(resumes=caller.attempts[named]) == 200
+        assert caller.body == b"".join(map(event, series.ids))
+        assert versions_used(running) == ["v1"] * 3
+
+
+@pytest.mark.parametrize("first", FIRST_IDS)
+@pytest.mark.parametrize("taken_up", [False, True])
+@pytest.mark.parametrize("breaks", [(1,), (0,), (0, 1), (1, 0), (1, 1)])
+async def test_a_stream_that_breaks_within_an_answer_goes_on_after_its_last_event(
+    first: int, taken_up: bool, breaks: tuple[int, ...]
+) -> None:
+    # Guards against an attempt after the event 0 that begins the stream anew, or at another
+    # software version than the one that sent the event.
+    series = Series((first, first + 1, first + 4, first + 5))
+    fitting = [scripted(f"a{number}", series.send, version="v1") for number in range(4)]
+    others = [scripted(f"b{number}", series.send, version="v2") for number in range(4)]
+    async with running_gateway(*fitting, *others) as running:
+        deps = running.gateway.dependencies
+        table = deps.routes.table
+        assert table is not None
+        routes = tuple(evolve(route, attempts=4) for route in table.routes)
+        deps.routes.table = evolve(table, routes=routes)
+        caller = CallerOfStream(running)
+        if taken_up:
+            running.list_upstreams(fitting)
+            series.breaks = [1, 0, 0, 0]
+            assert await caller.call() == 0
+            for upstream in fitting:
+                deps.placement.record_success(upstream.instance(), 0.0)
+            running.list_upstreams([*fitting, *others])
+        series.breaks = list(breaks)
+        assert await caller.call(resumes=caller.attempts[0] if taken_up else "") == 200
+        assert caller.body == b"".join(map(event, series.ids))
+        last = request_lines(running)[-1]
+        begun = (1 if taken_up else 0) + sum(breaks)
+        assert last["sent_after"][-1] == (str(series.ids[begun - 1]) if begun else None)
+        # The first attempt that brings an event decides on the version.
+        began = (
+            0 if taken_up else next(number for number, count in enumerate((*breaks, 1)) if count)
+        )
+        assert len(set(last["versions"][began:])) == 1
+        assert not taken_up or last["versions"][0] == "v1"
