Read the ids of events alike from upstreams and from callers

Callers saw: an event whose id has more than 4,300 digits ended its stream, and an id with leading zeros reached the upstream in another form than the one it had written. Cause: the splitter converted any number of digits, which Python refuses, and kept the number only. Callers' ids had another reader with a bound of its own. Change: one reader for both, which keeps the digits beside the number. What is no number of up to 1,000 digits is the id of no event.

--- a/packages/node/src/goldcrestridge_node/dialect.py
+++ b/packages/node/src/goldcrestridge_node/dialect.py
@@ -8,6 +8,7 @@
 
 from goldcrestridge_core.engine_cache import PromptPart
 from goldcrestridge_core.types import Headers
+from goldcrestridge_node.event_stream import EventId
 
 
 @frozen
@@ -30,7 +31,7 @@
     shared_tokens: int = 0
     prompt_tokens: int = 0
     output_tokens: int = 0
-    last_event_id: int | None = None
+    last_event_id: EventId | None = None
     resumed_request_id: str = ""
     prompt_parts: tuple[PromptPart, ...] = ()
 
@@ -47,7 +48,7 @@
     time_left_ms: int
     workspace: str
     priority: int
-    last_event_id: int | None = None
+    last_event_id: EventId | None = None
     fetch_from: str = ""
 
 
--- a/packages/node/src/goldcrestridge_node/event_stream.py
+++ b/packages/node/src/goldcrestridge_node/event_stream.py
@@ -4,10 +4,12 @@
 
 import re
 
-from attrs import define
+from attrs import define, field, frozen
 
+# Python refuses to convert texts of more than some thousand digits.
+MAX_ID_DIGITS = 1_000
 # A line may end with CR LF, LF or CR.
-_ID = re.compile(rb"(?:^|[\r\n])id: ?(\d+)(?:[\r\n]|$)")
+_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 # Two line ends, as alternatives that each begin with a fixed byte, which is searched faster.
 _END = re.compile(rb"\r\n(?:\r\n?|\n)|\n(?:\r\n?|\n)|\r\r\n?")
 _END_BYTES = 4
@@ -15,6 +17,21 @@
 _BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
 
 
+@frozen(order=True)
+class EventId:
+    """The id of an event: a decimal number, with the digits that the upstream wrote."""
+
+    number: int
+    digits: bytes = field(eq=False)
+
+
+def parse_event_id(text: bytes) -> EventId | None:
+    """Return the id that a text holds, or None if it is no number of up to MAX_ID_DIGITS digits."""
+    if not text.isdigit() or len(text) > MAX_ID_DIGITS:
+        return None
+    return EventId(int(text), text)
+
+
 @define(eq=False)
 class EventSplitter:
     """Return complete events only; ``last_id`` is the id of the last returned event.
@@ -22,7 +39,7 @@
     Events with an id up to ``last_id`` are dropped, so that a resumed stream repeats none.
     """
 
-    last_id: int | None = None
+    last_id: EventId | None = None
     has_events: bool = False  # Also dropped ones.
     _buffer: bytes = b""
 
@@ -56,9 +73,9 @@
 
     def _is_new(self, event: bytes) -> bool:
         found = _ID.search(event)
-        if found is None:
+        event_id = None if found is None else parse_event_id(found[1])
+        if event_id is None:
             return True
-        event_id = int(found[1])
         if self.last_id is not None and event_id <= self.last_id:
             return False
         self.last_id = event_id
--- a/packages/node/src/goldcrestridge_node/request_log.py
+++ b/packages/node/src/goldcrestridge_node/request_log.py
@@ -12,6 +12,7 @@
 from goldcrestridge_core.types import Count
 from goldcrestridge_core.upstream_notices import Avoidance
 from goldcrestridge_core.window_budget import BudgetState
+from goldcrestridge_node.event_stream import EventId
 from goldcrestridge_node.headers import BodyFraming
 
 # Bounds the length of a log line during the release of a large service.
@@ -101,13 +102,13 @@
         """Add the engine that hands over shared parts of the prompt."""
         self.fetches.append(f"{source} {tokens} tokens")
 
-    def add_start(self, version: str, after: int | None, streams: bool) -> None:
+    def add_start(self, version: str, after: EventId | None, streams: bool) -> None:
         """Add the start of an attempt at a version; a stream goes on after the event ``after``."""
         self.versions.append(version)
         if streams:
             self.sent_after.append(_shorten(after))
 
-    def set_take_up(self, last_event_id: int | None, resumed_request_id: str) -> None:
+    def set_take_up(self, last_event_id: EventId | None, resumed_request_id: str) -> None:
         """Name the stream that the caller takes up, and the last event of it that it holds."""
         self.last_event_id = _shorten(last_event_id)
         self.resumed_request_id = resumed_request_id
@@ -201,5 +202,5 @@
         )
 
 
-def _shorten(event_id: int | None) -> str | None:
-    return None if event_id is None else str(event_id)[:MAX_LOGGED_ID_CHARS]
+def _shorten(event_id: EventId | None) -> str | None:
+    return None if event_id is None else event_id.digits[:MAX_LOGGED_ID_CHARS].decode()
--- a/tests/node/test_gateway_take_ups.py
+++ b/tests/node/test_gateway_take_ups.py
@@ -218,3 +218,47 @@
         )
         assert len(set(last["versions"][began:])) == 1
         assert not taken_up or last["versions"][0] == "v1"
+
+
+def padded(number: int) -> bytes:
+    """Return an event whose id is written with leading zeros."""
+    return b"id: %06d\ndata: piece %d\n\n" % (number, number)
+
+
+async def test_an_upstream_gets_the_id_in_the_digits_that_the_stream_has() -> None:
+    # Guards against an upstream that does not find the event, since its id lost leading zeros.
+    async def broken(exchange: UpstreamExchange) -> None:
+        await exchange.stream(padded(0), end=False)
+        await asyncio.sleep(0.05)
+        exchange.reset()
+
+    async def rest(exchange: UpstreamExchange) -> None:
+        await exchange.stream(padded(1))
+
+    upstreams = [scripted("a", broken, rest), scripted("b", broken, rest)]
+    async with running_gateway(*upstreams) as running:
+        caller = CallerOfStream(running)
+        # The first upstream breaks the stream off, and the second one its attempt to go on.
+        assert await caller.call() == 0
+        for upstream in upstreams:
+            running.gateway.dependencies.placement.record_success(upstream.instance(), 0.0)
+        assert await caller.call(resumes=caller.attempts[0]) == 200
+        assert caller.body == padded(0) + padded(1)
+        sent = [
+            exchange.headers.get("last-event-id")
+            for upstream in upstreams
+            for exchange in upstream.exchanges
+        ]
+        assert sorted(sent, key=str) == ["000000", "000000", None]
+
+
+async def test_an_id_of_thousands_of_digits_ends_no_answer() -> None:
+    # Guards against an upstream whose id of an event breaks off the stream of its caller.
+    events = [b"id: %b\ndata: piece\n\n" % (b"1" * 5_000), event(1)]
+
+    async def odd(exchange: UpstreamExchange) -> None:
+        await exchange.stream(*events)
+
+    async with running_gateway(scripted("a", odd)) as running:
+        response = await running.call("/stream/x")
+        assert response.content == b"".join(events)
