Refuse requests that do not tell after which event a stream goes on

Callers saw: a stream that was taken up with an id such as +1, abc, two ids, or with Resumes alone began anew, so that its first events came twice, and at any software version. On routes without streams a Last-Event-Id that is no number was lost, and the last of several. Cause: an id that could not be read counted as no id, and its header was dropped. Change: 400, not run, with the code invalid_stream_position, on routes with streams. Elsewhere the headers are passed on like all others.

--- a/packages/node/src/goldcrestridge_node/dialect.py
+++ b/packages/node/src/goldcrestridge_node/dialect.py
@@ -18,9 +18,10 @@
     ``forwarded_headers`` are forwarded to the upstream unchanged. ``key`` is None if the request
     carries no API key. ``shared_prefix_id`` identifies the longest prompt prefix that other
     requests share, which has ``shared_tokens`` tokens; it is empty if there is none. A resumed
-    stream continues after the event ``last_event_id``; ``resumed_request_id`` is the id of the
-    caller's attempt that brought its first event, or empty. ``prompt_parts`` are the parts of the
-    prompt that other requests can share, in order.
+    stream continues after the event ``last_event_id``, which is None for a new stream;
+    ``resumed_request_id`` is the id of the caller's attempt that brought its first event, or empty.
+    ``invalid_position`` tells why it is not known after which event a stream continues, or is
+    empty. ``prompt_parts`` are the parts of the prompt that other requests can share, in order.
     """
 
     request_id: bytes
@@ -33,6 +34,7 @@
     output_tokens: int = 0
     last_event_id: EventId | None = None
     resumed_request_id: str = ""
+    invalid_position: str = ""
     prompt_parts: tuple[PromptPart, ...] = ()
 
 
--- a/packages/node/src/goldcrestridge_node/gateway.py
+++ b/packages/node/src/goldcrestridge_node/gateway.py
@@ -317,6 +317,8 @@
             if workspace is None:
                 return UNKNOWN_KEY
             record.workspace = workspace.name
+        if route.streams and head.invalid_position:
+            return Refusal(400, "invalid_stream_position", f"{head.invalid_position}.")
         self._served_any = True
         service = route.pick_service(self.dependencies.placement.rng.random())
         admitted = _admitted_request(table, route, workspace, service, head)
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -80,8 +80,13 @@
     _engine: RequestEngine = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the splitter; for a resumed stream it drops the events that the caller has."""
-        self._splitter = EventSplitter(self.request.caller_head.last_event_id)
+        """Create the splitter; for a resumed stream it drops the events that the caller has.
+
+        Its position alone tells whether a stream goes on, and after which event. It stays None on
+        routes without streams, where Last-Event-Id is a header like others.
+        """
+        last_event_id = self.request.caller_head.last_event_id
+        self._splitter = EventSplitter(last_event_id if self.admitted.route.streams else None)
         self._permits = RequestPermits(self.gateway, self.admitted, self.forwarding, self.record)
         self._engine = RequestEngine(self.gateway, self.admitted, self.forwarding, self.record)
 
@@ -139,7 +144,7 @@
     @property
     def _continues_stream(self) -> bool:
         """Tell whether the caller holds events of the stream, from this attempt or earlier ones."""
-        return self.admitted.route.streams and self._splitter.last_id is not None
+        return self._splitter.last_id is not None
 
     async def _find_origin(self) -> bool:
         """Find the origin of the stream that the caller takes up, or refuse the request."""
--- a/tests/node/test_gateway_take_ups.py
+++ b/tests/node/test_gateway_take_ups.py
@@ -15,6 +15,7 @@
     RunningGateway,
     UpstreamExchange,
     event,
+    ok,
     running_gateway,
     scripted,
 )
@@ -262,3 +263,77 @@
     async with running_gateway(scripted("a", odd)) as running:
         response = await running.call("/stream/x")
         assert response.content == b"".join(events)
+
+
+MALFORMED_POSITIONS = (
+    "Last-Event-Id: +1",
+    "Last-Event-Id: -1",
+    "Last-Event-Id: abc",
+    "Last-Event-Id: 1.0",
+    "Last-Event-Id: 0x1",
+    "Last-Event-Id: 1 2",
+    "Last-Event-Id: 1, 2",
+    "Last-Event-Id:",
+    f"Last-Event-Id: {'1' * 1_001}",
+    "Last-Event-Id: 1\r\nLast-Event-Id: 1",
+    "Last-Event-Id: 1\r\nLast-Event-Id: 2",
+    "Last-Event-Id: 1\r\nResumes: attempt 0\r\nResumes: other",
+    "Resumes: attempt 0",
+)
+
+
+async def send_raw(running: RunningGateway, path: str, lines: str) -> tuple[int, str, bytes]:
+    """Send a request with raw header lines; return the status, the outcome and the body."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Api-Key: {KEY}\r\nContent-Length: 0\r\n"
+        f"X-Goldcrestridge-Request-Id: raw\r\n{lines}\r\n\r\n"
+    )
+    writer.write(head.encode())
+    try:
+        answer = await read_head(reader)
+        body = await reader.readexactly(int(answer.headers.get("content-length", "0")))
+        outcome = answer.headers.get("x-goldcrestridge-outcome", "")
+        return int(answer.start_line[1]), outcome, body
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("path", ["/resume/x", "/stream/x"])
+@pytest.mark.parametrize("lines", MALFORMED_POSITIONS)
+async def test_a_caller_whose_position_in_a_stream_is_unclear_gets_an_error(
+    path: str, lines: str
+) -> None:
+    # Guards against a stream that begins anew, at any software version, for a caller that holds
+    # events of it.
+    async with running_gateway(scripted("a", break_off)) as running:
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await running.call("/resume/x", x_goldcrestridge_request_id="attempt 0")
+        status, outcome, body = await send_raw(running, path, lines)
+        assert (status, outcome) == (400, "not_run")
+        assert b"invalid_stream_position" in body
+        assert b"Last-Event-Id" in body
+        assert len(running.upstreams[0].exchanges) == 1
+        assert request_lines(running)[-1]["reason"] == "invalid_stream_position"
+
+
+@pytest.mark.parametrize("lines", MALFORMED_POSITIONS)
+async def test_routes_without_streams_pass_the_headers_of_streams_on_unchanged(lines: str) -> None:
+    # Guards against headers that mean nothing on a route, and are lost or refused there.
+    async with running_gateway(scripted("a", ok)) as running:
+        status, _, body = await send_raw(running, "/read/x", lines)
+        assert (status, body) == (200, b"/read/x")
+        (exchange,) = running.upstreams[0].exchanges
+        name, _, value = lines.rpartition("\r\n")[2].partition(":")
+        assert exchange.headers[name.lower()] == value.strip()
+
+
+async def test_blanks_round_the_id_of_an_event_do_not_matter() -> None:
+    # Guards against refusing what the grammar of header fields allows.
+    async with running_gateway(scripted("a", break_off, go_on)) as running:
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await running.call("/resume/x", x_goldcrestridge_request_id="attempt 0")
+        running.gateway.dependencies.placement.record_success(running.upstreams[0].instance(), 0.0)
+        lines = "Last-Event-Id: \t1 \t \r\nResumes: attempt 0"
+        assert (await send_raw(running, "/resume/x", lines))[0] == 200
+        assert running.upstreams[0].exchanges[1].headers["last-event-id"] == "1"
