Take no stream up on a route that does not allow it

Callers saw: on a route that streams and is not resumable, a request with Last-Event-Id ran a second time, since a single software version served and the route was not asked. Cause: only the version decided whether a stream goes on. Change: 503 cannot_resume, not run, without Retry-After.

--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -148,6 +148,9 @@
 
     async def _find_origin(self) -> bool:
         """Find the origin of the stream that the caller takes up, or refuse the request."""
+        if not self.admitted.route.resumable:
+            await self.refuse(CANNOT_RESUME)
+            return False
         deps = self.gateway.dependencies
         ticket = self.gateway.next_ticket()
         event = FindOrigin(
--- a/tests/node/test_gateway_take_ups.py
+++ b/tests/node/test_gateway_take_ups.py
@@ -20,6 +20,7 @@
     scripted,
 )
 
+from goldcrestridge_core.follow_types import StreamVersion
 from goldcrestridge_core.routes import EngineLimits
 from goldcrestridge_lab.soak_net import CONNECTION_ERRORS, read_chunk, read_head
 
@@ -337,3 +338,17 @@
         lines = "Last-Event-Id: \t1 \t \r\nResumes: attempt 0"
         assert (await send_raw(running, "/resume/x", lines))[0] == 200
         assert running.upstreams[0].exchanges[1].headers["last-event-id"] == "1"
+
+
+@pytest.mark.parametrize("first", FIRST_IDS)
+async def test_a_stream_is_not_taken_up_on_a_route_that_does_not_allow_it(first: int) -> None:
+    # Guards against a stream that runs twice, since one version served and its route is not asked.
+    series = Series((first, first + 1))
+    async with running_gateway(scripted("a", series.send)) as running:
+        running.stream_versions[0] = (StreamVersion("s", "v1"),)
+        response = await running.call("/stream/x", last_event_id=str(first), resumes="earlier")
+        assert response.status == 503
+        assert dict(response.headers)[b"x-goldcrestridge-outcome"] == b"not_run"
+        assert b"retry-after" not in dict(response.headers)
+        assert request_lines(running)[-1]["reason"] == "cannot_resume"
+        assert running.upstreams[0].exchanges == []
