Do not resume a stream after data without an id

Callers saw: a stream that broke after data without an id, or with one that is no number, began anew within the answer, or went on after an earlier event, so that pieces came twice. Cause: an event without an id left the position of the stream as it was, also as none. Change: such a stream is broken off, until an event with an id follows. Comments do not count.

--- a/packages/node/src/goldcrestridge_node/event_stream.py
+++ b/packages/node/src/goldcrestridge_node/event_stream.py
@@ -10,6 +10,7 @@
 MAX_ID_DIGITS = 1_000
 # A line may end with CR LF, LF or CR.
 _ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+_DATA = re.compile(rb"(?:^|[\r\n])data[:\r\n]")
 # Two line ends, as alternatives that each begin with a fixed byte, which is searched faster.
 _END = re.compile(rb"\r\n(?:\r\n?|\n)|\n(?:\r\n?|\n)|\r\r\n?")
 _END_BYTES = 4
@@ -36,10 +37,12 @@
 class EventSplitter:
     """Return complete events only; ``last_id`` is the id of the last returned event.
 
-    Events with an id up to ``last_id`` are dropped, so that a resumed stream repeats none.
+    Events with an id up to ``last_id`` are dropped, so that a resumed stream repeats none. While
+    ``ends_without_id``, a resumed stream would repeat the data that followed the last id.
     """
 
     last_id: EventId | None = None
+    ends_without_id: bool = False
     has_events: bool = False  # Also dropped ones.
     _buffer: bytes = b""
 
@@ -75,8 +78,9 @@
         found = _ID.search(event)
         event_id = None if found is None else parse_event_id(found[1])
         if event_id is None:
+            self.ends_without_id = self.ends_without_id or _DATA.search(event) is not None
             return True
         if self.last_id is not None and event_id <= self.last_id:
             return False
-        self.last_id = event_id
+        self.last_id, self.ends_without_id = event_id, False
         return True
--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -613,6 +613,7 @@
             await self._start_response(response)
         self._engine.report_prefilled()
         self.forwarding.streaming = True
+        self.forwarding.committed = self._splitter.ends_without_id
         self.record.add_event(self._now_ms)
         await self.exchange.write(events, more=True)
 
--- a/tests/node/test_event_stream.py
+++ b/tests/node/test_event_stream.py
@@ -66,3 +66,22 @@
     body = b"id: %b\ndata: x\n\n" % text
     assert splitter.feed(body) == body
     assert splitter.last_id == EventId(5, b"5")
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_data_without_an_id_is_noticed_until_the_next_id(line_end: bytes) -> None:
+    # Guards against a stream that is resumed after its last id and repeats what came since.
+    splitter = EventSplitter()
+    for body, expected in (
+        (b": hello\n\n", False),
+        (b"retry: 5\n\n", False),
+        (b"database: 1\n\n", False),
+        (b"data: x\n\n", True),
+        (b": still here\n\n", True),
+        (event(0), False),
+        (b"id: x\ndata\n\n", True),
+        (event(0), True),
+        (event(1), False),
+    ):
+        splitter.feed(body.replace(b"\n", line_end))
+        assert splitter.ends_without_id == expected, body
--- a/tests/node/test_gateway_take_ups.py
+++ b/tests/node/test_gateway_take_ups.py
@@ -352,3 +352,40 @@
         assert b"retry-after" not in dict(response.headers)
         assert request_lines(running)[-1]["reason"] == "cannot_resume"
         assert running.upstreams[0].exchanges == []
+
+
+@pytest.mark.parametrize(
+    "brought", [[b"data: piece\n\n"], [b"id: x\ndata: piece\n\n"], [event(0), b"data: piece\n\n"]]
+)
+async def test_a_stream_does_not_go_on_after_data_without_an_id(brought: list[bytes]) -> None:
+    # Guards against a stream that begins anew, or after an earlier event, for a caller that has
+    # more of it.
+    async def broken(exchange: UpstreamExchange) -> None:
+        await exchange.stream(*brought, end=False)
+        await asyncio.sleep(0.05)
+        exchange.reset()
+
+    async with running_gateway(scripted("a", broken), scripted("b", broken)) as running:
+        caller = CallerOfStream(running)
+        assert await caller.call() == 0
+        assert caller.body == b"".join(brought)
+        assert sum(len(upstream.exchanges) for upstream in running.upstreams) == 1
+
+
+async def test_a_stream_that_breaks_after_a_comment_begins_anew() -> None:
+    # Guards against giving a stream up of which the caller has no data yet.
+    async def broken(exchange: UpstreamExchange) -> None:
+        await exchange.stream(b": hello\n\n", end=False)
+        await asyncio.sleep(0.05)
+        exchange.reset()
+
+    async def whole(exchange: UpstreamExchange) -> None:
+        await exchange.stream(event(0), event(1))
+
+    async with running_gateway(*(scripted(name, broken, whole) for name in "ab")) as running:
+        caller = CallerOfStream(running)
+        # The second upstream breaks the stream off, too.
+        assert await caller.call() == 0
+        assert caller.body == b": hello\n\n" * 2
+        assert await caller.call() == 200
+        assert caller.body.endswith(b": hello\n\n" + event(0) + event(1))
