Show no events of the timeline for a limit of 0

Cause: a slice from -0 is the whole list; found in the search for 0 that counts as none. Result: 1 of 4 new cases failed before, the one with 0.

--- a/packages/cli/src/goldcrestridge_cli/commands.py
+++ b/packages/cli/src/goldcrestridge_cli/commands.py
@@ -217,7 +217,7 @@
         else:
             events.extend(response["events"])
     events.sort(key=lambda event: (event["wall_ms"], event["counter"], event["node"]))
-    shown = events[-limit:]
+    shown = events[max(0, len(events) - limit) :]
     lines = [_event_line(event) for event in shown]
     lines += [f"{url} could not be reached; its events are missing." for url in missing]
     code = EXIT_UNREACHABLE if missing else EXIT_OK
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -122,6 +122,25 @@
     assert cmdline.main(["check", EXAMPLE, "--json"]) == 0
 
 
+@pytest.mark.parametrize("limit", [0, 1, 2, 3])
+def test_the_timeline_shows_at_most_as_many_events_as_asked_for(
+    serve: Any, capsys: pytest.CaptureFixture[str], limit: int
+) -> None:
+    # Guards against a limit of 0 that shows all events.
+    names = ("request_id", "workspace", "upstream", "change_id")
+    events = [
+        {"wall_ms": number, "counter": 0, "node": "a", "kind": f"kind-{number}", "detail": {}}
+        | dict.fromkeys(names, "")
+        for number in range(2)
+    ]
+    responses = {"GET /v1/timeline": (200, {"events": events}), "GET /v1/status": (200, {})}
+    url, _ = serve(responses)
+    responses["GET /v1/status"] = (200, {"members": [member("a", url)]})
+    assert cmdline.main(["timeline", f"--limit={limit}", f"--node={url}", "--json"]) == 0
+    shown = json.loads(capsys.readouterr().out)["events"]
+    assert [event["kind"] for event in shown] == ["kind-0", "kind-1"][max(0, 2 - limit) :]
+
+
 def test_an_unreachable_node_and_a_usage_error_have_their_own_exit_codes() -> None:
     # Guards against exit codes by which a script cannot distinguish the two.
     assert cmdline.main(["status", "--node=http://127.0.0.1:1"]) == 4
