--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from goldcrestridge_core.codec import encode
 from goldcrestridge_core.demand import demand_of
 from goldcrestridge_core.engine_types import EngineRequest, SharedPrompt
@@ -100,6 +102,20 @@
         encode(EngineRequest("t", "i", demand.work, 1.0, 1.0, 1, 0, 1.0, 1.0, prompt=prompt))
 
 
+@pytest.mark.parametrize(
+    ("hint", "expected"),
+    [(None, 80), (b"", 80), (b"x", 80), (b"-1", 80), (b"0", 0), (b"1", 1), (b"90", 90)],
+)
+def test_the_expected_output_is_the_hint_or_else_the_maximum(
+    hint: bytes | None, expected: int
+) -> None:
+    # Guards against a hint of 0 that counts as none, so that the maximum is expected.
+    headers = [(b"x-goldcrestridge-token-count", b"1460,80")]
+    if hint is not None:
+        headers.append((b"x-goldcrestridge-length-hint", hint))
+    assert read_caller(tuple(headers)).output_tokens == expected
+
+
 def test_connection_specific_headers_are_not_forwarded() -> None:
     # Guards against forwarding framing or hop-by-hop headers in either direction.
     listed = (
