--- a/packages/lab/src/goldcrestridge_lab/soak_callers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_callers.py
@@ -23,10 +23,9 @@
 from goldcrestridge_lab.soak_prompts import CRASHING_BODY, Prompts, crashing_name
 from goldcrestridge_lab.soak_servers import (
     HEADER_PREFIX,
-    STREAM_EVENTS,
-    encode_event,
     expected_body,
 )
+from goldcrestridge_lab.soak_streams import STREAM_EVENTS, shape_of
 
 HOST = "h.example"
 KINDS = ("once", "read", "stream", "single")
@@ -95,7 +94,7 @@
     """A stream over all attempts of its caller.
 
     ``first_request_id`` is the attempt that brought the first event, ``last_request_id`` the one
-    that brought the last event. ``events`` holds the number and the software version of each event.
+    that brought the last event. ``events`` holds the id and the software version of each event.
     """
 
     target: str
@@ -110,14 +109,18 @@
 
     def feed(self, request_id: str, data: bytes) -> bool:
         """Add the events of an attempt; return False if they are not the next ones."""
-        *complete, self._buffer = (self._buffer + data).split(b"\n\n")
+        shape = shape_of(self.target)
+        end = 2 * shape.line_end
+        *complete, self._buffer = (self._buffer + data).split(end)
         for event in complete:
-            number, version = len(self.events) + 1, event.rpartition(b" ")[2].decode("latin-1")
-            if event + b"\n\n" != encode_event(self.target, number, version):
+            position, version = len(self.events), event.rpartition(b" ")[2].decode("latin-1")
+            if position >= STREAM_EVENTS or event + end != shape.encode(
+                self.target, position, version
+            ):
                 return False
             self.first_request_id = self.first_request_id or request_id
             self.last_request_id = request_id
-            self.events.append((number, version))
+            self.events.append((shape.ids[position], version))
         return True
 
     @property
--- a/packages/lab/src/goldcrestridge_lab/soak_servers.py
+++ b/packages/lab/src/goldcrestridge_lab/soak_servers.py
@@ -20,10 +20,10 @@
     read_head,
 )
 from goldcrestridge_lab.soak_prompts import crashing_name
+from goldcrestridge_lab.soak_streams import STREAM_EVENTS, shape_of
 
 HEADER_PREFIX = "x-goldcrestridge-"
 REQUEST_ID = HEADER_PREFIX + "request-id"
-STREAM_EVENTS = 6
 STREAM_PREFIXES = ("/stream/", "/single/")
 # The list shows a leaving upstream as ready for this long, as the platform's list does.
 LIST_LAG_MS = 300.0
@@ -35,11 +35,6 @@
     return f"{request_id} {digest}".encode()
 
 
-def encode_event(target: str, number: int, version: str) -> bytes:
-    """Encode one server-sent event of the stream of a target, with the upstream's version."""
-    return f"id: {number}\ndata: {target} {number} {version}\n\n".encode()
-
-
 @frozen
 class Arrival:
     """A request that reached an upstream; ``ran`` tells whether it began to execute there.
@@ -201,20 +196,21 @@
     async def _stream(
         self, request: MessageHead, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
-        first = int(request.headers.get("last-event-id", "0")) + 1
         target, version = request.start_line[1], self.version
+        shape = shape_of(target)
+        first = shape.next_position(request.headers.get("last-event-id"))
         chunked = self.mode != "unframed"
         framing = (("transfer-encoding", "chunked"),) if chunked else ()
         content_type = ("content-type", "text/event-stream")
         headers = (*self._signature_headers(request_id), content_type, *framing)
         writer.write(encode_head("HTTP/1.1 200 OK", headers))
-        for number in range(first, STREAM_EVENTS + 1):
+        for position in range(first, STREAM_EVENTS):
             if self.mode == "lost" and self.rng.random() < 0.2:
                 abort(writer)
                 return
-            data = encode_event(target, number, version)
+            data = shape.encode(target, position, version)
             if not chunked and self.rng.random() < 0.1:
-                self._break_off(writer, data)
+                self._break_off(writer, data.removesuffix(shape.line_end))
                 return
             writer.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
             await writer.drain()
@@ -224,10 +220,10 @@
         else:
             writer.close()
 
-    def _break_off(self, writer: asyncio.StreamWriter, event: bytes) -> None:
-        """End a stream inside an event, or reset its connection between two events."""
+    def _break_off(self, writer: asyncio.StreamWriter, lines: bytes) -> None:
+        """End a stream inside an event with these lines, or reset it between two events."""
         if self.rng.random() < 0.5:
-            writer.write(event[: self.rng.randrange(1, len(event))])
+            writer.write(lines[: self.rng.randrange(1, len(lines) + 1)])
             writer.close()
         else:
             abort(writer)
--- a/tests/lab/test_soak_checks.py
+++ b/tests/lab/test_soak_checks.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import random
+from collections.abc import Iterator
 
 import pytest
 from attrs import evolve
@@ -17,7 +19,8 @@
 from goldcrestridge_lab.soak_checks import DRAIN_MS, RECONNECT_MS, Observations, find_violations
 from goldcrestridge_lab.soak_nodes import BOUNDS
 from goldcrestridge_lab.soak_prompts import PromptCrash
-from goldcrestridge_lab.soak_servers import Arrival, encode_event
+from goldcrestridge_lab.soak_servers import Arrival
+from goldcrestridge_lab.soak_streams import FIRST_IDS, LINE_ENDS, shape_of
 
 ENTRY = "127.20.2.1:18080"
 
@@ -159,16 +162,34 @@
     assert "3 streams hold events of two versions" in violation
 
 
-def test_an_event_that_is_lost_repeated_or_of_another_stream_is_not_taken() -> None:
-    stream = Stream("/stream/x")
-    first, second = (encode_event("/stream/x", number, "v1") for number in (1, 2))
+def targets_with(first_id: int, line_end: bytes) -> Iterator[str]:
+    """Yield the targets of streams whose events have this form."""
+    for number in itertools.count():
+        shape = shape_of(f"/stream/{number}")
+        if (shape.ids[0], shape.line_end) == (first_id, line_end):
+            yield f"/stream/{number}"
+
+
+@pytest.mark.parametrize("first_id", sorted(set(FIRST_IDS)))
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_an_event_that_is_lost_repeated_or_of_another_stream_is_not_taken(
+    first_id: int, line_end: bytes
+) -> None:
+    target, other = itertools.islice(targets_with(first_id, line_end), 2)
+    stream, shape = Stream(target), shape_of(target)
+    first, second, third = (shape.encode(target, position, "v1") for position in range(3))
+    assert not stream.feed("r0", second)
     assert stream.feed("r0", first[:5])
     assert stream.feed("r0", first[5:] + second[:3])
     stream.restart()
     assert stream.feed("r1", second)
-    assert (stream.first_request_id, stream.events) == ("r0", [(1, "v1"), (2, "v1")])
+    assert stream.first_request_id == "r0"
+    assert stream.events == [(first_id, "v1"), (shape.ids[1], "v1")]
     assert not stream.feed("r1", second)
-    assert not Stream("/stream/y").feed("r0", first)
+    assert not Stream(other).feed("r0", first)
+    assert [shape.next_position(str(event_id)) for event_id, _ in stream.events] == [1, 2]
+    assert shape.next_position(None) == 0
+    assert not Stream(target).feed("r0", third)
 
 
 @pytest.mark.parametrize(("went_on", "reported"), [(6, False), (5, True)])
