Check the division of streams with ids and forms of all kinds

Guards what holds: a stream arrives once over all attempts, whatever its ids and line ends. Result: the test fails if the splitter takes the last id 0 for none, repeats the last event, or keeps half of an event after an attempt (three changes of the splitter, tried one at a time).

--- a/tests/node/test_event_stream.py
+++ b/tests/node/test_event_stream.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from tests.node.gateway_helpers import event
 
 from goldcrestridge_node.event_stream import EventId, EventSplitter, parse_event_id
@@ -85,3 +89,46 @@
     ):
         splitter.feed(body.replace(b"\n", line_end))
         assert splitter.ends_without_id == expected, body
+
+
+@given(
+    first=st.sampled_from((0, 1, 2**53, 2**64)) | st.integers(0, 10**30),
+    steps=st.lists(st.integers(1, 10**6), max_size=8),
+    line_end=st.sampled_from((b"\n", b"\r\n", b"\r")),
+    blank=st.sampled_from((b"", b" ")),
+    padding=st.integers(0, 25),
+    cuts=st.lists(st.tuples(st.integers(0, 2), st.integers(0, 12), st.integers(0, 9)), max_size=4),
+    step=st.integers(1, 60),
+)
+def test_a_stream_of_any_ids_and_form_arrives_once_over_all_attempts(
+    first: int,
+    steps: list[int],
+    line_end: bytes,
+    blank: bytes,
+    padding: int,
+    cuts: list[tuple[int, int, int]],
+    step: int,
+) -> None:
+    # Guards against an event that is lost or repeated where an attempt ends, since its id has
+    # another value or form than 1, 2, 3. Each attempt ends after some new events and some bytes of
+    # the next one; its upstream repeats some events before the one after which it has to go on.
+    ids = list(itertools.accumulate(steps, initial=first))
+    events = [
+        b"id:%b%0*d%bdata:%bpiece %d%b"
+        % (blank, padding, number, line_end, blank, number, 2 * line_end)
+        for number in ids
+    ]
+    splitter, passed_on = EventSplitter(), b""
+    for new, extra, repeated in (*cuts, (len(events), 0, 0)):
+        splitter.restart()
+        begun = 0
+        if splitter.last_id is not None:
+            assert splitter.last_id.digits in events[ids.index(splitter.last_id.number)]
+            begun = ids.index(splitter.last_id.number) + 1
+        whole = b"".join(events[max(0, begun - repeated) : begun + new])
+        body = whole + b"".join(events[begun + new :])[:extra]
+        for start in range(0, len(body), step):
+            passed_on += splitter.feed(body[start : start + step])
+    assert passed_on + splitter.remainder == b"".join(events)
+    assert not splitter.inside_event
+    assert not splitter.ends_without_id
