--- a/tests/node/test_gateway_streams.py
+++ b/tests/node/test_gateway_streams.py
@@ -64,8 +64,9 @@
 
 
 @pytest.mark.parametrize("engine", [None, EngineLimits(24, 100_000)])
+@pytest.mark.parametrize("held", ["0", "1"])
 async def test_a_callers_retry_resumes_a_stream_only_at_the_version_that_began_it(
-    engine: EngineLimits | None,
+    engine: EngineLimits | None, held: str
 ) -> None:
     # Guards against a caller that gets events of two versions over its attempts, and against an
     # attempt to resume a stream whose beginning is unknown.
@@ -79,18 +80,19 @@
         # The list shows that the instance was not started again.
         running.list_upstreams(upstreams)
         for resumed in ("unheard", ""):
-            response = await running.call("/resume/x", last_event_id="1", resumes=resumed)
+            response = await running.call("/resume/x", last_event_id=held, resumes=resumed)
             assert response.status == 503
             assert dict(response.headers)[b"x-goldcrestridge-outcome"] == b"not_run"
         assert resumed_at(running) == set()
         upstreams[0].script = [begin_or_resume]
         placement.record_success(upstreams[0].instance(), 0.0)
         for _ in range(6):
-            await running.call("/resume/x", last_event_id="1", resumes="first")
+            await running.call("/resume/x", last_event_id=held, resumes="first")
         assert resumed_at(running) == {"v1"}
 
 
-async def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
+@pytest.mark.parametrize("held", ["0", "1"])
+async def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it(held: str) -> None:
     # Guards against a stream that can't go on, or goes on at a service with the same version name,
     # because the route gives the retry to another service.
     upstreams = scripted("a", begin_or_resume), scripted("b", begin_or_resume)
@@ -109,7 +111,7 @@
         deps.placement.record_success(upstreams[0].instance(), 0.0)
         # The list shows that the instance was not started again.
         deps.placement.set_instances([upstreams[0].instance(), other], deps.clock.now_ms())
-        assert (await running.call("/resume/x", last_event_id="1", resumes="first")).status == 200
+        assert (await running.call("/resume/x", last_event_id=held, resumes="first")).status == 200
         assert "last-event-id" in upstreams[0].exchanges[-1].headers
         deps.routes.table = RouteTable(
             3,
@@ -118,29 +120,33 @@
             table.limits,
             table.workspaces,
         )
-        response = await running.call("/resume/x", last_event_id="1", resumes="first")
+        response = await running.call("/resume/x", last_event_id=held, resumes="first")
         assert response.status == 503
         assert b"retry-after" not in dict(response.headers)
         assert upstreams[1].exchanges == []
 
 
-async def test_a_caller_that_names_no_attempt_takes_a_stream_up_if_only_one_version_served() -> (
-    None
-):
+@pytest.mark.parametrize("held", ["0", "1"])
+async def test_a_caller_that_names_no_attempt_takes_a_stream_up_if_only_one_version_served(
+    held: str,
+) -> None:
     # Guards against refusing callers that send Last-Event-Id alone while all upstreams are alike.
     upstreams = (
         scripted("a", begin_or_resume, version="v8"),
         scripted("b", begin_or_resume, version="v8"),
     )
     async with running_gateway(*upstreams) as running:
-        assert (await running.call("/resume/x", last_event_id="1")).status == 503
+        assert (await running.call("/resume/x", last_event_id=held)).status == 503
         running.stream_versions[0] = (StreamVersion("s", "v7"), StreamVersion("s", "v8"))
-        assert (await running.call("/resume/x", last_event_id="1")).status == 503
+        assert (await running.call("/resume/x", last_event_id=held)).status == 503
         running.stream_versions[0] = (StreamVersion("s", "v8"),)
-        assert (await running.call("/resume/x", last_event_id="1")).status == 200
+        assert (await running.call("/resume/x", last_event_id=held)).status == 200
 
 
-async def test_a_stream_is_not_taken_up_at_the_service_to_which_its_route_was_moved() -> None:
+@pytest.mark.parametrize("held", ["0", "1"])
+async def test_a_stream_is_not_taken_up_at_the_service_to_which_its_route_was_moved(
+    held: str,
+) -> None:
     # Guards against a stream that goes on at another service, whose only version has the same name,
     # after all entry nodes were killed and the route was moved.
     upstreams = scripted("a", begin_or_resume), scripted("b", begin_or_resume)
@@ -159,7 +165,7 @@
             StreamVersion("other", version),
             StreamVersion("s", version),
         )
-        response = await running.call("/resume/x", last_event_id="1", resumes="first")
+        response = await running.call("/resume/x", last_event_id=held, resumes="first")
         assert response.status == 503
         assert all(not upstream.exchanges for upstream in upstreams)
 
