Record no origin for the stream of a caller without a request id

Cause: the origin of such a stream was held under the empty id, and a caller that names no attempt asked for the same one: it got the origin of another caller's stream, at any software version. Found in the search for an empty text that counts as an id, by reading; no deployment showed it. Result: the new test failed before.

--- a/packages/core/src/goldcrestridge_core/stream_origins.py
+++ b/packages/core/src/goldcrestridge_core/stream_origins.py
@@ -202,7 +202,12 @@
     # Recording.
 
     def _record(self, origin: StreamOrigin, now_ms: float) -> None:
-        """Hold an origin and add it to the next batches for the nodes that hold its copies."""
+        """Hold an origin and add it to the next batches for the nodes that hold its copies.
+
+        One without an id is not recorded: a caller that names no attempt may mean another stream.
+        """
+        if not origin.request_id:
+            return
         self._hold(origin, now_ms)
         others = [node for node in rank(origin.request_id, self._nodes) if node != self.node_id]
         for node in others[:COPIES]:
@@ -211,6 +216,8 @@
             self._send_batches_ms = min(self._send_batches_ms, now_ms + BATCH_MS)
 
     def _hold(self, origin: StreamOrigin, now_ms: float) -> None:
+        if not origin.request_id:
+            return
         self._held.pop(origin.request_id, None)
         self._held[origin.request_id] = (origin, now_ms + KEPT_MS)
         while self._held:
--- a/tests/core/test_stream_origins.py
+++ b/tests/core/test_stream_origins.py
@@ -304,3 +304,15 @@
     ]
     assert asked == [SeekStreamVersions()] * 2
     assert role.next_deadline_ms() is not None
+
+
+def test_the_stream_of_a_caller_without_a_request_id_is_not_that_of_one_that_names_no_attempt() -> (
+    None
+):
+    # Guards against a caller that names no attempt, and gets the origin of another stream, whose
+    # caller sent no id.
+    net = Net(4)
+    net.post(net.nodes[0], StreamBegan(origin("")))
+    net.post(net.nodes[1], Receive(net.nodes[0], RecordOrigins((origin(""),))))
+    net.run(1_000.0)
+    assert [net.find(node, "").origin for node in net.nodes] == [None] * 4
