--- a/packages/node/src/goldcrestridge_node/relay.py
+++ b/packages/node/src/goldcrestridge_node/relay.py
@@ -143,7 +143,7 @@
 
     @property
     def _continues_stream(self) -> bool:
-        """Tell whether the caller holds events of the stream, from this attempt or earlier ones."""
+        """Tell whether the caller holds events of the stream."""
         return self._splitter.last_id is not None
 
     async def _find_origin(self) -> bool:
