Let nodes go on that were suspended past the lease of a shard

Its log ends with KeyError: 'engines/0' from Node._handle_tick, 10 ms after the lease of that shard had expired.

Cause: a Tick lists all roles and shard owners that are due before it runs them. After a suspension the Tick of ownership ends the lease, and the owner of the shard with it, which is still on the list. Any shard owner with a deadline, so with a request that waits or runs, ended the process.

A shard owner now gets its Tick only if its lease has not expired with the Tick of ownership.

--- a/packages/core/src/goldcrestridge_core/node.py
+++ b/packages/core/src/goldcrestridge_core/node.py
@@ -307,7 +307,7 @@
         for name in due:
             if name in self._roles:
                 self._run_role(name, Tick(), now_ms)
-            else:
+            elif name in self.owners:  # Its lease has not expired with the Tick of ownership.
                 self._run_owner(ShardId(name), Tick(), now_ms)
 
     def _handle_caller_request(self, event: CallerRequest, now_ms: float) -> None:
--- a/tests/core/test_node_machine.py
+++ b/tests/core/test_node_machine.py
@@ -5,9 +5,10 @@
 from random import Random
 
 import hypothesis
+import pytest
 from hypothesis.stateful import run_state_machine_as_test
 
-from goldcrestridge_core.types import UpstreamId
+from goldcrestridge_core.types import Tick, UpstreamId
 from goldcrestridge_lab.node_config import ENGINES, completion_call
 from goldcrestridge_lab.node_fleet import new_fleet
 from goldcrestridge_lab.node_machine import NodeMachine
@@ -40,6 +41,26 @@
     fleet.run(6_000.0)
 
 
+@pytest.mark.parametrize("waiting", [0, 1, 40])
+@pytest.mark.parametrize("suspended_ms", [2_000.0, 5_000.0, 60_000.0])
+def test_a_node_that_was_suspended_past_its_lease_gives_up_its_shards_and_goes_on(
+    waiting: int, suspended_ms: float
+) -> None:
+    # Guards against a node that ends because the Tick after the suspension is due for a shard owner
+    # whose lease expires with the same Tick.
+    fleet = new_fleet(Random(0), 2)
+    fleet.run(14_000.0)
+    name, core = next(
+        (host.name, host.core)
+        for host in fleet.hosts.values()
+        if host.core is not None and "assistant/0" in host.core.owners
+    )
+    for _ in range(waiting):
+        fleet.request(name, completion_call(1, "ada"))
+    core.handle(Tick(), fleet.now_ms + suspended_ms)
+    assert not core.owners
+
+
 def test_the_lowest_class_is_not_shed_when_a_pool_works_again_after_an_outage() -> None:
     # Guards against waiting requests of the lowest class that are shed (P2) after load has stopped
     # and the engines work again, because the completion rate was measured during the outage.
