Suspend hosts of the virtual fleet

The fleet of complete nodes crashed, cut off and drained its nodes, but never suspended one, so that nothing in virtual time met the node that ended after a suspension. Fleet.suspend holds the events of a host while the clock goes on, and Fleet.resume hands them over with a Tick among them.

The new test suspends owners of shards in turn under load.

--- a/packages/lab/src/goldcrestridge_lab/node_fleet.py
+++ b/packages/lab/src/goldcrestridge_lab/node_fleet.py
@@ -83,7 +83,7 @@
     ``boot_number`` counts starts. ``version`` is the configuration version in force, 0 after a
     start, and ``highest_version`` is the highest with which the node has ever served. ``tick_ms``,
     ``report_ms`` and ``wall_ms`` are the earliest times of the next Tick, load report and wall
-    clock event.
+    clock event. ``held`` holds the events that came while the host was suspended, or is None.
     """
 
     name: NodeId
@@ -97,6 +97,7 @@
     version: int = 0
     highest_version: int = 0
     draining: bool = False
+    held: list[Any] | None = None
 
 
 @define
@@ -154,7 +155,7 @@
         Of the pending disk writes, the first ``synced`` are durable and the rest are lost.
         """
         host = self.hosts[name]
-        host.core = None
+        host.core = host.held = None
         if host.disk is not None:
             host.disk.crash(synced)
         for caller in self.oracle.callers.values():
@@ -163,6 +164,19 @@
             run.active = run.active and run.host != name
         self._update_healthy_since()
 
+    def suspend(self, name: NodeId) -> None:
+        """Suspend a host: it handles no event, and its clock goes on."""
+        self.hosts[name].held = []
+        self._update_healthy_since()
+
+    def resume(self, name: NodeId, tick_after: int) -> None:
+        """Let a suspended host go on with the events that came, and a Tick after some of them."""
+        host = self.hosts[name]
+        held, host.held = host.held or [], None
+        self._update_healthy_since()
+        for event in [*held[:tick_after], Tick(), *held[tick_after:]]:
+            self.handle(host, event)
+
     def drain(self, name: NodeId) -> None:
         """Start to drain a node, unless it is down or already draining."""
         host = self.hosts[name]
@@ -207,6 +221,9 @@
     def handle(self, host: Host, event: Any) -> None:
         """Pass an event to a node, apply its effects and check the guarantees."""
         core = host.core
+        if host.held is not None:
+            host.held.append(event)
+            return
         if core is None:
             return
         effects = core.handle(event, self.now_ms)
@@ -301,13 +318,16 @@
 
     def _next_ms(self) -> float:
         times = [self.network.next_arrival_ms(), self.upstreams.next_ms()]
-        for host in self.hosts.values():
+        for host in self._running_hosts():
             if host.disk is not None and host.disk.pending:
                 times.append(host.disk.pending[0][0])
             if host.core is not None:
                 times += [self._next_tick_ms(host), host.report_ms]
         return min((time for time in times if time is not None), default=math.inf)
 
+    def _running_hosts(self) -> list[Host]:
+        return [host for host in self.hosts.values() if host.held is None]
+
     def _next_tick_ms(self, host: Host) -> float:
         deadline = host.core.next_deadline_ms() if host.core else None
         return math.inf if deadline is None else max(deadline, host.tick_ms)
@@ -321,7 +341,7 @@
             run, event = due
             if self.hosts[run.host].boot_number == run.boot_number:
                 self.handle(self.hosts[run.host], event)
-        for host in self.hosts.values():
+        for host in self._running_hosts():
             self._step_host(host)
 
     def _step_host(self, host: Host) -> None:
@@ -363,7 +383,8 @@
         """Restart the healthy period if messages may be lost or late, or if no quorum runs."""
         network = self.network
         running = sum(self.hosts[name].core is not None for name in REPLICAS)
-        if network.blocked or network.loss or network.jitter_ms or running < QUORUM:
+        late = network.blocked or network.loss or network.jitter_ms
+        if late or running < QUORUM or len(self._running_hosts()) < len(self.hosts):
             self.oracle.healthy_since_ms = self.now_ms
 
     def set_message_faults(self, loss: float, jitter_ms: float) -> None:
--- a/tests/core/test_node_machine.py
+++ b/tests/core/test_node_machine.py
@@ -8,8 +8,9 @@
 import pytest
 from hypothesis.stateful import run_state_machine_as_test
 
+from goldcrestridge_core.call_types import RespondEnd
 from goldcrestridge_core.types import Tick, UpstreamId
-from goldcrestridge_lab.node_config import ENGINES, completion_call
+from goldcrestridge_lab.node_config import ENGINES, WORKSPACES, completion_call
 from goldcrestridge_lab.node_fleet import new_fleet
 from goldcrestridge_lab.node_machine import NodeMachine
 
@@ -61,6 +62,33 @@
     assert not core.owners
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_nodes_keep_all_guarantees_when_their_hosts_are_suspended_in_turn(seed: int) -> None:
+    # Guards against nodes that end, or act under what they held before, when they go on.
+    rng, fleet = Random(seed), new_fleet(Random(seed), 2)
+
+    def run_with_load(duration_ms: float) -> None:
+        end_ms = fleet.now_ms + duration_ms
+        while fleet.now_ms < end_ms:
+            fleet.run(min(150.0, end_ms - fleet.now_ms))
+            name = rng.choice([host.name for host in fleet.hosts.values() if host.held is None])
+            fleet.request(name, completion_call(rng.randrange(3), rng.choice(WORKSPACES)))
+
+    fleet.run(14_000.0)
+    for _ in range(4):
+        owners = [host for host in fleet.hosts.values() if host.core and host.core.owners]
+        host = rng.choice(owners or list(fleet.hosts.values()))
+        fleet.suspend(host.name)
+        run_with_load(rng.choice([500.0, 2_500.0, 8_000.0]))
+        fleet.resume(host.name, tick_after=rng.randrange(8))
+        run_with_load(rng.choice([100.0, 6_000.0]))
+    fleet.run(30_000.0)
+    caller = fleet.request(host.name, completion_call(0, "ada"))
+    fleet.run(6_000.0)
+    assert caller is not None
+    assert [type(item) for item in caller.final_responses] == [RespondEnd]
+
+
 def test_the_lowest_class_is_not_shed_when_a_pool_works_again_after_an_outage() -> None:
     # Guards against waiting requests of the lowest class that are shed (P2) after load has stopped
     # and the engines work again, because the completion rate was measured during the outage.
