Begin the healthy period of the virtual fleet when a host goes on

A suspended host left the start of the healthy period at the last report of another host, up to 500 ms early, so that a check could count time in which the host did not run.

--- a/packages/lab/src/goldcrestridge_lab/node_fleet.py
+++ b/packages/lab/src/goldcrestridge_lab/node_fleet.py
@@ -171,9 +171,9 @@
 
     def resume(self, name: NodeId, tick_after: int) -> None:
         """Let a suspended host go on with the events that came, and a Tick after some of them."""
+        self._update_healthy_since()
         host = self.hosts[name]
         held, host.held = host.held or [], None
-        self._update_healthy_since()
         for event in [*held[:tick_after], Tick(), *held[tick_after:]]:
             self.handle(host, event)
 
